Add authenticated links between instances

Frames are length-prefixed; the handshake proves knowledge of a shared secret on both sides, and each frame carries a tag over its number, so that it cannot be replayed, reordered or changed. Every end of a link has a typed reason. Two instances that dial each other keep the link dialed by the lower name, since both sides then choose the same one.

--- /dev/null
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Encoding of the frames between instances. */
+package org.limpetdoor.format.peer;
--- /dev/null
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/LinkHandler.java
@@ -0,0 +1,149 @@
+package org.limpetdoor.runtime.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.timeout.ReadTimeoutException;
+import java.util.Map;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.runtime.peer.LinkEffect.Close;
+import org.limpetdoor.runtime.peer.LinkEffect.Deliver;
+import org.limpetdoor.runtime.peer.LinkEffect.Established;
+import org.limpetdoor.runtime.peer.LinkEffect.SendFrame;
+import org.limpetdoor.runtime.peer.LinkEvent.FrameReceived;
+import org.limpetdoor.runtime.peer.LinkEvent.MessageQueued;
+import org.limpetdoor.runtime.peer.LinkEvent.Opened;
+
+/** Runs the reducer of one link on the event loop thread of its channel. */
+final class LinkHandler extends ChannelDuplexHandler {
+  private final LinkReducer reducer = new LinkReducer();
+  private final PeerListener listener;
+  private final Map<InstanceId, Channel> links;
+  private final String label;
+  private LinkState state;
+  private LinkError error = LinkError.CLOSED;
+
+  LinkHandler(
+      LinkState state, PeerListener listener, Map<InstanceId, Channel> links, String label) {
+    this.state = state;
+    this.listener = listener;
+    this.links = links;
+    this.label = label;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    step(context, new Opened());
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    ByteBuf frame = (ByteBuf) message;
+    try {
+      step(context, new FrameReceived(ByteBufUtil.getBytes(frame)));
+    } finally {
+      frame.release();
+    }
+  }
+
+  /**
+   * Seals messages of this instance. One that finds the send buffer full ends the link, as the peer
+   * does not read.
+   */
+  @Override
+  public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+    if (!context.channel().isWritable()) {
+      carryOut(context, new Close(LinkError.SEND_BACKLOG));
+      promise.tryFailure(new LinkClosedException(LinkError.SEND_BACKLOG));
+      return;
+    }
+    step(context, (MessageQueued) message);
+    promise.trySuccess();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    if (error == LinkError.DUPLICATE) {
+      return;
+    }
+    if (state.session().isEmpty()) {
+      listener.linkFailed(label, error);
+      return;
+    }
+    InstanceId peer = state.session().get().peer().instance();
+    if (links.remove(peer, context.channel())) {
+      listener.linkDown(peer, error);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    carryOut(context, new Close(errorOf(cause)));
+  }
+
+  private static LinkError errorOf(Throwable cause) {
+    if (cause instanceof TooLongFrameException) {
+      return LinkError.FRAME_TOO_LARGE;
+    }
+    return cause instanceof ReadTimeoutException ? LinkError.SILENT : LinkError.CLOSED;
+  }
+
+  private void step(ChannelHandlerContext context, LinkEvent event) {
+    Transition<LinkState, LinkEffect> transition = reducer.reduce(state, event);
+    state = transition.state();
+    transition.effects().forEach(effect -> carryOut(context, effect));
+  }
+
+  private void carryOut(ChannelHandlerContext context, LinkEffect effect) {
+    if (effect instanceof SendFrame send) {
+      context.writeAndFlush(Unpooled.wrappedBuffer(send.bytes()));
+    } else if (effect instanceof Established established) {
+      establish(context, established);
+    } else if (effect instanceof Deliver deliver) {
+      deliver(context, deliver);
+    } else if (effect instanceof Close close) {
+      error = close.error();
+      context.close();
+    }
+  }
+
+  /**
+   * Registers the link. A second link to the same peer replaces the first, which may be one that
+   * went silent. If two instances dial each other at once, both keep the link that the one with the
+   * lower name dialed.
+   */
+  private void establish(ChannelHandlerContext context, Established established) {
+    InstanceId peer = established.peer().instance();
+    Channel previous = links.get(peer);
+    if (previous != null && previous.isActive() && isPreferred(previous, peer)) {
+      carryOut(context, new Close(LinkError.DUPLICATE));
+      return;
+    }
+    links.put(peer, context.channel());
+    if (previous != null) {
+      previous.close();
+    }
+    listener.linkUp(established.peer());
+  }
+
+  private boolean isPreferred(Channel previous, InstanceId peer) {
+    LinkRole previousRole = previous.pipeline().get(LinkHandler.class).state.role();
+    if (previousRole == state.role()) {
+      return false;
+    }
+    boolean lowerName = state.self().instance().compareTo(peer) < 0;
+    return previousRole == (lowerName ? LinkRole.DIALER : LinkRole.ACCEPTOR);
+  }
+
+  private void deliver(ChannelHandlerContext context, Deliver deliver) {
+    if (!listener.messageReceived(deliver.peer().instance(), deliver.payload())) {
+      carryOut(context, new Close(LinkError.MALFORMED_FRAME));
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/PeerTransport.java
@@ -0,0 +1,128 @@
+package org.limpetdoor.runtime.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.format.peer.HandshakeFrame.Nonce;
+
+/**
+ * Links to other instances over TCP. It accepts links, dials peers and sends messages; which peers
+ * to dial and what to send is decided by the reducer.
+ */
+public final class PeerTransport implements AutoCloseable {
+  private static final int LENGTH_BYTES = 4;
+  private static final int NONCE_BYTES = 16;
+  private static final int CONNECT_TIMEOUT_MS = 2_000;
+  private static final long SHUTDOWN_TIMEOUT_MS = 1_000;
+
+  private final PeerTransportSettings settings;
+  private final PeerListener listener;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final SecureRandom random = new SecureRandom();
+  private final Map<InstanceId, Channel> links = new ConcurrentHashMap<>();
+  private final Channel server;
+
+  private PeerTransport(PeerTransportSettings settings, PeerListener listener) {
+    this.settings = settings;
+    this.listener = listener;
+    this.server =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .childHandler(initializer(LinkRole.ACCEPTOR, "accepted"))
+            .bind(settings.address())
+            .syncUninterruptibly()
+            .channel();
+  }
+
+  /** Starts to accept links. */
+  public static PeerTransport start(PeerTransportSettings settings, PeerListener listener) {
+    return new PeerTransport(settings, listener);
+  }
+
+  /** Returns the address that links are accepted on. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) server.localAddress();
+  }
+
+  /** Dials a peer. The listener is told of the outcome. */
+  public void connect(InetSocketAddress address) {
+    new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(initializer(LinkRole.DIALER, address.toString()))
+        .connect(address)
+        .addListener(
+            future -> {
+              if (!future.isSuccess()) {
+                listener.linkFailed(address.toString(), LinkError.CONNECT_FAILED);
+              }
+            });
+  }
+
+  /** Sends a message. It is dropped if there is no link to the peer. */
+  public void send(InstanceId peer, byte[] payload) {
+    Channel channel = links.get(peer);
+    if (channel != null) {
+      channel.writeAndFlush(new LinkEvent.MessageQueued(payload));
+    }
+  }
+
+  /** Ends the link to a peer, if there is one. */
+  public void disconnect(InstanceId peer) {
+    Channel channel = links.get(peer);
+    if (channel != null) {
+      channel.close();
+    }
+  }
+
+  @Override
+  public void close() {
+    server.close().syncUninterruptibly();
+    links.values().forEach(Channel::close);
+    group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
+  }
+
+  private ChannelInitializer<SocketChannel> initializer(LinkRole role, String label) {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(SocketChannel channel) {
+        channel
+            .pipeline()
+            .addLast(new ReadTimeoutHandler(settings.silenceTimeoutMs(), TimeUnit.MILLISECONDS))
+            .addLast(
+                new LengthFieldBasedFrameDecoder(
+                    settings.maxFrameBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+            .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+            .addLast(new LinkHandler(openedState(role), listener, links, label));
+      }
+    };
+  }
+
+  private LinkState openedState(LinkRole role) {
+    byte[] nonce = new byte[NONCE_BYTES];
+    random.nextBytes(nonce);
+    return LinkState.opened(
+        role, settings.self(), new Authenticator(settings.secret()), Nonce.of(nonce));
+  }
+}
--- /dev/null
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Links between instances: TCP, length-prefixed frames, mutual authentication with a shared secret.
+ */
+package org.limpetdoor.runtime.peer;
