--- /dev/null
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/BenchMain.java
@@ -0,0 +1,60 @@
+package org.limpetdoor.bench;
+
+import java.util.Locale;
+import org.openjdk.jmh.profile.GCProfiler;
+import org.openjdk.jmh.runner.Runner;
+import org.openjdk.jmh.runner.RunnerException;
+import org.openjdk.jmh.runner.options.OptionsBuilder;
+
+/** Runs one measurement: {@code limpetdoor-bench MEASUREMENT}. */
+public final class BenchMain {
+  private static final int EXIT_USAGE = 2;
+  private static final int EXIT_FAILED = 1;
+
+  private BenchMain() {}
+
+  /** Runs the measurement named by the first argument. */
+  public static void main(String[] args) {
+    if (args.length != 1) {
+      usage();
+      return;
+    }
+    try {
+      Measurement.valueOf(args[0].toUpperCase(Locale.ROOT)).run();
+    } catch (IllegalArgumentException e) {
+      usage();
+    } catch (RunnerException e) {
+      System.err.println("measurement failed: " + e.getMessage());
+      System.exit(EXIT_FAILED);
+    }
+  }
+
+  private static void usage() {
+    System.err.println("usage: limpetdoor-bench reducer|heap");
+    System.exit(EXIT_USAGE);
+  }
+
+  private enum Measurement {
+    /** Control time and allocation of the events of a request. */
+    REDUCER {
+      @Override
+      void run() throws RunnerException {
+        new Runner(
+                new OptionsBuilder()
+                    .include(ReducerBenchmark.class.getName())
+                    .addProfiler(GCProfiler.class)
+                    .build())
+            .run();
+      }
+    },
+    /** Retained heap of the control state. */
+    HEAP {
+      @Override
+      void run() {
+        HeapMeasurement.run();
+      }
+    };
+
+    abstract void run() throws RunnerException;
+  }
+}
