--- /dev/null
+++ b/limpetdoor-dev/src/test/java/org/limpetdoor/dev/StreamedAnswer.java
@@ -0,0 +1,79 @@
+package org.limpetdoor.dev;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/**
+ * What a caller got of a streamed answer.
+ *
+ * @param status HTTP status
+ * @param content concatenated content of all chunks
+ * @param whole whether the stream ended with its end marker
+ */
+record StreamedAnswer(int status, String content, boolean whole) {
+  private static final Pattern CONTENT = Pattern.compile("\"content\":\"([^\"]*)\"");
+  private static final String END = "data: [DONE]";
+  private static final Duration TIMEOUT = Duration.ofSeconds(60);
+
+  /** A stream that a caller reads on a thread of its own. */
+  record Reading(CountDownLatch started, CompletableFuture<StreamedAnswer> answer) {}
+
+  /** Sends a chat completion and reads its stream. */
+  static Reading read(HttpClient client, String address, String key, String prompt) {
+    String body =
+        "{\"model\":\"laying-assistant\",\"stream\":true,\"max_tokens\":64,"
+            + "\"messages\":[{\"role\":\"user\",\"content\":\""
+            + prompt
+            + "\"}]}";
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + address + "/v1/chat/completions"))
+            .header("Authorization", "Bearer " + key)
+            .header("Content-Type", "application/json")
+            .timeout(TIMEOUT)
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    CountDownLatch started = new CountDownLatch(1);
+    CompletableFuture<StreamedAnswer> answer =
+        CompletableFuture.supplyAsync(() -> collect(client, request, started));
+    return new Reading(started, answer);
+  }
+
+  private static StreamedAnswer collect(
+      HttpClient client, HttpRequest request, CountDownLatch started) {
+    StringBuilder content = new StringBuilder();
+    int status = 0;
+    boolean whole = false;
+    try {
+      HttpResponse<Stream<String>> response = client.send(request, BodyHandlers.ofLines());
+      status = response.statusCode();
+      for (String line : (Iterable<String>) response.body()::iterator) {
+        append(content, line);
+        whole = whole || line.equals(END);
+        started.countDown();
+      }
+    } catch (IOException | java.io.UncheckedIOException e) {
+      whole = false;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    started.countDown();
+    return new StreamedAnswer(status, content.toString(), whole);
+  }
+
+  private static void append(StringBuilder content, String line) {
+    Matcher matcher = CONTENT.matcher(line);
+    while (matcher.find()) {
+      content.append(matcher.group(1));
+    }
+  }
+}
