--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/FaultRequested.java
@@ -0,0 +1,17 @@
+package org.limpetdoor.standin;
+
+import java.util.Map;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.standin.effect.Answer;
+import org.limpetdoor.standin.effect.StandinEffect;
+
+/** A fault was switched on or off. */
+record FaultRequested<S>(long replyId, long atMs, Fault<S> fault, FaultRequest request)
+    implements StandinEvent<S> {
+  @Override
+  public Transition<S, StandinEffect> reduce(S state) {
+    return fault
+        .apply(state, request, atMs)
+        .with(Answer.ok(replyId, Map.of("kind", request.kind(), "on", request.on())));
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/InvalidStandinSettingsException.java
@@ -0,0 +1,13 @@
+package org.limpetdoor.standin;
+
+import org.limpetdoor.core.LimpetdoorException;
+import org.limpetdoor.core.SourceLocation;
+
+/** Reports settings that cannot be read, with the place and the accepted form. */
+public final class InvalidStandinSettingsException extends LimpetdoorException {
+  private static final long serialVersionUID = 1L;
+
+  InvalidStandinSettingsException(String message, SourceLocation location, Throwable cause) {
+    super(message, location, cause);
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/Standin.java
@@ -0,0 +1,84 @@
+package org.limpetdoor.standin;
+
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.MutableHttpResponse;
+import io.micronaut.http.server.netty.NettyHttpRequest;
+import io.netty.channel.Channel;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.limpetdoor.runtime.ControlLoop;
+import org.limpetdoor.runtime.MonotonicClock;
+import org.limpetdoor.standin.effect.Connections;
+import org.limpetdoor.standin.effect.Replies;
+import org.limpetdoor.standin.effect.StandinEffect;
+
+/**
+ * The running state of a stand-in: a control loop and the requests that wait for its effects.
+ *
+ * @param <S> state
+ */
+public abstract class Standin<S extends StandinState<S>> implements AutoCloseable {
+  private final Replies replies;
+  private final ControlLoop<S, StandinEvent<S>, StandinEffect> loop;
+
+  protected Standin(String name, S initial, Connections connections) {
+    replies = new Replies(connections, this::disconnected);
+    loop =
+        new ControlLoop<>(
+            "standin-" + name,
+            initial,
+            new StandinReducer<>(),
+            MonotonicClock.startingNow(),
+            TimerFired::new,
+            effect -> effect.applyTo(replies));
+    loop.start();
+  }
+
+  /** Submits the event of a request; effects complete the answer. */
+  public CompletableFuture<MutableHttpResponse<?>> ask(
+      HttpRequest<?> request, EventFactory<S> event) {
+    CompletableFuture<MutableHttpResponse<?>> response = new CompletableFuture<>();
+    long replyId = replies.open(channel(request), response);
+    loop.submit(atMs -> event.create(replyId, atMs));
+    return response;
+  }
+
+  /** Submits a fault, or answers with status 400 and the accepted kinds. */
+  public <F extends Enum<F> & Fault<S>> CompletableFuture<MutableHttpResponse<?>> askFault(
+      HttpRequest<?> request, FaultRequest fault, Class<F> faults) {
+    Optional<F> kind = Fault.find(faults, fault.kind());
+    if (kind.isEmpty()) {
+      return CompletableFuture.completedFuture(
+          HttpResponse.badRequest(
+              Map.of("error", "unknown fault kind", "accepted", Fault.names(faults))));
+    }
+    return ask(request, (id, atMs) -> new FaultRequested<>(id, atMs, kind.get(), fault));
+  }
+
+  /** Returns the event for a connection that was closed before its reply ended. */
+  protected StandinEvent<S> disconnectedEvent(long replyId, long atMs) {
+    return new TimerFired<>(atMs);
+  }
+
+  @Override
+  public void close() {
+    loop.close();
+  }
+
+  private void disconnected(long replyId) {
+    loop.submit(atMs -> disconnectedEvent(replyId, atMs));
+  }
+
+  private static Channel channel(HttpRequest<?> request) {
+    return ((NettyHttpRequest<?>) request).getChannelHandlerContext().channel();
+  }
+
+  /** Makes the event of a request. */
+  @FunctionalInterface
+  public interface EventFactory<S> {
+    /** Returns the event from the identifier of the reply and the time in monotonic ms. */
+    StandinEvent<S> create(long replyId, long atMs);
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/StandinSettings.java
@@ -0,0 +1,26 @@
+package org.limpetdoor.standin;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.limpetdoor.standin.engine.EngineSettings;
+import org.limpetdoor.standin.instances.InstancesSettings;
+import org.limpetdoor.standin.log.LogSettings;
+import org.limpetdoor.standin.service.ServiceSettings;
+import org.limpetdoor.standin.weights.WeightsSettings;
+
+/** Settings of one stand-in; the member {@code role} says which. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "role")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = LogSettings.class, name = "log"),
+  @JsonSubTypes.Type(value = EngineSettings.class, name = "engine"),
+  @JsonSubTypes.Type(value = ServiceSettings.class, name = "service"),
+  @JsonSubTypes.Type(value = InstancesSettings.class, name = "instances"),
+  @JsonSubTypes.Type(value = WeightsSettings.class, name = "weights"),
+})
+public interface StandinSettings {
+  /** Returns the role that these settings are for. */
+  StandinRole role();
+
+  /** Returns the address to listen on; port 0 takes a free port. */
+  ListenAddress address();
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/StandinSettingsFile.java
@@ -0,0 +1,61 @@
+package org.limpetdoor.standin;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.limpetdoor.core.SourceLocation;
+
+/** Reads settings in JSON with comments. */
+public final class StandinSettingsFile {
+  private static final String ACCEPTED_FORM =
+      "; accepted form: {\"role\": \"log|engine|service|instances|weights\","
+          + " \"address\": \"127.0.0.1:18101\", members of the role}";
+  private static final ObjectMapper MAPPER =
+      JsonMapper.builder()
+          .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .build();
+
+  private StandinSettingsFile() {}
+
+  /**
+   * Reads a file.
+   *
+   * @throws InvalidStandinSettingsException if the file cannot be read or has another form
+   */
+  public static StandinSettings read(Path file) {
+    try {
+      return parse(file.toString(), Files.readString(file));
+    } catch (IOException e) {
+      SourceLocation location = new SourceLocation(file.toString(), 0, 0);
+      throw new InvalidStandinSettingsException("cannot read the file: " + e, location, e);
+    }
+  }
+
+  /**
+   * Reads a text.
+   *
+   * @param source name of the input for messages
+   * @throws InvalidStandinSettingsException if the text has another form
+   */
+  public static StandinSettings parse(String source, String text) {
+    try {
+      return MAPPER.readValue(text, StandinSettings.class);
+    } catch (JsonProcessingException e) {
+      String message = e.getOriginalMessage() + ACCEPTED_FORM;
+      throw new InvalidStandinSettingsException(message, location(source, e.getLocation()), e);
+    }
+  }
+
+  private static SourceLocation location(String source, JsonLocation place) {
+    return place == null
+        ? new SourceLocation(source, 0, 0)
+        : new SourceLocation(source, place.getLineNr(), place.getColumnNr());
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/effect/Answer.java
@@ -0,0 +1,34 @@
+package org.limpetdoor.standin.effect;
+
+import java.util.Map;
+
+/**
+ * Sends a whole answer.
+ *
+ * @param replyId the request to answer
+ * @param status HTTP status code
+ * @param body value that is written as JSON
+ * @param headers further headers
+ */
+public record Answer(long replyId, int status, Object body, Map<String, String> headers)
+    implements StandinEffect {
+  /** Copies the headers. */
+  public Answer {
+    headers = Map.copyOf(headers);
+  }
+
+  /** Returns an answer with status 200. */
+  public static Answer ok(long replyId, Object body) {
+    return new Answer(replyId, 200, body, Map.of());
+  }
+
+  /** Returns an answer that reports an error. */
+  public static Answer error(long replyId, int status, String error) {
+    return new Answer(replyId, status, Map.of("error", error), Map.of());
+  }
+
+  @Override
+  public void applyTo(StandinEffectHandler handler) {
+    handler.answer(this);
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/effect/Connections.java
@@ -0,0 +1,47 @@
+package org.limpetdoor.standin.effect;
+
+import io.micronaut.context.event.BeanCreatedEvent;
+import io.micronaut.context.event.BeanCreatedEventListener;
+import io.micronaut.http.server.netty.NettyServerCustomizer;
+import io.netty.channel.Channel;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import jakarta.inject.Singleton;
+
+/** The open connections of one server, so that faults can close them. */
+@Singleton
+public final class Connections
+    implements BeanCreatedEventListener<NettyServerCustomizer.Registry>, NettyServerCustomizer {
+  private final ChannelGroup open = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private volatile boolean accepting = true;
+
+  @Override
+  public NettyServerCustomizer.Registry onCreated(
+      BeanCreatedEvent<NettyServerCustomizer.Registry> event) {
+    event.getBean().register(this);
+    return event.getBean();
+  }
+
+  @Override
+  public NettyServerCustomizer specializeForChannel(Channel channel, ChannelRole role) {
+    if (role != ChannelRole.CONNECTION) {
+      return this;
+    }
+    open.add(channel);
+    if (!accepting) {
+      // The pipeline is still being built here, so the close has to wait for the next task.
+      channel.eventLoop().execute(channel::close);
+    }
+    return this;
+  }
+
+  void closeAll() {
+    accepting = false;
+    open.close();
+  }
+
+  void accept() {
+    accepting = true;
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/effect/Replies.java
@@ -0,0 +1,126 @@
+package org.limpetdoor.standin.effect;
+
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.MutableHttpResponse;
+import io.micronaut.http.sse.Event;
+import io.netty.channel.Channel;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.GenericFutureListener;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongConsumer;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Sinks;
+
+/** The requests that wait for an answer or receive a stream, by identifier. */
+public final class Replies implements StandinEffectHandler {
+  private final Connections connections;
+  private final LongConsumer onDisconnect;
+  private final Map<Long, Reply> open = new ConcurrentHashMap<>();
+  private final AtomicLong nextId = new AtomicLong(1);
+
+  /**
+   * Creates an empty registry.
+   *
+   * @param connections the connections of the server
+   * @param onDisconnect told of each open reply whose connection was closed
+   */
+  public Replies(Connections connections, LongConsumer onDisconnect) {
+    this.connections = connections;
+    this.onDisconnect = onDisconnect;
+  }
+
+  /** Registers a request and returns its identifier. */
+  public long open(Channel channel, CompletableFuture<MutableHttpResponse<?>> response) {
+    long id = nextId.getAndIncrement();
+    GenericFutureListener<Future<? super Void>> listener = closed -> disconnected(id);
+    open.put(
+        id, new Reply(channel, response, Sinks.many().unicast().onBackpressureBuffer(), listener));
+    channel.closeFuture().addListener(listener);
+    return id;
+  }
+
+  @Override
+  public void answer(Answer effect) {
+    Reply reply = remove(effect.replyId());
+    if (reply == null) {
+      return;
+    }
+    MutableHttpResponse<?> response =
+        HttpResponse.status(HttpStatus.valueOf(effect.status())).body(effect.body());
+    effect.headers().forEach(response::header);
+    reply.response.complete(response);
+  }
+
+  @Override
+  public void startStream(StartStream effect) {
+    Reply reply = open.get(effect.replyId());
+    if (reply == null) {
+      return;
+    }
+    Flux<Event<String>> events = reply.stream.asFlux().map(Event::of);
+    MutableHttpResponse<?> response =
+        HttpResponse.ok(events).contentType(MediaType.TEXT_EVENT_STREAM_TYPE);
+    effect.headers().forEach(response::header);
+    reply.response.complete(response);
+  }
+
+  @Override
+  public void sendChunk(SendChunk effect) {
+    Reply reply = open.get(effect.replyId());
+    if (reply != null) {
+      reply.stream.tryEmitNext(effect.data());
+    }
+  }
+
+  @Override
+  public void endStream(EndStream effect) {
+    Reply reply = remove(effect.replyId());
+    if (reply != null) {
+      reply.stream.tryEmitComplete();
+    }
+  }
+
+  @Override
+  public void closeConnection(CloseConnection effect) {
+    Reply reply = remove(effect.replyId());
+    if (reply != null) {
+      reply.channel.close();
+    }
+  }
+
+  @Override
+  public void closeAllConnections(CloseAllConnections effect) {
+    connections.closeAll();
+  }
+
+  @Override
+  public void acceptConnections(AcceptConnections effect) {
+    connections.accept();
+  }
+
+  private void disconnected(long id) {
+    if (open.remove(id) != null) {
+      onDisconnect.accept(id);
+    }
+  }
+
+  private Reply remove(long id) {
+    Reply reply = open.remove(id);
+    if (reply != null) {
+      // Connections are kept open between requests and would collect one listener for each.
+      reply.channel.closeFuture().removeListener(reply.onClose);
+    }
+    return reply;
+  }
+
+  private record Reply(
+      Channel channel,
+      CompletableFuture<MutableHttpResponse<?>> response,
+      Sinks.Many<String> stream,
+      GenericFutureListener<Future<? super Void>> onClose) {}
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/effect/StartStream.java
@@ -0,0 +1,16 @@
+package org.limpetdoor.standin.effect;
+
+import java.util.Map;
+
+/**
+ * Sends status 200 and the headers of an event stream.
+ *
+ * @param replyId the request that is answered
+ * @param headers further headers
+ */
+public record StartStream(long replyId, Map<String, String> headers) implements StandinEffect {
+  @Override
+  public void applyTo(StandinEffectHandler handler) {
+    handler.startStream(this);
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/effect/package-info.java
@@ -0,0 +1,2 @@
+/** Effects of the stand-ins and what carries them out. */
+package org.limpetdoor.standin.effect;
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/CompletionRequest.java
@@ -0,0 +1,32 @@
+package org.limpetdoor.standin.engine;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * The members of a chat-completions request that the engine uses.
+ *
+ * @param model name of the model
+ * @param messages the messages
+ * @param maxTokens longest answer in tokens; 0 leaves it to the engine
+ * @param stream whether the answer is a stream
+ */
+@JsonIgnoreProperties(ignoreUnknown = true)
+public record CompletionRequest(
+    String model, JsonNode messages, @JsonProperty("max_tokens") int maxTokens, boolean stream) {
+  /** Checks the members. */
+  public CompletionRequest {
+    if (model == null || messages == null || maxTokens < 0) {
+      throw new IllegalArgumentException(
+          "model and messages are required; max_tokens must be at least 0");
+    }
+  }
+
+  Job job(long replyId, String attempt, int priority, int resumeAt, int limit) {
+    int tokens = maxTokens == 0 ? limit : Math.min(maxTokens, limit);
+    String prompt = messages.toString();
+    return new Job(
+        replyId, attempt, priority, model, prompt, stream, resumeAt, resumeAt, tokens, 0);
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/EngineStandin.java
@@ -0,0 +1,25 @@
+package org.limpetdoor.standin.engine;
+
+import org.limpetdoor.standin.Standin;
+import org.limpetdoor.standin.StandinEvent;
+import org.limpetdoor.standin.effect.Connections;
+
+/** Running engine. */
+public final class EngineStandin extends Standin<EngineState> {
+  private final int maxTokens;
+
+  /** Starts the control loop. */
+  public EngineStandin(EngineSettings settings, Connections connections) {
+    super("engine", EngineState.initial(settings), connections);
+    this.maxTokens = settings.maxTokens();
+  }
+
+  int maxTokens() {
+    return maxTokens;
+  }
+
+  @Override
+  protected StandinEvent<EngineState> disconnectedEvent(long replyId, long atMs) {
+    return new EngineEvent.Disconnected(replyId, atMs);
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/EngineState.java
@@ -0,0 +1,268 @@
+package org.limpetdoor.standin.engine;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.standin.Delays;
+import org.limpetdoor.standin.StandinState;
+import org.limpetdoor.standin.effect.AcceptConnections;
+import org.limpetdoor.standin.effect.Answer;
+import org.limpetdoor.standin.effect.CloseAllConnections;
+import org.limpetdoor.standin.effect.EndStream;
+import org.limpetdoor.standin.effect.SendChunk;
+import org.limpetdoor.standin.effect.StandinEffect;
+import org.limpetdoor.standin.effect.StartStream;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/**
+ * State of an engine. Models and the fencing number survive a crash; work does not.
+ *
+ * @param settings settings
+ * @param memory loaded models
+ * @param running answers that hold a slot
+ * @param queued answers that wait for a slot, in order of arrival
+ * @param faults faults in force
+ * @param delays answers to orders that are still being carried out
+ */
+public record EngineState(
+    EngineSettings settings,
+    Memory memory,
+    PVector<Job> running,
+    PVector<Job> queued,
+    EngineFaults faults,
+    Delays delays)
+    implements StandinState<EngineState> {
+  private static final int NOT_FOUND = 404;
+  private static final int CONFLICT = 409;
+  private static final int UNAVAILABLE = 503;
+
+  static EngineState initial(EngineSettings settings) {
+    return new EngineState(
+        settings,
+        new Memory(settings.capacityMib(), HashTreePMap.from(settings.models()), 0),
+        TreePVector.empty(),
+        TreePVector.empty(),
+        EngineFaults.NONE,
+        Delays.NONE);
+  }
+
+  @Override
+  public long nextDeadlineMs() {
+    long next = Math.min(delays.nextDeadlineMs(), nextTokenMs());
+    return Math.min(next, Math.min(faults.crashAtMs(), faults.upAtMs()));
+  }
+
+  @Override
+  public Transition<EngineState, StandinEffect> advance(long nowMs) {
+    return new Transition<EngineState, StandinEffect>(
+            withDelays(delays.after(nowMs)), delays.due(nowMs))
+        .then(s -> s.produceTokens(nowMs))
+        .then(s -> s.faults.crashAtMs() <= nowMs ? s.crash(nowMs) : Transition.of(s))
+        .then(s -> s.faults.upAtMs() <= nowMs ? s.comeUp() : Transition.of(s));
+  }
+
+  Transition<EngineState, StandinEffect> complete(Job job, long nowMs) {
+    if (faults.draining()) {
+      Map<String, String> headers =
+          Map.of("Limpetdoor-Not-Started", "true", "Limpetdoor-Load", loadHeader());
+      return Transition.of(
+          this, new Answer(job.replyId(), UNAVAILABLE, Map.of("error", "draining"), headers));
+    }
+    if (!memory.models().containsKey(job.model())) {
+      return Transition.of(this, Answer.error(job.replyId(), NOT_FOUND, "unknown model"));
+    }
+    if (faults.crashes(job.prompt())) {
+      return crash(nowMs);
+    }
+    return withWork(running, queued.plus(job)).fillSlots(nowMs);
+  }
+
+  /** Ends the answer of an attempt. A cancelled stream ends without the final event. */
+  Transition<EngineState, StandinEffect> cancel(long replyId, String attempt, long nowMs) {
+    Optional<Job> found = find(job -> job.attempt().equals(attempt));
+    if (found.isEmpty()) {
+      return Transition.of(this, Answer.error(replyId, NOT_FOUND, "unknown attempt"));
+    }
+    Job job = found.get();
+    boolean started = job.stream() && running.contains(job);
+    StandinEffect end =
+        started ? new EndStream(job.replyId()) : Answer.error(job.replyId(), CONFLICT, "cancelled");
+    return Transition.<EngineState, StandinEffect>of(this, end)
+        .then(s -> s.remove(job, nowMs))
+        .with(Answer.ok(replyId, Map.of("cancelled", attempt)));
+  }
+
+  /** Drops the answer of a caller that has gone. */
+  Transition<EngineState, StandinEffect> disconnect(long replyId, long nowMs) {
+    return find(job -> job.replyId() == replyId)
+        .map(job -> remove(job, nowMs))
+        .orElseGet(() -> Transition.of(this));
+  }
+
+  Transition<EngineState, StandinEffect> order(long replyId, Order order, long nowMs) {
+    boolean checked = settings.refusesOldFencingNumbers();
+    if (checked && order.fencingNumber() < memory.highestFencingNumber()) {
+      return answerOrder(replyId, order, OrderResult.STALE_FENCING_NUMBER);
+    }
+    Memory fenced = checked ? memory.withFencingNumber(order.fencingNumber()) : memory;
+    boolean inUse = find(job -> job.model().equals(order.model())).isPresent();
+    OrderResult result = order.action().check(fenced, order, inUse);
+    if (result != OrderResult.DONE) {
+      return withMemory(fenced).answerOrder(replyId, order, result);
+    }
+    // Memory counts from the start of a load, so that two loads cannot be promised the same part.
+    EngineState changed = withMemory(order.action().change(fenced, order));
+    long durationMs = order.action().durationMs(settings);
+    return durationMs == 0
+        ? changed.answerOrder(replyId, order, result)
+        : Transition.of(
+            changed.withDelays(delays.plus(nowMs + durationMs, answer(replyId, order, result))));
+  }
+
+  Answer health(long replyId) {
+    return faults.draining()
+        ? new Answer(replyId, UNAVAILABLE, Map.of("status", "draining"), Map.of())
+        : Answer.ok(replyId, Map.of("status", "up"));
+  }
+
+  Answer load(long replyId) {
+    return Answer.ok(replyId, Map.of("running", running.size(), "queued", queued.size()));
+  }
+
+  /** Stops all running answers without ending them. */
+  EngineState silenceRunning() {
+    return withWork(map(running, job -> job.startingAt(NEVER_MS)), queued);
+  }
+
+  /** Lets answers that were silenced go on. */
+  Transition<EngineState, StandinEffect> resumeSilent(long nowMs) {
+    return withWork(
+            map(running, job -> job.nextTokenMs() == NEVER_MS ? job.startingAt(nowMs) : job),
+            queued)
+        .produceTokens(nowMs);
+  }
+
+  private Transition<EngineState, StandinEffect> produceTokens(long nowMs) {
+    Transition<EngineState, StandinEffect> done = Transition.of(this);
+    while (done.state().nextTokenMs() <= nowMs) {
+      done = done.then(EngineState::produceNextToken);
+    }
+    return done;
+  }
+
+  private Transition<EngineState, StandinEffect> produceNextToken() {
+    Job job = running.stream().min(Comparator.comparingLong(Job::nextTokenMs)).orElseThrow();
+    long dueMs = job.nextTokenMs();
+    if (job.finished()) {
+      return finish(job, dueMs);
+    }
+    Job next = job.afterToken(dueMs + intervalMs());
+    EngineState state = withWork(running.with(running.indexOf(job), next), queued);
+    Transition<EngineState, StandinEffect> sent =
+        job.stream()
+            ? Transition.of(
+                state,
+                new SendChunk(job.replyId(), CompletionBody.chunk(job, job.token(job.nextToken()))))
+            : Transition.of(state);
+    return next.finished() ? sent.then(s -> s.finish(next, dueMs)) : sent;
+  }
+
+  private Transition<EngineState, StandinEffect> finish(Job job, long nowMs) {
+    List<StandinEffect> ends =
+        job.stream()
+            ? List.of(
+                new SendChunk(job.replyId(), CompletionBody.DONE), new EndStream(job.replyId()))
+            : List.of(new Answer(job.replyId(), 200, CompletionBody.document(job), loadHeaders()));
+    return new Transition<>(this, ends).then(s -> s.remove(job, nowMs));
+  }
+
+  private Transition<EngineState, StandinEffect> remove(Job job, long nowMs) {
+    return withWork(running.minus(job), queued.minus(job)).fillSlots(nowMs);
+  }
+
+  private Transition<EngineState, StandinEffect> fillSlots(long nowMs) {
+    Transition<EngineState, StandinEffect> done = Transition.of(this);
+    while (!done.state().queued.isEmpty() && done.state().running.size() < settings.slots()) {
+      done = done.then(s -> s.startNext(nowMs));
+    }
+    return done;
+  }
+
+  private Transition<EngineState, StandinEffect> startNext(long nowMs) {
+    // The first of equal priority is taken, which keeps their order of arrival.
+    Job job = queued.stream().min(Comparator.comparingInt(Job::priority)).orElseThrow();
+    EngineState next =
+        withWork(running.plus(job.startingAt(nowMs + intervalMs())), queued.minus(job));
+    return job.stream()
+        ? Transition.of(next, new StartStream(job.replyId(), next.loadHeaders()))
+        : Transition.of(next);
+  }
+
+  private Transition<EngineState, StandinEffect> crash(long nowMs) {
+    return Transition.of(
+        withWork(TreePVector.empty(), TreePVector.empty())
+            .withDelays(Delays.NONE)
+            .withFaults(faults.withDownUntil(nowMs + faults.crashForMs())),
+        new CloseAllConnections());
+  }
+
+  private Transition<EngineState, StandinEffect> comeUp() {
+    return Transition.of(withFaults(faults.withDownUntil(NEVER_MS)), new AcceptConnections());
+  }
+
+  private Transition<EngineState, StandinEffect> answerOrder(
+      long replyId, Order order, OrderResult result) {
+    return Transition.of(this, answer(replyId, order, result));
+  }
+
+  private static Answer answer(long replyId, Order order, OrderResult result) {
+    return Answer.ok(replyId, Map.of("orderId", order.orderId(), "result", result));
+  }
+
+  private Optional<Job> find(Predicate<Job> wanted) {
+    return Stream.concat(running.stream(), queued.stream()).filter(wanted).findFirst();
+  }
+
+  private long nextTokenMs() {
+    return running.stream().mapToLong(Job::nextTokenMs).min().orElse(NEVER_MS);
+  }
+
+  private long intervalMs() {
+    return (long) (settings.tokenIntervalMs() * faults.factor());
+  }
+
+  private Map<String, String> loadHeaders() {
+    return Map.of("Limpetdoor-Load", loadHeader());
+  }
+
+  private String loadHeader() {
+    return "running=" + running.size() + ";queued=" + queued.size();
+  }
+
+  private static PVector<Job> map(PVector<Job> jobs, UnaryOperator<Job> change) {
+    return TreePVector.from(jobs.stream().map(change).toList());
+  }
+
+  EngineState withFaults(EngineFaults value) {
+    return new EngineState(settings, memory, running, queued, value, delays);
+  }
+
+  private EngineState withMemory(Memory value) {
+    return new EngineState(settings, value, running, queued, faults, delays);
+  }
+
+  private EngineState withWork(PVector<Job> nextRunning, PVector<Job> nextQueued) {
+    return new EngineState(settings, memory, nextRunning, nextQueued, faults, delays);
+  }
+
+  private EngineState withDelays(Delays value) {
+    return new EngineState(settings, memory, running, queued, faults, value);
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/Job.java
@@ -0,0 +1,63 @@
+package org.limpetdoor.standin.engine;
+
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+
+/**
+ * One answer in the engine.
+ *
+ * @param replyId the request
+ * @param attempt identifier of the attempt
+ * @param priority 0 is served first
+ * @param model name of the model
+ * @param prompt the messages as JSON
+ * @param stream whether tokens are sent as they are produced
+ * @param resumeAt number of tokens that the caller already has
+ * @param nextToken index of the next token
+ * @param tokens length of the whole answer in tokens
+ * @param nextTokenMs when the next token is due, in monotonic milliseconds
+ */
+record Job(
+    long replyId,
+    String attempt,
+    int priority,
+    String model,
+    String prompt,
+    boolean stream,
+    int resumeAt,
+    int nextToken,
+    int tokens,
+    long nextTokenMs) {
+  private static final String[] WORDS = {
+    "stave", "egg", "barn", "crate", "oak", "pond", "yard", "feed", "hoop", "cart", "gate", "mill",
+    "rope", "field", "cask", "nest"
+  };
+
+  boolean finished() {
+    return nextToken >= tokens;
+  }
+
+  Job startingAt(long firstTokenMs) {
+    return with(nextToken, firstTokenMs);
+  }
+
+  Job afterToken(long nextTokenMs) {
+    return with(nextToken + 1, nextTokenMs);
+  }
+
+  /** Returns a token; it depends only on model, prompt and index, so that streams can resume. */
+  String token(int index) {
+    int hash = 31 * (31 * model.hashCode() + prompt.hashCode()) + index * 0x9E3779B9;
+    return WORDS[((hash ^ hash >>> 16) & Integer.MAX_VALUE) % WORDS.length] + index + " ";
+  }
+
+  /** Returns the tokens from the resume position to the end. */
+  String text() {
+    return IntStream.range(resumeAt, tokens).mapToObj(this::token).collect(Collectors.joining());
+  }
+
+  private Job with(int token, long dueMs) {
+    return new Job(
+        replyId, attempt, priority, model, prompt, stream, resumeAt, token, tokens, dueMs);
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the model engine. */
+package org.limpetdoor.standin.engine;
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/instances/ChangeRequested.java
@@ -0,0 +1,14 @@
+package org.limpetdoor.standin.instances;
+
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.standin.StandinEvent;
+import org.limpetdoor.standin.effect.StandinEffect;
+
+/** The list changed. */
+record ChangeRequested(long replyId, long atMs, InstanceList list)
+    implements StandinEvent<InstancesState> {
+  @Override
+  public Transition<InstancesState, StandinEffect> reduce(InstancesState state) {
+    return state.change(replyId, list, atMs);
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/instances/InstancesState.java
@@ -0,0 +1,48 @@
+package org.limpetdoor.standin.instances;
+
+import java.util.Map;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.standin.StandinState;
+import org.limpetdoor.standin.effect.Answer;
+import org.limpetdoor.standin.effect.StandinEffect;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/**
+ * State of the instance list.
+ *
+ * @param lagMs how long a change stays invisible, in milliseconds
+ * @param shown the list that readers get
+ * @param changes later lists in order
+ */
+public record InstancesState(long lagMs, InstanceList shown, PVector<Change> changes)
+    implements StandinState<InstancesState> {
+  static InstancesState initial(InstancesSettings settings) {
+    return new InstancesState(
+        settings.lagMs(), new InstanceList(settings.instances()), TreePVector.empty());
+  }
+
+  @Override
+  public long nextDeadlineMs() {
+    return changes.isEmpty() ? NEVER_MS : changes.get(0).visibleMs;
+  }
+
+  @Override
+  public Transition<InstancesState, StandinEffect> advance(long nowMs) {
+    InstancesState next = this;
+    while (next.nextDeadlineMs() <= nowMs) {
+      next = new InstancesState(lagMs, next.changes.get(0).list, next.changes.minus(0));
+    }
+    return Transition.of(next);
+  }
+
+  Transition<InstancesState, StandinEffect> change(long replyId, InstanceList list, long nowMs) {
+    long visibleMs = nowMs + lagMs;
+    InstancesState next =
+        new InstancesState(lagMs, shown, changes.plus(new Change(visibleMs, list)));
+    return next.advance(nowMs).with(Answer.ok(replyId, Map.of("visibleInMs", lagMs)));
+  }
+
+  /** A list and the time at which readers see it. */
+  record Change(long visibleMs, InstanceList list) {}
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/instances/ListRequested.java
@@ -0,0 +1,14 @@
+package org.limpetdoor.standin.instances;
+
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.standin.StandinEvent;
+import org.limpetdoor.standin.effect.Answer;
+import org.limpetdoor.standin.effect.StandinEffect;
+
+/** A reader asks for the list. */
+record ListRequested(long replyId, long atMs) implements StandinEvent<InstancesState> {
+  @Override
+  public Transition<InstancesState, StandinEffect> reduce(InstancesState state) {
+    return Transition.of(state, Answer.ok(replyId, state.shown()));
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/instances/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the instance list. */
+package org.limpetdoor.standin.instances;
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/log/LogFault.java
@@ -0,0 +1,32 @@
+package org.limpetdoor.standin.log;
+
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.standin.Fault;
+import org.limpetdoor.standin.FaultRequest;
+import org.limpetdoor.standin.effect.StandinEffect;
+
+/** Kinds of faults of the log service. */
+public enum LogFault implements Fault<LogState> {
+  /** All requests, also waiting ones, are answered with status 503. */
+  OUTAGE {
+    @Override
+    public Transition<LogState, StandinEffect> apply(LogState s, FaultRequest r, long nowMs) {
+      LogState next = s.withFaults(s.faults().withOutage(r.on()));
+      return r.on() ? next.refuseWaiting() : Transition.of(next);
+    }
+  },
+  /** The next {@code count} appends take effect, and their connections are closed unanswered. */
+  LOST_ANSWERS {
+    @Override
+    public Transition<LogState, StandinEffect> apply(LogState s, FaultRequest r, long nowMs) {
+      return Transition.of(s.withFaults(s.faults().withLoseAnswers(r.on() ? r.count() : 0)));
+    }
+  },
+  /** All answers are {@code delayMs} late. */
+  SLOW_ANSWERS {
+    @Override
+    public Transition<LogState, StandinEffect> apply(LogState s, FaultRequest r, long nowMs) {
+      return Transition.of(s.withFaults(s.faults().withDelayMs(r.on() ? r.delayMs() : 0)));
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/log/LogStream.java
@@ -0,0 +1,68 @@
+package org.limpetdoor.standin.log;
+
+import java.util.Base64;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.limpetdoor.core.Timed;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/**
+ * One stream of records.
+ *
+ * @param firstOffset offset of the first kept record
+ * @param kept the records from that offset on
+ */
+record LogStream(long firstOffset, PVector<Stored> kept) {
+  static final LogStream EMPTY = new LogStream(0, TreePVector.empty());
+
+  long nextOffset() {
+    return firstOffset + kept.size();
+  }
+
+  LogStream append(long nowMs, String body, LogSettings settings) {
+    LogStream longer = new LogStream(firstOffset, kept.plus(new Stored(nowMs, body)));
+    int limit = settings.retainRecords();
+    return limit > 0 && longer.kept.size() > limit ? longer.withoutFirst() : longer;
+  }
+
+  LogStream expire(long nowMs, long retainMs) {
+    LogStream stream = this;
+    while (!stream.kept.isEmpty() && stream.kept.get(0).atMs + retainMs <= nowMs) {
+      stream = stream.withoutFirst();
+    }
+    return stream;
+  }
+
+  long nextExpiryMs(long retainMs) {
+    return kept.isEmpty() ? Timed.NEVER_MS : kept.get(0).atMs + retainMs;
+  }
+
+  /** Returns records from an offset on; a reader behind retention starts at the first kept one. */
+  ReadAnswer read(long from, int max) {
+    long start = Math.max(from, firstOffset);
+    long end = Math.min(nextOffset(), start + max);
+    List<ReadRecord> records =
+        LongStream.range(start, end)
+            .mapToObj(o -> new ReadRecord(o, kept.get((int) (o - firstOffset)).body))
+            .toList();
+    return new ReadAnswer(records, nextOffset(), firstOffset);
+  }
+
+  private LogStream withoutFirst() {
+    return new LogStream(firstOffset + 1, kept.minus(0));
+  }
+
+  static String encode(byte[] body) {
+    return Base64.getEncoder().encodeToString(body);
+  }
+
+  /** A record with the time of its append and its body in base64. */
+  record Stored(long atMs, String body) {}
+
+  /** A record as readers get it. */
+  public record ReadRecord(long offset, String body) {}
+
+  /** Answer to a read. */
+  public record ReadAnswer(List<ReadRecord> records, long nextOffset, long firstOffset) {}
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/log/ReadRequested.java
@@ -0,0 +1,14 @@
+package org.limpetdoor.standin.log;
+
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.standin.StandinEvent;
+import org.limpetdoor.standin.effect.StandinEffect;
+
+/** A reader asks for records and waits up to {@code waitMs} for the first. */
+record ReadRequested(long replyId, long atMs, String stream, long from, int max, long waitMs)
+    implements StandinEvent<LogState> {
+  @Override
+  public Transition<LogState, StandinEffect> reduce(LogState state) {
+    return state.read(new LogState.WaitingRead(replyId, stream, from, max, atMs + waitMs), atMs);
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/log/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the append-only log service. */
+package org.limpetdoor.standin.log;
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/service/ExecutionsRequested.java
@@ -0,0 +1,15 @@
+package org.limpetdoor.standin.service;
+
+import java.util.Map;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.standin.StandinEvent;
+import org.limpetdoor.standin.effect.Answer;
+import org.limpetdoor.standin.effect.StandinEffect;
+
+/** A test asks how often each request body ran. */
+record ExecutionsRequested(long replyId, long atMs) implements StandinEvent<ServiceState> {
+  @Override
+  public Transition<ServiceState, StandinEffect> reduce(ServiceState state) {
+    return Transition.of(state, Answer.ok(replyId, Map.of("executions", state.byBody())));
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/service/ServiceFault.java
@@ -0,0 +1,34 @@
+package org.limpetdoor.standin.service;
+
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.standin.Fault;
+import org.limpetdoor.standin.FaultRequest;
+import org.limpetdoor.standin.effect.StandinEffect;
+
+/** Kinds of faults of a plain service. */
+public enum ServiceFault implements Fault<ServiceState> {
+  /** The next {@code count} calls run, and their connections are closed unanswered. */
+  LOST_REPLIES {
+    @Override
+    public Transition<ServiceState, StandinEffect> apply(
+        ServiceState s, FaultRequest r, long nowMs) {
+      return Transition.of(s.withLoseReplies(r.on() ? r.count() : 0));
+    }
+  },
+  /** Calls run {@code factor} times as long. */
+  SLOW {
+    @Override
+    public Transition<ServiceState, StandinEffect> apply(
+        ServiceState s, FaultRequest r, long nowMs) {
+      return Transition.of(s.withFactor(r.on() ? r.factor() : 1));
+    }
+  },
+  /** Calls are answered with status 503 and do not run. */
+  DOWN {
+    @Override
+    public Transition<ServiceState, StandinEffect> apply(
+        ServiceState s, FaultRequest r, long nowMs) {
+      return Transition.of(s.withDown(r.on()));
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/service/ServiceState.java
@@ -0,0 +1,87 @@
+package org.limpetdoor.standin.service;
+
+import java.util.Map;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.standin.Delays;
+import org.limpetdoor.standin.StandinState;
+import org.limpetdoor.standin.effect.Answer;
+import org.limpetdoor.standin.effect.CloseConnection;
+import org.limpetdoor.standin.effect.StandinEffect;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * State of a plain service. A call takes effect when it arrives and is answered after its run time.
+ *
+ * @param settings settings
+ * @param executions number of calls that ran
+ * @param byBody how often each request body ran
+ * @param loseReplies how many of the next calls run without a reply
+ * @param factor how many times slower calls are answered
+ * @param down whether calls are refused before they run
+ * @param delays answers that are held back
+ */
+public record ServiceState(
+    ServiceSettings settings,
+    long executions,
+    PMap<String, Integer> byBody,
+    int loseReplies,
+    double factor,
+    boolean down,
+    Delays delays)
+    implements StandinState<ServiceState> {
+  private static final int UNAVAILABLE = 503;
+
+  static ServiceState initial(ServiceSettings settings) {
+    return new ServiceState(settings, 0, HashTreePMap.empty(), 0, 1, false, Delays.NONE);
+  }
+
+  @Override
+  public long nextDeadlineMs() {
+    return delays.nextDeadlineMs();
+  }
+
+  @Override
+  public Transition<ServiceState, StandinEffect> advance(long nowMs) {
+    return new Transition<>(withDelays(delays.after(nowMs)), delays.due(nowMs));
+  }
+
+  Transition<ServiceState, StandinEffect> call(CallRequested call) {
+    if (down) {
+      return Transition.of(this, Answer.error(call.replyId(), UNAVAILABLE, "down"));
+    }
+    ServiceState ran = withRun(call.body());
+    StandinEffect reply = loseReplies > 0 ? new CloseConnection(call.replyId()) : ran.echo(call);
+    long dueMs = call.atMs() + (long) (settings.runMs() * factor);
+    return Transition.<ServiceState, StandinEffect>of(ran.withDelays(delays.plus(dueMs, reply)))
+        .then(s -> s.advance(call.atMs()));
+  }
+
+  private Answer echo(CallRequested call) {
+    return Answer.ok(
+        call.replyId(),
+        Map.of("method", call.method(), "path", call.path(), "executions", executions));
+  }
+
+  private ServiceState withRun(String body) {
+    PMap<String, Integer> counted = byBody.plus(body, byBody.getOrDefault(body, 0) + 1);
+    int lose = Math.max(0, loseReplies - 1);
+    return new ServiceState(settings, executions + 1, counted, lose, factor, down, delays);
+  }
+
+  private ServiceState withDelays(Delays value) {
+    return new ServiceState(settings, executions, byBody, loseReplies, factor, down, value);
+  }
+
+  ServiceState withLoseReplies(int value) {
+    return new ServiceState(settings, executions, byBody, value, factor, down, delays);
+  }
+
+  ServiceState withFactor(double value) {
+    return new ServiceState(settings, executions, byBody, loseReplies, value, down, delays);
+  }
+
+  ServiceState withDown(boolean value) {
+    return new ServiceState(settings, executions, byBody, loseReplies, factor, value, delays);
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/service/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the plain service. */
+package org.limpetdoor.standin.service;
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/weights/LoadRequested.java
@@ -0,0 +1,14 @@
+package org.limpetdoor.standin.weights;
+
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.standin.StandinEvent;
+import org.limpetdoor.standin.effect.StandinEffect;
+
+/** A load was requested. */
+record LoadRequested(long replyId, long atMs, LoadRequest request)
+    implements StandinEvent<WeightsState> {
+  @Override
+  public Transition<WeightsState, StandinEffect> reduce(WeightsState state) {
+    return state.load(replyId, request);
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/weights/WeightsState.java
@@ -0,0 +1,68 @@
+package org.limpetdoor.standin.weights;
+
+import java.util.List;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.standin.StandinState;
+import org.limpetdoor.standin.effect.Answer;
+import org.limpetdoor.standin.effect.StandinEffect;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/**
+ * State of the weight store. Loads beyond the full-speed number share the speed equally.
+ *
+ * @param settings settings
+ * @param loads loads in flight
+ * @param updatedMs time up to which the work done is counted
+ */
+public record WeightsState(WeightsSettings settings, PVector<Load> loads, long updatedMs)
+    implements StandinState<WeightsState> {
+  static WeightsState initial(WeightsSettings settings) {
+    return new WeightsState(settings, TreePVector.empty(), 0);
+  }
+
+  @Override
+  public long nextDeadlineMs() {
+    double shortestMs = loads.stream().mapToDouble(Load::remainingMs).min().orElse(-1);
+    return shortestMs < 0 ? NEVER_MS : updatedMs + (long) Math.ceil(shortestMs / speed());
+  }
+
+  @Override
+  public Transition<WeightsState, StandinEffect> advance(long nowMs) {
+    Transition<WeightsState, StandinEffect> done = Transition.of(this);
+    while (done.state().nextDeadlineMs() <= nowMs) {
+      done = done.then(s -> s.workUntil(s.nextDeadlineMs()));
+    }
+    return done.then(s -> s.workUntil(nowMs));
+  }
+
+  Transition<WeightsState, StandinEffect> load(long replyId, LoadRequest request) {
+    Load load = new Load(replyId, request, settings.loadMs());
+    return Transition.of(new WeightsState(settings, loads.plus(load), updatedMs));
+  }
+
+  private Transition<WeightsState, StandinEffect> workUntil(long nowMs) {
+    double workMs = (nowMs - updatedMs) * speed();
+    List<Load> worked = loads.stream().map(load -> load.after(workMs)).toList();
+    List<Load> left = worked.stream().filter(load -> load.remainingMs > 0).toList();
+    List<Answer> answers =
+        worked.stream()
+            .filter(load -> load.remainingMs <= 0)
+            .map(load -> Answer.ok(load.replyId, load.request))
+            .toList();
+    return Transition.<WeightsState, StandinEffect>of(
+            new WeightsState(settings, TreePVector.from(left), nowMs))
+        .withAll(answers);
+  }
+
+  private double speed() {
+    return Math.min(1, (double) settings.fullSpeedLoads() / Math.max(1, loads.size()));
+  }
+
+  /** A load and its remaining time at full speed, in milliseconds. */
+  record Load(long replyId, LoadRequest request, double remainingMs) {
+    Load after(double workMs) {
+      return new Load(replyId, request, remainingMs - workMs);
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/weights/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the weight store. */
+package org.limpetdoor.standin.weights;
--- /dev/null
+++ b/limpetdoor-standin/src/test/java/org/limpetdoor/standin/EngineStandinTest.java
@@ -0,0 +1,144 @@
+package org.limpetdoor.standin;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.http.HttpResponse;
+import java.util.Iterator;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+class EngineStandinTest {
+  private static final String PATH = "/v1/chat/completions";
+  private static final String ORDERS = "/control/orders";
+
+  /** Guards against a resumed stream that repeats, skips or changes tokens. */
+  @Test
+  void resumedStreamContinuesExactly() throws Exception {
+    try (StandinClient engine = engine(1, 0)) {
+      List<String> whole = stream(engine, "0");
+      List<String> rest = stream(engine, "3");
+      assertThat(whole).hasSize(9);
+      assertThat(whole.get(8)).isEqualTo("data: [DONE]");
+      assertThat(rest).isEqualTo(whole.subList(3, 9));
+    }
+  }
+
+  /** Guards against a document without the counts that callers are billed by. */
+  @Test
+  void documentCountsItsTokens() throws Exception {
+    try (StandinClient engine = engine(1, 0)) {
+      HttpResponse<String> response = engine.send("POST", PATH, prompt("hello", false));
+      assertThat(response.body()).contains("\"completion_tokens\":8");
+      assertThat(response.headers().firstValue("Limpetdoor-Load")).hasValue("running=1;queued=0");
+    }
+  }
+
+  /** Guards against a delayed order of an earlier lease holder that still takes effect. */
+  @Test
+  void staleFencingNumberIsRefused() throws Exception {
+    try (StandinClient engine = engine(1, 0)) {
+      engine.json("POST", ORDERS, order(7, "fence", 0));
+      assertThat(result(engine, order(6, "load", 10))).isEqualTo("stale_fencing_number");
+      assertThat(result(engine, order(7, "load", 91))).isEqualTo("no_memory");
+      assertThat(result(engine, order(7, "load", 10))).isEqualTo("done");
+      JsonNode inventory = engine.json("GET", "/control/inventory", "");
+      assertThat(inventory.toString())
+          .isEqualTo(
+              "{\"models\":[{\"model\":\"m\",\"memoryMib\":10},{\"model\":\"n\",\"memoryMib\":10}],"
+                  + "\"capacityMib\":100,\"highestFencingNumber\":7}");
+    }
+  }
+
+  /** Guards against a cancelled attempt that keeps its slot, which would block queued work. */
+  @Test
+  void cancelFreesTheSlot() throws Exception {
+    try (StandinClient engine = engine(1, 3_600_000)) {
+      HttpResponse<Stream<String>> held =
+          engine.lines(PATH, prompt("hello", true), "Limpetdoor-Attempt", "a1");
+      engine.sendAsync("POST", PATH, prompt("hello", false));
+      assertThat(engine.send("DELETE", "/v1/attempts/a1", "").statusCode()).isEqualTo(200);
+      assertThat(held.body().filter(line -> !line.isEmpty()).toList()).isEmpty();
+      HttpResponse<Stream<String>> gone = engine.lines(PATH, prompt("x", true));
+      assertThat(gone.statusCode()).isEqualTo(200);
+    }
+  }
+
+  /** Guards against a refusal that does not say that the work was not started (I4). */
+  @Test
+  void drainingRefusesAsNotStarted() throws Exception {
+    try (StandinClient engine = engine(1, 0)) {
+      engine.fault("{\"kind\": \"draining\"}");
+      HttpResponse<String> response = engine.send("POST", PATH, prompt("hello", false));
+      assertThat(response.statusCode()).isEqualTo(503);
+      assertThat(response.headers().firstValue("Limpetdoor-Not-Started")).hasValue("true");
+      assertThat(engine.send("GET", "/health", "").statusCode()).isEqualTo(503);
+    }
+  }
+
+  /** Guards against a crash that leaves connections open or still accepts new ones (F8). */
+  @Test
+  void promptWithTextCrashesTheEngine() throws Exception {
+    try (StandinClient engine = engine(1, 0)) {
+      engine.fault("{\"kind\": \"crash_on_text\", \"text\": \"boom\", \"forMs\": 3600000}");
+      assertThat(engine.send("POST", PATH, prompt("hello", false)).statusCode()).isEqualTo(200);
+      assertThrows(IOException.class, () -> engine.send("POST", PATH, prompt("a boom b", false)));
+      assertThrows(IOException.class, () -> engine.send("GET", "/health", ""));
+    }
+  }
+
+  /** Guards against silence that also stops new connections, which is another fault (F9). */
+  @Test
+  void silentStreamStaysOpenWhileNewWorkRuns() throws Exception {
+    try (StandinClient engine = engine(2, 20)) {
+      HttpResponse<Stream<String>> held = engine.lines(PATH, prompt("hello", true));
+      Iterator<String> lines = held.body().iterator();
+      assertThat(lines.next()).startsWith("data: ");
+      engine.fault("{\"kind\": \"silent\"}");
+      assertThat(engine.send("POST", PATH, prompt("hello", false)).statusCode()).isEqualTo(200);
+      assertThat(engine.json("GET", "/control/load", "").get("running").asInt()).isEqualTo(1);
+    }
+  }
+
+  private static StandinClient engine(int slots, long tokenIntervalMs) {
+    return new StandinClient(
+        "{\"role\": \"engine\", \"address\": \"127.0.0.1:0\", \"maxTokens\": 8,"
+            + " \"capacityMib\": 100, \"refusesOldFencingNumbers\": true,"
+            + " \"models\": {\"m\": 10}, \"slots\": "
+            + slots
+            + ", \"tokenIntervalMs\": "
+            + tokenIntervalMs
+            + "}");
+  }
+
+  private static List<String> stream(StandinClient engine, String resumeAt) throws Exception {
+    HttpResponse<Stream<String>> response =
+        engine.lines(PATH, prompt("hello", true), "Limpetdoor-Resume-At", resumeAt);
+    return response.body().filter(line -> !line.isEmpty()).toList();
+  }
+
+  private static String prompt(String content, boolean stream) {
+    return "{\"model\": \"m\", \"messages\": [{\"role\": \"user\", \"content\": \""
+        + content
+        + "\"}], \"max_tokens\": 20, \"temperature\": 0, \"stream\": "
+        + stream
+        + "}";
+  }
+
+  private static String order(long fencingNumber, String action, int memoryMib) {
+    return "{\"orderId\": \"o\", \"model\": \"n\", \"fencingNumber\": "
+        + fencingNumber
+        + ", \"action\": \""
+        + action
+        + "\", \"memoryMib\": "
+        + memoryMib
+        + "}";
+  }
+
+  private static String result(StandinClient engine, String order) throws Exception {
+    return engine.json("POST", ORDERS, order).get("result").asText();
+  }
+}
--- /dev/null
+++ b/limpetdoor-standin/src/test/java/org/limpetdoor/standin/OtherStandinsTest.java
@@ -0,0 +1,60 @@
+package org.limpetdoor.standin;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+
+class OtherStandinsTest {
+  /** Guards against a lost reply that is not counted as run, which would hide a second run (I5). */
+  @Test
+  void lostReplyCountsAsRun() throws Exception {
+    try (StandinClient service = new StandinClient(settings("service", ""))) {
+      service.fault("{\"kind\": \"lost_replies\", \"count\": 1}");
+      assertThrows(IOException.class, () -> service.send("PUT", "/charge/1", "x"));
+      assertThat(service.json("POST", "/charge/1", "x").get("executions").asInt()).isEqualTo(2);
+      assertThat(service.json("GET", "/executions", "").toString())
+          .isEqualTo("{\"executions\":{\"x\":2}}");
+    }
+  }
+
+  /** Guards against a change that readers see before the lag has passed. */
+  @Test
+  void changedListIsShownLate() throws Exception {
+    String list =
+        "{\"instances\":[{\"name\":\"a\",\"address\":\"127.0.0.1:1\",\"state\":\"live\"}]}";
+    try (StandinClient late = new StandinClient(settings("instances", ", \"lagMs\": 3600000"));
+        StandinClient prompt = new StandinClient(settings("instances", ""))) {
+      late.send("PUT", "/instances", list);
+      prompt.send("PUT", "/instances", list);
+      assertThat(late.send("GET", "/instances", "").body()).isEqualTo("{\"instances\":[]}");
+      assertThat(prompt.send("GET", "/instances", "").body()).isEqualTo(list);
+    }
+  }
+
+  /** Guards against a load request that is never answered. */
+  @Test
+  void loadIsAnsweredWhenFinished() throws Exception {
+    String members = ", \"loadsPerSecond\": 1000, \"fullSpeedLoads\": 1";
+    try (StandinClient weights = new StandinClient(settings("weights", members))) {
+      String load = "{\"model\":\"m\",\"engine\":\"e\"}";
+      assertThat(weights.send("POST", "/loads", load).body()).isEqualTo(load);
+    }
+  }
+
+  /** Guards against an error that does not say where the file is wrong. */
+  @Test
+  void wrongSettingsNameThePlace() {
+    String text = "{\n  \"role\": \"log\",\n  \"adress\": \"127.0.0.1:0\"\n}";
+    InvalidStandinSettingsException error =
+        assertThrows(
+            InvalidStandinSettingsException.class, () -> StandinSettingsFile.parse("f.json", text));
+    assertThat(error).hasMessageThat().startsWith("f.json:3:");
+    assertThat(error).hasMessageThat().contains("accepted form");
+  }
+
+  private static String settings(String role, String members) {
+    return "{\"role\": \"" + role + "\", \"address\": \"127.0.0.1:0\"" + members + "}";
+  }
+}
