--- a/limpetdoor-standin/src/main/java/org/limpetdoor/standin/StandinSettingsFile.java
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/StandinSettingsFile.java
@@ -1,14 +1,21 @@
 package org.limpetdoor.standin;
 
+import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.reflect.RecordComponent;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Set;
+import java.util.TreeSet;
 import org.limpetdoor.core.SourceLocation;
 
 /** Reads settings in JSON with comments. */
@@ -46,11 +53,50 @@
    */
   public static StandinSettings parse(String source, String text) {
     try {
+      rejectUnknownMembers(source, text);
       return MAPPER.readValue(text, StandinSettings.class);
     } catch (JsonProcessingException e) {
       String message = e.getOriginalMessage() + ACCEPTED_FORM;
       throw new InvalidStandinSettingsException(message, location(source, e.getLocation()), e);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /**
+   * Reports a misspelt member at its place. Jackson calls the constructor first and would report
+   * the missing member at the end of the object instead.
+   */
+  private static void rejectUnknownMembers(String source, String text) throws IOException {
+    Set<String> accepted = acceptedMembers(MAPPER.readTree(text).path("role").asText());
+    if (accepted.isEmpty()) {
+      return;
+    }
+    try (JsonParser parser = MAPPER.createParser(text)) {
+      parser.nextToken();
+      while (parser.nextToken() == JsonToken.FIELD_NAME) {
+        if (!accepted.contains(parser.currentName())) {
+          String message = "unknown member " + parser.currentName() + "; accepted: " + accepted;
+          SourceLocation place = location(source, parser.currentTokenLocation());
+          throw new InvalidStandinSettingsException(message + ACCEPTED_FORM, place, null);
+        }
+        parser.nextToken();
+        parser.skipChildren();
+      }
+    }
+  }
+
+  private static Set<String> acceptedMembers(String role) {
+    Set<String> members = new TreeSet<>();
+    for (JsonSubTypes.Type type : StandinSettings.class.getAnnotation(JsonSubTypes.class).value()) {
+      if (type.name().equals(role)) {
+        members.add("role");
+        for (RecordComponent component : type.value().getRecordComponents()) {
+          members.add(component.getName());
+        }
+      }
     }
+    return members;
   }
 
   private static SourceLocation location(String source, JsonLocation place) {
--- a/limpetdoor-standin/src/main/java/org/limpetdoor/standin/Standins.java
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/Standins.java
@@ -10,6 +10,8 @@
   // Two threads carry the load of one stand-in; the default is two per processor for each context.
   private static final int EVENT_LOOP_THREADS = 2;
   private static final int FREE_PORT = -1;
+  // The default of 5 minutes would close connections that a fault keeps silent.
+  private static final String IDLE_TIMEOUT = "24h";
 
   private Standins() {}
 
--- a/limpetdoor-standin/src/main/java/org/limpetdoor/standin/effect/Replies.java
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/effect/Replies.java
@@ -1,5 +1,7 @@
 package org.limpetdoor.standin.effect;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.HttpStatus;
 import io.micronaut.http.MediaType;
@@ -18,6 +20,9 @@
 
 /** The requests that wait for an answer or receive a stream, by identifier. */
 public final class Replies implements StandinEffectHandler {
+  // The mapper of Micronaut omits empty lists, which readers of these answers need.
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
   private final Connections connections;
   private final LongConsumer onDisconnect;
   private final Map<Long, Reply> open = new ConcurrentHashMap<>();
@@ -51,7 +56,9 @@
       return;
     }
     MutableHttpResponse<?> response =
-        HttpResponse.status(HttpStatus.valueOf(effect.status())).body(effect.body());
+        HttpResponse.status(HttpStatus.valueOf(effect.status()))
+            .contentType(MediaType.APPLICATION_JSON_TYPE)
+            .body(json(effect.body()));
     effect.headers().forEach(response::header);
     reply.response.complete(response);
   }
@@ -103,6 +110,14 @@
     connections.accept();
   }
 
+  private static String json(Object body) {
+    try {
+      return MAPPER.writeValueAsString(body);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("the body of an answer cannot be written as JSON", e);
+    }
+  }
+
   private void disconnected(long id) {
     if (open.remove(id) != null) {
       onDisconnect.accept(id);
--- a/limpetdoor-standin/src/test/java/org/limpetdoor/standin/StandinClient.java
+++ b/limpetdoor-standin/src/test/java/org/limpetdoor/standin/StandinClient.java
@@ -9,12 +9,15 @@
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 
 /** A stand-in with settings from a text, and a client for it. */
 final class StandinClient implements AutoCloseable {
   private static final ObjectMapper MAPPER = new ObjectMapper();
+  // A hanging request fails after this time instead of holding up the build.
+  private static final Duration TIMEOUT = Duration.ofSeconds(30);
 
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -62,6 +65,7 @@
   private HttpRequest request(String method, String path, String body, String... headers) {
     HttpRequest.Builder builder =
         HttpRequest.newBuilder(URI.create("http://" + standin.address() + path))
+            .timeout(TIMEOUT)
             .header("Content-Type", "application/json")
             .method(method, BodyPublishers.ofString(body));
     for (int i = 0; i < headers.length; i += 2) {
