--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP server for callers. */
+package org.limpetdoor.entry.caller;
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP server for operators. */
+package org.limpetdoor.entry.operator;
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/ForwardedHeaders.java
@@ -0,0 +1,55 @@
+package org.limpetdoor.entry.traffic;
+
+import io.micronaut.http.HttpHeaders;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** Chooses the headers that pass between callers and plain services. */
+public final class ForwardedHeaders {
+  /** Headers of one connection (RFC 9110, 7.6.1), and those that are set anew. */
+  private static final Set<String> NOT_FORWARDED =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "host",
+          "content-length",
+          "expect",
+          "accept-encoding");
+
+  private ForwardedHeaders() {}
+
+  /**
+   * Returns the headers of a caller that a plain service gets. The key stays here, because it
+   * identifies the caller to limpetdoor only.
+   */
+  public static Map<String, List<String>> toService(HttpHeaders headers) {
+    Map<String, List<String>> forwarded = forwarded(headers);
+    forwarded.keySet().removeIf(name -> name.equalsIgnoreCase("authorization"));
+    return forwarded;
+  }
+
+  /** Returns the headers of a back end's answer that the caller gets. */
+  static Map<String, List<String>> toCaller(HttpHeaders headers) {
+    return forwarded(headers);
+  }
+
+  private static Map<String, List<String>> forwarded(HttpHeaders headers) {
+    Map<String, List<String>> forwarded = new LinkedHashMap<>();
+    for (String name : headers.names()) {
+      String lower = name.toLowerCase(Locale.ROOT);
+      if (!NOT_FORWARDED.contains(lower) && !lower.startsWith("limpetdoor-")) {
+        forwarded.put(name, headers.getAll(name));
+      }
+    }
+    return forwarded;
+  }
+}
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/TokenStreamAttempt.java
@@ -0,0 +1,177 @@
+package org.limpetdoor.entry.traffic;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.micronaut.core.io.buffer.ByteBuffer;
+import io.micronaut.http.HttpResponse;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.limpetdoor.core.effect.DispatchAttempt;
+import org.limpetdoor.core.request.AttemptFailure;
+import org.limpetdoor.entry.traffic.SseDecoder.SseEvent;
+import org.reactivestreams.Subscription;
+import reactor.core.publisher.BaseSubscriber;
+
+/** A call whose tokens are passed on as they arrive. */
+final class TokenStreamAttempt extends UpstreamAttempt {
+  /** Longest gap between tokens. The target is 51 ms, so a back end is then taken as stopped. */
+  private static final long MAX_TOKEN_GAP_MS = 5_000;
+
+  /** Longest time for which a caller may hold a slot of an engine without reading. */
+  private static final long MAX_CALLER_SILENCE_MS = 30_000;
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final String LAST_DATA = "[DONE]";
+
+  private final SseDecoder decoder = new SseDecoder();
+  private final Reader reader = new Reader();
+  private final AtomicBoolean paused = new AtomicBoolean();
+  private final boolean resumed;
+  private volatile long lastActivityNs;
+  private int outputTokens;
+
+  TokenStreamAttempt(DispatchAttempt dispatch, OpenRequest request, Upstream upstream) {
+    super(dispatch, request, upstream);
+    this.resumed = dispatch.resumeAtToken() > 0;
+    this.outputTokens = dispatch.resumeAtToken();
+  }
+
+  @Override
+  void call() {
+    upstream().client().exchangeStream(httpRequest()).subscribe(reader);
+    if (hasEnded()) {
+      close();
+    }
+  }
+
+  @Override
+  void close() {
+    reader.cancel();
+  }
+
+  @Override
+  void callerReady() {
+    if (paused.compareAndSet(true, false)) {
+      lastActivityNs = System.nanoTime();
+      reader.request(1);
+    }
+  }
+
+  @Override
+  void checkTimeout() {
+    if (!hasStarted()) {
+      failed(AttemptFailure.TIMED_OUT);
+      return;
+    }
+    long silentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastActivityNs);
+    long limitMs = paused.get() ? MAX_CALLER_SILENCE_MS : MAX_TOKEN_GAP_MS;
+    if (silentMs < limitMs) {
+      scheduleCheck(limitMs - silentMs);
+    } else if (paused.get()) {
+      request().abandonCaller(new SlowCallerException(silentMs));
+    } else {
+      failed(AttemptFailure.TIMED_OUT);
+    }
+  }
+
+  private void received(HttpResponse<ByteBuffer<?>> part) {
+    lastActivityNs = System.nanoTime();
+    if (!hasStarted()) {
+      noteStarted(part.getHeaders());
+      scheduleCheck(MAX_TOKEN_GAP_MS);
+    }
+    byte[] bytes = part.getBody().map(ByteBuffer::toByteArray).orElse(new byte[0]);
+    for (SseEvent event : decoder.decode(bytes)) {
+      passOn(event);
+    }
+    readMore();
+  }
+
+  private void passOn(SseEvent event) {
+    if (hasEnded()) {
+      return;
+    }
+    if (event.data().equals(LAST_DATA)) {
+      passOnLast(event);
+    } else if (event.name().equals("error")) {
+      failed(AttemptFailure.ERROR_ANSWER);
+    } else {
+      passOnChunk(event);
+    }
+  }
+
+  private void passOnLast(SseEvent event) {
+    if (request().emitLast(id(), event)) {
+      completed(outputTokens);
+    }
+  }
+
+  private void passOnChunk(SseEvent event) {
+    Chunk chunk = Chunk.parse(event.data());
+    if (resumed && chunk.opensAnswer()) {
+      return;
+    }
+    if (request().emit(id(), event, chunk.tokens())) {
+      outputTokens += chunk.tokens();
+    }
+  }
+
+  /** Reads on, unless the caller is behind; it then reads on when the caller has caught up. */
+  private void readMore() {
+    if (!request().callerBehind()) {
+      reader.request(1);
+      return;
+    }
+    paused.set(true);
+    if (!request().callerBehind()) {
+      callerReady();
+    }
+  }
+
+  /** What counts of the JSON of one chunk. */
+  private record Chunk(boolean hasContent, boolean endsAnswer) {
+    static Chunk parse(String data) {
+      try {
+        JsonNode root = JSON.readTree(data);
+        JsonNode choice = root.path("choices").path(0);
+        boolean content = !choice.path("delta").path("content").asText("").isEmpty();
+        boolean last = choice.hasNonNull("finish_reason") || root.hasNonNull("usage");
+        return new Chunk(content, last);
+      } catch (JsonProcessingException e) {
+        return new Chunk(false, false);
+      }
+    }
+
+    int tokens() {
+      return hasContent ? 1 : 0;
+    }
+
+    /** The caller of a resumed stream has the chunk that only names the role already. */
+    boolean opensAnswer() {
+      return !hasContent && !endsAnswer;
+    }
+  }
+
+  private final class Reader extends BaseSubscriber<HttpResponse<ByteBuffer<?>>> {
+    @Override
+    protected void hookOnSubscribe(Subscription subscription) {
+      subscription.request(1);
+    }
+
+    @Override
+    protected void hookOnNext(HttpResponse<ByteBuffer<?>> part) {
+      received(part);
+    }
+
+    @Override
+    protected void hookOnError(Throwable error) {
+      failed(error);
+    }
+
+    @Override
+    protected void hookOnComplete() {
+      failed(AttemptFailure.CONNECTION_LOST);
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamAttempt.java
@@ -0,0 +1,222 @@
+package org.limpetdoor.entry.traffic;
+
+import io.micronaut.http.HttpHeaders;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.MutableHttpRequest;
+import io.micronaut.http.MutableHttpResponse;
+import io.micronaut.http.client.exceptions.HttpClientResponseException;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.limpetdoor.core.effect.DispatchAttempt;
+import org.limpetdoor.core.event.AttemptCompleted;
+import org.limpetdoor.core.event.AttemptFailed;
+import org.limpetdoor.core.event.AttemptStarted;
+import org.limpetdoor.core.event.BackendReported;
+import org.limpetdoor.core.id.AttemptId;
+import org.limpetdoor.core.request.AttemptFailure;
+import org.limpetdoor.core.request.Outcome;
+
+/** One call to a back end. It reports its end once, whatever happens afterwards. */
+abstract class UpstreamAttempt {
+  private static final int TOO_MANY_REQUESTS = 429;
+  private static final int SERVER_ERROR = 500;
+
+  private final DispatchAttempt dispatch;
+  private final OpenRequest request;
+  private final Upstream upstream;
+  private final AtomicBoolean started = new AtomicBoolean();
+  private final AtomicBoolean ended = new AtomicBoolean();
+  private volatile ScheduledFuture<?> timeout;
+  private volatile Runnable onEnd = () -> {};
+
+  UpstreamAttempt(DispatchAttempt dispatch, OpenRequest request, Upstream upstream) {
+    this.dispatch = dispatch;
+    this.request = request;
+    this.upstream = upstream;
+  }
+
+  static UpstreamAttempt of(DispatchAttempt dispatch, OpenRequest request, Upstream upstream) {
+    return request.call().mode().streamed()
+        ? new TokenStreamAttempt(dispatch, request, upstream)
+        : new WholeAnswerAttempt(dispatch, request, upstream);
+  }
+
+  final AttemptId id() {
+    return dispatch.attempt();
+  }
+
+  final String address() {
+    return dispatch.address();
+  }
+
+  /** Sets what is done when the attempt has ended; to be called before {@link #start()}. */
+  final void onEnd(Runnable action) {
+    onEnd = action;
+  }
+
+  /** Opens the call, unless it was cancelled before. */
+  final void start() {
+    if (ended.get()) {
+      return;
+    }
+    scheduleCheck(dispatch.firstByteTimeoutMs());
+    call();
+  }
+
+  /** Ends the call without a report; the reducer knows already. */
+  final void cancel() {
+    if (end()) {
+      close();
+    }
+  }
+
+  /** Sends the request. */
+  abstract void call();
+
+  /** Closes the connection of the call. */
+  abstract void close();
+
+  /** Called by the timeout. */
+  abstract void checkTimeout();
+
+  /** Called when the caller has taken what it was sent. */
+  abstract void callerReady();
+
+  final OpenRequest request() {
+    return request;
+  }
+
+  final Upstream upstream() {
+    return upstream;
+  }
+
+  final boolean hasEnded() {
+    return ended.get();
+  }
+
+  final boolean hasStarted() {
+    return started.get();
+  }
+
+  final void scheduleCheck(long delayMs) {
+    timeout = upstream.scheduler().schedule(this::checkIfRunning, delayMs, TimeUnit.MILLISECONDS);
+    if (ended.get()) {
+      timeout.cancel(false);
+    }
+  }
+
+  final void noteStarted(HttpHeaders headers) {
+    if (started.compareAndSet(false, true)) {
+      upstream.report(atMs -> new AttemptStarted(atMs, id()));
+      noteLoad(headers);
+    }
+  }
+
+  final void completed(int outputTokens) {
+    if (end()) {
+      upstream.report(atMs -> new AttemptCompleted(atMs, id(), outputTokens));
+    }
+  }
+
+  final void failed(AttemptFailure failure) {
+    if (end()) {
+      int delivered = request.deliveredTokens();
+      upstream.report(atMs -> new AttemptFailed(atMs, id(), failure, delivered));
+      close();
+    }
+  }
+
+  final void failed(Throwable error) {
+    if (error instanceof HttpClientResponseException answer) {
+      errorAnswer(answer.getResponse());
+    } else {
+      failed(Failures.of(error));
+    }
+  }
+
+  final MutableHttpRequest<?> httpRequest() {
+    UpstreamCall call = request.call();
+    String uri = "http://" + dispatch.address() + call.pathAndQuery();
+    MutableHttpRequest<Object> out = HttpRequest.create(call.method(), uri);
+    call.headers().forEach((name, values) -> values.forEach(value -> out.header(name, value)));
+    out.header("Limpetdoor-Attempt", id().toString());
+    out.header("Limpetdoor-Priority", String.valueOf(dispatch.enginePriority()));
+    out.header("Limpetdoor-Resume-At", String.valueOf(dispatch.resumeAtToken()));
+    call.body().ifPresent(out::body);
+    return out;
+  }
+
+  private void checkIfRunning() {
+    if (!ended.get()) {
+      checkTimeout();
+    }
+  }
+
+  private boolean end() {
+    if (!ended.compareAndSet(false, true)) {
+      return false;
+    }
+    ScheduledFuture<?> pending = timeout;
+    if (pending != null) {
+      pending.cancel(false);
+    }
+    onEnd.run();
+    return true;
+  }
+
+  private void noteLoad(HttpHeaders headers) {
+    LoadHeader.parse(headers.get("Limpetdoor-Load"))
+        .ifPresent(
+            load ->
+                upstream.report(
+                    atMs ->
+                        new BackendReported(
+                            atMs, dispatch.backend(), load.running(), load.queued())));
+  }
+
+  /**
+   * Handles an answer with an error status. A back end that is busy or draining says that it did
+   * not start, and another may take the call. Any other 4xx speaks about the request itself, which
+   * another back end would refuse as well.
+   */
+  private void errorAnswer(HttpResponse<?> answer) {
+    boolean notStarted = "true".equals(answer.getHeaders().get("Limpetdoor-Not-Started"));
+    boolean aboutRequest = answer.code() < SERVER_ERROR && answer.code() != TOO_MANY_REQUESTS;
+    noteLoad(answer.getHeaders());
+    if (notStarted && !aboutRequest) {
+      failed(AttemptFailure.NOT_STARTED);
+    } else if (request.call().mode().errorsAreAnswers()) {
+      answerWhole(wholeResponse(answer), 0);
+    } else if (answer.code() < SERVER_ERROR) {
+      answerWhole(engineProblem(answer.code(), notStarted).toResponse(), 0);
+    } else {
+      failed(AttemptFailure.ERROR_ANSWER);
+    }
+  }
+
+  final void answerWhole(MutableHttpResponse<?> whole, int outputTokens) {
+    if (request.deliveredTokens() > 0) {
+      failed(AttemptFailure.ERROR_ANSWER);
+    } else if (request.answer(id(), whole)) {
+      completed(outputTokens);
+    } else {
+      cancel();
+    }
+  }
+
+  static MutableHttpResponse<?> wholeResponse(HttpResponse<?> answer) {
+    byte[] body = answer.getBody(byte[].class).orElse(new byte[0]);
+    MutableHttpResponse<byte[]> out = HttpResponse.<byte[]>status(answer.code(), answer.reason());
+    ForwardedHeaders.toCaller(answer.getHeaders())
+        .forEach((name, values) -> values.forEach(value -> out.header(name, value)));
+    return body.length == 0 ? out : out.body(body);
+  }
+
+  private static Problem engineProblem(int status, boolean notStarted) {
+    Outcome outcome = notStarted ? Outcome.NOT_RUN : Outcome.RAN;
+    return Problem.of(
+        status, "engine_refused", "The engine answered with status " + status, outcome);
+  }
+}
--- /dev/null
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/decision/DecisionRecorder.java
@@ -0,0 +1,51 @@
+package org.limpetdoor.runtime.decision;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import org.limpetdoor.core.decision.Decision;
+import org.limpetdoor.core.decision.Decision.Field;
+
+/** Writes a log line for each decision, counts it and keeps the last ones for explanations. */
+public final class DecisionRecorder {
+  /** Decisions kept for explanations; about 5 MB when each holds a dozen candidates. */
+  static final int MAX_KEPT_DECISIONS = 10_000;
+
+  private static final Logger LOG = System.getLogger(DecisionRecorder.class.getName());
+
+  private final MeterRegistry metrics;
+  private final BlockingQueue<Decision> kept = new ArrayBlockingQueue<>(MAX_KEPT_DECISIONS);
+
+  /** Creates a recorder that counts in the given registry. */
+  public DecisionRecorder(MeterRegistry metrics) {
+    this.metrics = metrics;
+  }
+
+  /** Records a decision. Called by the control thread only. */
+  public void record(Decision decision) {
+    LOG.log(Level.INFO, LogLine.of(decision).toString());
+    metrics
+        .counter(
+            "limpetdoor.decisions", "kind", decision.kind().eventName(), "reason", reason(decision))
+        .increment();
+    while (!kept.offer(decision)) {
+      kept.poll();
+    }
+  }
+
+  /** Returns the kept decisions about a subject, oldest first. */
+  public List<Decision> about(String subject) {
+    return kept.stream().filter(decision -> decision.subject().equals(subject)).toList();
+  }
+
+  private static String reason(Decision decision) {
+    return decision.fields().stream()
+        .filter(field -> field.key().equals("reason"))
+        .map(Field::value)
+        .findFirst()
+        .orElse("none");
+  }
+}
--- /dev/null
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/decision/package-info.java
@@ -0,0 +1,2 @@
+/** Log lines, counters and explanations of decisions. */
+package org.limpetdoor.runtime.decision;
