--- /dev/null
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The configuration document that operators publish. */
+package org.limpetdoor.format.configuration;
--- /dev/null
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/json/HostPort.java
@@ -0,0 +1,51 @@
+package org.limpetdoor.format.json;
+
+import org.limpetdoor.core.LimpetdoorException;
+
+/**
+ * An address of a listener or a service.
+ *
+ * @param host IPv4 address, or IPv6 address in brackets
+ * @param port port from 0 to 65535; 0 lets the system choose
+ */
+public record HostPort(String host, int port) {
+  /** The accepted form in words. */
+  public static final String ACCEPTED = "an address ip:port, for example 127.0.0.1:18080";
+
+  private static final int MAX_PORT = 65_535;
+  private static final String IPV4 = "((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(?!$)|$)){4}";
+  private static final String IPV6 = "\\[[0-9a-fA-F:.]{2,45}]";
+
+  /**
+   * Parses an address.
+   *
+   * @throws InvalidAddressException if the text has another form
+   */
+  public static HostPort parse(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon < 0) {
+      throw new InvalidAddressException(text);
+    }
+    String host = text.substring(0, colon);
+    String port = text.substring(colon + 1);
+    boolean isHost = host.matches(IPV4) || host.matches(IPV6);
+    if (!isHost || !port.matches("\\d{1,5}") || Integer.parseInt(port) > MAX_PORT) {
+      throw new InvalidAddressException(text);
+    }
+    return new HostPort(host, Integer.parseInt(port));
+  }
+
+  @Override
+  public String toString() {
+    return host + ":" + port;
+  }
+
+  /** Thrown when a text is not an address. */
+  public static final class InvalidAddressException extends LimpetdoorException {
+    private static final long serialVersionUID = 1L;
+
+    InvalidAddressException(String text) {
+      super("invalid address '" + text + "': expected " + ACCEPTED, null);
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/json/InvalidDocumentException.java
@@ -0,0 +1,22 @@
+package org.limpetdoor.format.json;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import org.limpetdoor.core.LimpetdoorException;
+
+/** Thrown when a document with problems is used. */
+public final class InvalidDocumentException extends LimpetdoorException {
+  private static final long serialVersionUID = 1L;
+
+  private final transient List<Problem> problems;
+
+  InvalidDocumentException(List<Problem> problems) {
+    super(problems.stream().map(Problem::toString).collect(Collectors.joining("\n")), null);
+    this.problems = problems;
+  }
+
+  /** Returns all problems, in the order of their places. */
+  public List<Problem> problems() {
+    return problems;
+  }
+}
--- /dev/null
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/json/ObjectReader.java
@@ -0,0 +1,109 @@
+package org.limpetdoor.format.json;
+
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.limpetdoor.core.LimpetdoorException;
+import org.limpetdoor.core.SourceLocation;
+
+/**
+ * Reads the fields of one object. Every field is read before the result is built, so that all
+ * problems are found in one pass.
+ */
+public final class ObjectReader {
+  private final JsonValue.ObjectValue object;
+  private final String path;
+  private final Problems problems;
+  private final int problemsBefore;
+  private final Set<String> known = new LinkedHashSet<>();
+  private final Set<String> missing = new LinkedHashSet<>();
+
+  ObjectReader(JsonValue.ObjectValue object, String path, Problems problems) {
+    this.object = object;
+    this.path = path;
+    this.problems = problems;
+    this.problemsBefore = problems.count();
+  }
+
+  /** Returns the place of the object. */
+  public SourceLocation location() {
+    return object.location();
+  }
+
+  /** Returns the path of the object. */
+  public String path() {
+    return path;
+  }
+
+  /** Returns the value of a field, or null if it is missing or has a problem. */
+  public <T> T required(String name, ValueType<T> type) {
+    known.add(name);
+    Optional<JsonValue.Member> member = object.member(name);
+    if (member.isEmpty()) {
+      missing.add(name);
+      return null;
+    }
+    return type.read(member.get().value(), Paths.member(path, name), problems);
+  }
+
+  /** Returns the value of a field, the fallback if it is absent, or null if it has a problem. */
+  public <T> T optional(String name, ValueType<T> type, T fallback) {
+    known.add(name);
+    return object
+        .member(name)
+        .map(member -> read(member, type))
+        .orElseGet(() -> new Read<>(fallback))
+        .value();
+  }
+
+  /**
+   * Reports absent and unknown fields and builds the result if the object has no problem.
+   *
+   * @return the result, or null if the object has a problem
+   */
+  public <T> T build(Supplier<T> builder) {
+    reportUnknown();
+    for (String name : missing) {
+      problems.add(
+          ProblemKind.MISSING_FIELD, object.location(), Paths.member(path, name), name, "a value");
+    }
+    if (problems.count() > problemsBefore) {
+      return null;
+    }
+    try {
+      return builder.get();
+    } catch (LimpetdoorException e) {
+      problems.add(
+          ProblemKind.WRONG_FORM, object.location(), path, e.getMessage(), "consistent fields");
+      return null;
+    }
+  }
+
+  private void reportUnknown() {
+    for (JsonValue.Member member : object.members()) {
+      if (!known.contains(member.name())) {
+        reportUnknown(member);
+      }
+    }
+  }
+
+  private void reportUnknown(JsonValue.Member member) {
+    String memberPath = Paths.member(path, member.name());
+    Optional<String> meant =
+        known.stream()
+            .filter(name -> UnitSuffix.differsOnlyInUnit(member.name(), name))
+            .findFirst();
+    ProblemKind kind = meant.isPresent() ? ProblemKind.WRONG_UNIT : ProblemKind.UNKNOWN_FIELD;
+    String accepted = meant.orElseGet(() -> "one of " + String.join(", ", known));
+    // The wrong unit already names the field, a second problem for its absence would repeat it.
+    meant.ifPresent(missing::remove);
+    problems.add(kind, member.location(), memberPath, member.name(), accepted);
+  }
+
+  private <T> Read<T> read(JsonValue.Member member, ValueType<T> type) {
+    return new Read<>(type.read(member.value(), Paths.member(path, member.name()), problems));
+  }
+
+  private record Read<T>(T value) {}
+}
--- /dev/null
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/json/Paths.java
@@ -0,0 +1,14 @@
+package org.limpetdoor.format.json;
+
+/** Builds paths of fields. */
+final class Paths {
+  private Paths() {}
+
+  static String member(String path, String name) {
+    return path.isEmpty() ? name : path + "." + name;
+  }
+
+  static String item(String path, int index) {
+    return path + "[" + index + "]";
+  }
+}
--- /dev/null
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/json/Problems.java
@@ -0,0 +1,31 @@
+package org.limpetdoor.format.json;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.limpetdoor.core.SourceLocation;
+
+/** Collects the problems of one document. Used by one thread while it reads the document. */
+public final class Problems {
+  private static final Comparator<Problem> BY_PLACE =
+      Comparator.<Problem>comparingInt(problem -> problem.location().line())
+          .thenComparingInt(problem -> problem.location().column());
+
+  private final List<Problem> found = new ArrayList<>();
+
+  /** Adds a problem. */
+  public void add(
+      ProblemKind kind, SourceLocation location, String path, String value, String accepted) {
+    found.add(new Problem(kind, location, path, value, accepted));
+  }
+
+  /** Returns how many problems were added. */
+  public int count() {
+    return found.size();
+  }
+
+  /** Returns the problems in the order of their places in the document. */
+  public List<Problem> sorted() {
+    return found.stream().sorted(BY_PLACE).toList();
+  }
+}
--- /dev/null
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/json/ValueTypes.java
@@ -0,0 +1,200 @@
+package org.limpetdoor.format.json;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.limpetdoor.core.LimpetdoorException;
+
+/** Types of values in documents. */
+public final class ValueTypes {
+  private ValueTypes() {}
+
+  /** Any text that is not empty. */
+  public static ValueType<String> text() {
+    return (value, path, problems) -> {
+      if (value instanceof JsonValue.TextValue text && !text.text().isEmpty()) {
+        return text.text();
+      }
+      return wrongType(value, path, problems, "a text that is not empty");
+    };
+  }
+
+  /**
+   * A text that a constructor checks.
+   *
+   * @param parse returns the value or throws {@link LimpetdoorException}
+   * @param accepted the accepted form in words
+   */
+  public static <T> ValueType<T> parsed(Function<String, T> parse, String accepted) {
+    return (value, path, problems) -> {
+      if (!(value instanceof JsonValue.TextValue text)) {
+        return wrongType(value, path, problems, accepted);
+      }
+      try {
+        return parse.apply(text.text());
+      } catch (LimpetdoorException e) {
+        problems.add(ProblemKind.WRONG_FORM, value.location(), path, value.describe(), accepted);
+        return null;
+      }
+    };
+  }
+
+  /** A text that matches a pattern. */
+  public static ValueType<String> matching(String pattern, String accepted) {
+    return (value, path, problems) -> {
+      if (!(value instanceof JsonValue.TextValue text)) {
+        return wrongType(value, path, problems, accepted);
+      }
+      if (text.text().matches(pattern)) {
+        return text.text();
+      }
+      problems.add(ProblemKind.WRONG_FORM, value.location(), path, value.describe(), accepted);
+      return null;
+    };
+  }
+
+  /** A name of 1 to 128 letters, digits or the characters {@code . _ - : /}. */
+  public static <T> ValueType<T> name(Function<String, T> constructor) {
+    return parsed(constructor, "1 to 128 letters, digits or the characters . _ - : /");
+  }
+
+  /** An address of the form {@code ip:port}. */
+  public static ValueType<HostPort> address() {
+    return parsed(HostPort::parse, HostPort.ACCEPTED);
+  }
+
+  /** A whole number of 32 bits, at least {@code minimum}. */
+  public static ValueType<Integer> integer(int minimum) {
+    return (value, path, problems) -> {
+      Long number = whole(value, path, problems, minimum, Integer.MAX_VALUE);
+      return number == null ? null : Integer.valueOf(number.intValue());
+    };
+  }
+
+  /** A whole number of 64 bits, at least {@code minimum}. */
+  public static ValueType<Long> longInteger(long minimum) {
+    return (value, path, problems) -> whole(value, path, problems, minimum, Long.MAX_VALUE);
+  }
+
+  /** A number above a bound. */
+  public static ValueType<Double> above(double bound) {
+    return (value, path, problems) -> {
+      String accepted = "a number above " + bound;
+      Double number = decimal(value, path, problems, accepted);
+      boolean inside = number != null && number > bound && Double.isFinite(number);
+      return checked(number, inside, value, path, problems, accepted);
+    };
+  }
+
+  /** A number in a closed interval. */
+  public static ValueType<Double> within(double minimum, double maximum) {
+    return (value, path, problems) -> {
+      String accepted = "a number from " + minimum + " to " + maximum;
+      Double number = decimal(value, path, problems, accepted);
+      boolean inside = number != null && number >= minimum && number <= maximum;
+      return checked(number, inside, value, path, problems, accepted);
+    };
+  }
+
+  /** A constant of an enum, written in lower case. */
+  public static <E extends Enum<E>> ValueType<E> choice(Class<E> type) {
+    String accepted =
+        Arrays.stream(type.getEnumConstants())
+            .map(constant -> "\"" + choiceName(constant) + "\"")
+            .collect(Collectors.joining(" or "));
+    return (value, path, problems) -> {
+      if (!(value instanceof JsonValue.TextValue text)) {
+        return wrongType(value, path, problems, accepted);
+      }
+      for (E constant : type.getEnumConstants()) {
+        if (choiceName(constant).equals(text.text())) {
+          return constant;
+        }
+      }
+      problems.add(ProblemKind.WRONG_FORM, value.location(), path, value.describe(), accepted);
+      return null;
+    };
+  }
+
+  /** Returns how a constant of an enum is written in documents. */
+  public static String choiceName(Enum<?> constant) {
+    return constant.name().toLowerCase(Locale.ROOT);
+  }
+
+  /** An array; items that have a problem are left out of the list. */
+  public static <T> ValueType<List<T>> list(ValueType<T> itemType) {
+    return (value, path, problems) -> {
+      if (!(value instanceof JsonValue.ArrayValue array)) {
+        return wrongType(value, path, problems, "an array");
+      }
+      List<T> items = new ArrayList<>();
+      for (int i = 0; i < array.items().size(); i++) {
+        T item = itemType.read(array.items().get(i), Paths.item(path, i), problems);
+        if (item != null) {
+          items.add(item);
+        }
+      }
+      return items;
+    };
+  }
+
+  /** An object whose fields the function reads. */
+  public static <T> ValueType<T> object(Function<ObjectReader, T> fields) {
+    return (value, path, problems) -> {
+      if (!(value instanceof JsonValue.ObjectValue object)) {
+        return wrongType(value, path, problems, "an object");
+      }
+      return fields.apply(new ObjectReader(object, path, problems));
+    };
+  }
+
+  /** A value together with its place, for checks that compare several values. */
+  public static <T> ValueType<Located<T>> located(ValueType<T> type) {
+    return (value, path, problems) -> {
+      T content = type.read(value, path, problems);
+      return content == null ? null : new Located<>(content, value, path);
+    };
+  }
+
+  private static Long whole(
+      JsonValue value, String path, Problems problems, long minimum, long maximum) {
+    String accepted =
+        maximum == Long.MAX_VALUE
+            ? "a whole number, at least " + minimum
+            : "a whole number from " + minimum + " to " + maximum;
+    if (!(value instanceof JsonValue.NumberValue number) || !number.integer()) {
+      return wrongType(value, path, problems, accepted);
+    }
+    try {
+      long parsed = Long.parseLong(number.literal());
+      boolean inside = parsed >= minimum && parsed <= maximum;
+      return checked(parsed, inside, value, path, problems, accepted);
+    } catch (NumberFormatException e) {
+      return checked(null, false, value, path, problems, accepted);
+    }
+  }
+
+  private static Double decimal(JsonValue value, String path, Problems problems, String accepted) {
+    if (value instanceof JsonValue.NumberValue number) {
+      return Double.valueOf(number.literal());
+    }
+    return wrongType(value, path, problems, accepted);
+  }
+
+  private static <T> T checked(
+      T number, boolean inside, JsonValue value, String path, Problems problems, String accepted) {
+    boolean isNumber = value instanceof JsonValue.NumberValue;
+    if (isNumber && !inside) {
+      problems.add(ProblemKind.OUT_OF_RANGE, value.location(), path, value.describe(), accepted);
+    }
+    return inside ? number : null;
+  }
+
+  private static <T> T wrongType(JsonValue value, String path, Problems problems, String accepted) {
+    problems.add(ProblemKind.WRONG_TYPE, value.location(), path, value.describe(), accepted);
+    return null;
+  }
+}
--- /dev/null
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/record/package-info.java
@@ -0,0 +1,2 @@
+/** The encoding of log records. */
+package org.limpetdoor.format.record;
--- /dev/null
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/settings/SecretReference.java
@@ -0,0 +1,61 @@
+package org.limpetdoor.format.settings;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.limpetdoor.core.LimpetdoorException;
+
+/** Says where a secret is kept. Settings never hold the secret itself. */
+public sealed interface SecretReference {
+  /**
+   * Reads the secret.
+   *
+   * @throws SecretUnavailableException if it is absent, empty or unreadable
+   */
+  byte[] read();
+
+  /**
+   * A secret in a file; white space around it is dropped.
+   *
+   * @param path path of the file
+   */
+  record InFile(String path) implements SecretReference {
+    @Override
+    public byte[] read() {
+      try {
+        return checked(Files.readString(Path.of(path)), "file " + path);
+      } catch (IOException e) {
+        throw new SecretUnavailableException("file " + path, e);
+      }
+    }
+  }
+
+  /**
+   * A secret in an environment variable.
+   *
+   * @param variable name of the variable
+   */
+  record InEnvironment(String variable) implements SecretReference {
+    @Override
+    public byte[] read() {
+      return checked(System.getenv(variable), "environment variable " + variable);
+    }
+  }
+
+  private static byte[] checked(String text, String place) {
+    if (text == null || text.isBlank()) {
+      throw new SecretUnavailableException(place, null);
+    }
+    return text.strip().getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Thrown when a secret cannot be read from the place that the settings name. */
+  final class SecretUnavailableException extends LimpetdoorException {
+    private static final long serialVersionUID = 1L;
+
+    SecretUnavailableException(String place, Throwable cause) {
+      super("no secret in " + place + ": expected a text that is not empty", null, cause);
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of one instance. */
+package org.limpetdoor.format.settings;
