--- /dev/null
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/configuration/SumChecks.java
@@ -0,0 +1,108 @@
+package org.limpetdoor.format.configuration;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.limpetdoor.core.config.Engine;
+import org.limpetdoor.core.config.Model;
+import org.limpetdoor.core.id.ModelId;
+import org.limpetdoor.format.json.JsonValue;
+import org.limpetdoor.format.json.Located;
+import org.limpetdoor.format.json.ProblemKind;
+import org.limpetdoor.format.json.Problems;
+
+/**
+ * Checks that values which are each in range are possible together. Sums over a section are checked
+ * only if each of its entries could be read, because a partial sum would mislead.
+ */
+final class SumChecks {
+  // Ten shares of 0.1 add up to slightly more or less than 1 in binary.
+  private static final double SHARE_TOLERANCE = 1e-9;
+
+  private final Entries entries;
+  private final Problems problems;
+
+  private SumChecks(Entries entries, Problems problems) {
+    this.entries = entries;
+    this.problems = problems;
+  }
+
+  static void check(Entries entries, Problems problems) {
+    SumChecks checks = new SumChecks(entries, problems);
+    if (entries.isComplete("contracts", entries.contracts())) {
+      checks.checkShares();
+    }
+    boolean models = entries.isComplete("models", entries.models());
+    boolean engines = entries.isComplete("engines", entries.engines());
+    if (models && engines) {
+      checks.checkInitialModels();
+      checks.checkReplicas();
+    }
+  }
+
+  private void checkShares() {
+    double sum =
+        entries.contracts().stream().mapToDouble(each -> each.value().guaranteedShare()).sum();
+    if (sum > 1 + SHARE_TOLERANCE) {
+      impossible(
+          entries.section("contracts"),
+          "contracts",
+          "the guaranteedShare values add up to " + sum,
+          "at most 1.0");
+    }
+  }
+
+  private void checkInitialModels() {
+    Map<ModelId, Model> models = new HashMap<>();
+    entries.models().forEach(model -> models.put(model.value().id(), model.value()));
+    for (Located<Engine> engine : entries.engines()) {
+      long needMib =
+          engine.value().initialModels().stream()
+              .filter(models::containsKey)
+              .mapToLong(id -> models.get(id).memoryMib())
+              .sum();
+      if (needMib > engine.value().memoryMib()) {
+        impossible(
+            engine.field("initialModels"),
+            engine.path() + ".initialModels",
+            "the models need " + needMib + " MiB",
+            "at most the memoryMib of the engine, " + engine.value().memoryMib());
+      }
+    }
+  }
+
+  private void checkReplicas() {
+    long needMib = 0;
+    for (Located<Model> entry : entries.models()) {
+      Model model = entry.value();
+      needMib += (long) model.memoryMib() * model.minReplicas();
+      checkPlaces(entry);
+    }
+    long haveMib = entries.engines().stream().mapToLong(each -> each.value().memoryMib()).sum();
+    if (needMib > haveMib) {
+      impossible(
+          entries.section("models"),
+          "models",
+          "the minReplicas of all models need " + needMib + " MiB",
+          "at most the memory of all engines, " + haveMib + " MiB");
+    }
+  }
+
+  private void checkPlaces(Located<Model> entry) {
+    Model model = entry.value();
+    long places =
+        entries.engines().stream()
+            .filter(engine -> engine.value().memoryMib() >= model.memoryMib())
+            .count();
+    if (model.minReplicas() > places) {
+      impossible(
+          entry.field("minReplicas"),
+          entry.path() + ".minReplicas",
+          model.minReplicas() + " replicas of " + model.memoryMib() + " MiB",
+          "at most one on each engine with enough memory, " + places);
+    }
+  }
+
+  private void impossible(JsonValue place, String path, String found, String accepted) {
+    problems.add(ProblemKind.IMPOSSIBLE_SUM, place.location(), path, found, accepted);
+  }
+}
--- /dev/null
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/HttpLogService.java
@@ -0,0 +1,129 @@
+package org.limpetdoor.runtime.log;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The log service over HTTP. */
+public final class HttpLogService implements LogService {
+  // The log is a few milliseconds away; a connection that takes longer than this is broken.
+  private static final int CONNECT_TIMEOUT_MS = 2_000;
+  // An append that takes longer is repeated with the same identifier, which the fold recognises.
+  private static final int CALL_TIMEOUT_MS = 5_000;
+  private static final int STATUS_OK_MIN = 200;
+  private static final int STATUS_OK_MAX = 299;
+  private static final int STATUS_TOO_MANY_REQUESTS = 429;
+  private static final int STATUS_SERVER_ERROR_MIN = 500;
+
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final HttpClient client;
+  private final String address;
+  private final String recordsUri;
+
+  /**
+   * Creates a client.
+   *
+   * @param address address of the log service as {@code ip:port}
+   * @param stream name of the stream
+   */
+  public HttpLogService(String address, String stream) {
+    this.address = address;
+    this.recordsUri = "http://" + address + "/streams/" + stream + "/records";
+    this.client =
+        HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS))
+            .build();
+  }
+
+  @Override
+  public long append(byte[] body) {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create(recordsUri))
+            .header("Content-Type", "application/octet-stream")
+            .timeout(Duration.ofMillis(CALL_TIMEOUT_MS))
+            .POST(HttpRequest.BodyPublishers.ofByteArray(body))
+            .build();
+    return number(call(request), "offset");
+  }
+
+  @Override
+  public Page read(long from, int max, int waitMs) {
+    String query = "?from=" + from + "&max=" + max + "&waitMs=" + waitMs;
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create(recordsUri + query))
+            .timeout(Duration.ofMillis(CALL_TIMEOUT_MS + (long) waitMs))
+            .GET()
+            .build();
+    JsonNode answer = call(request);
+    List<RawRecord> records = new ArrayList<>();
+    for (JsonNode node : answer.path("records")) {
+      records.add(new RawRecord(number(node, "offset"), bytes(node)));
+    }
+    return new Page(records, number(answer, "nextOffset"), number(answer, "firstOffset"));
+  }
+
+  private JsonNode call(HttpRequest request) {
+    HttpResponse<byte[]> response = send(request);
+    int status = response.statusCode();
+    if (status < STATUS_OK_MIN || status > STATUS_OK_MAX) {
+      throw failed(failureOf(status), "status " + status, null);
+    }
+    try {
+      return mapper.readTree(response.body());
+    } catch (IOException e) {
+      throw failed(LogFailure.MALFORMED_ANSWER, "the answer is not JSON", e);
+    }
+  }
+
+  private HttpResponse<byte[]> send(HttpRequest request) {
+    try {
+      return client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+    } catch (ConnectException | HttpConnectTimeoutException e) {
+      throw failed(LogFailure.UNREACHABLE, "no connection", e);
+    } catch (IOException e) {
+      throw failed(LogFailure.ANSWER_LOST, "no answer: " + e.getMessage(), e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw failed(LogFailure.ANSWER_LOST, "interrupted", e);
+    }
+  }
+
+  private long number(JsonNode node, String field) {
+    JsonNode value = node.path(field);
+    if (!value.canConvertToLong() || !value.isIntegralNumber()) {
+      throw failed(LogFailure.MALFORMED_ANSWER, "no number in field " + field, null);
+    }
+    return value.longValue();
+  }
+
+  private byte[] bytes(JsonNode node) {
+    try {
+      byte[] body = node.path("body").binaryValue();
+      if (body != null) {
+        return body;
+      }
+      throw failed(LogFailure.MALFORMED_ANSWER, "a record without body", null);
+    } catch (IOException e) {
+      throw failed(LogFailure.MALFORMED_ANSWER, "a body that is not base64", e);
+    }
+  }
+
+  private LogServiceException failed(LogFailure failure, String message, Throwable cause) {
+    return new LogServiceException(failure, address, message, cause);
+  }
+
+  private static LogFailure failureOf(int status) {
+    boolean unavailable = status == STATUS_TOO_MANY_REQUESTS || status >= STATUS_SERVER_ERROR_MIN;
+    return unavailable ? LogFailure.UNAVAILABLE : LogFailure.REFUSED;
+  }
+}
--- /dev/null
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the platform's log service. */
+package org.limpetdoor.runtime.log;
