--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
@@ -0,0 +1,207 @@
+package org.limpetdoor.entry;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.limpetdoor.core.NodeReducer;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.NodeState.Self;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.RecordsRead;
+import org.limpetdoor.core.event.TimerFired;
+import org.limpetdoor.entry.caller.CallerGateway;
+import org.limpetdoor.entry.operator.DrainSwitch;
+import org.limpetdoor.entry.operator.OperatorView;
+import org.limpetdoor.entry.traffic.OpenRequests;
+import org.limpetdoor.entry.traffic.UpstreamEffects;
+import org.limpetdoor.format.json.HostPort;
+import org.limpetdoor.format.settings.InstanceSettings;
+import org.limpetdoor.runtime.ControlLoop;
+import org.limpetdoor.runtime.MonotonicClock;
+import org.limpetdoor.runtime.decision.DecisionRecorder;
+import org.limpetdoor.runtime.decision.LogLine;
+import org.limpetdoor.runtime.log.HttpLogService;
+import org.limpetdoor.runtime.log.LogFollower;
+import org.limpetdoor.runtime.log.LogService;
+
+/** One instance of limpetdoor. Several can run in one process on different ports. */
+public final class EntryServer implements AutoCloseable {
+  static final String ROLE_PROPERTY = "limpetdoor.entry.role";
+
+  /** Threads that open calls and run timeouts; they never wait for the network. */
+  private static final int TRAFFIC_THREADS = 2;
+
+  /** Time for the last bytes to leave the sockets after the last answer was handed over. */
+  private static final long FLUSH_MS = 200;
+
+  private static final Logger LOG = System.getLogger(EntryServer.class.getName());
+
+  private final InstanceSettings settings;
+  private final OpenRequests requests = new OpenRequests();
+  private final MonotonicClock clock = MonotonicClock.startingNow();
+  private final PrometheusMeterRegistry metrics =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final DecisionRecorder decisions = new DecisionRecorder(metrics);
+  private final ScheduledExecutorService scheduler;
+  private final UpstreamEffects effects;
+  private final ControlLoop<NodeState, Event, Effect> loop;
+  private final LogFollower follower;
+  private final HttpListener callers;
+  private final HttpListener operators;
+  private final CompletableFuture<DrainResult> drained = new CompletableFuture<>();
+  private final AtomicBoolean drainRequested = new AtomicBoolean();
+  private final AtomicBoolean closed = new AtomicBoolean();
+
+  private EntryServer(InstanceSettings settings, LogService log) {
+    this.settings = settings;
+    Self self = new Self(settings.instance(), System.currentTimeMillis(), settings.zone());
+    String name = settings.instance().value();
+    this.scheduler = trafficThreads(name);
+    this.effects =
+        new UpstreamEffects(requests, decisions, scheduler, event -> loop().submit(event));
+    this.loop =
+        new ControlLoop<>(
+            "control-" + name,
+            NodeState.initial(self),
+            new NodeReducer(),
+            clock,
+            TimerFired::new,
+            effect -> effect.applyTo(effects));
+    this.follower =
+        new LogFollower(
+            "log-" + name, log, read -> loop.submit(atMs -> new RecordsRead(atMs, read)));
+    loop.failure().thenAccept(failure -> drain());
+    loop.start();
+    follower.start();
+    try {
+      this.operators = HttpListener.operators(settings, operatorView(), (DrainSwitch) this::drain);
+      this.callers =
+          HttpListener.callers(settings, new CallerGateway(self, requests, clock, loop::submit));
+    } catch (RuntimeException e) {
+      stopThreads();
+      throw e;
+    }
+  }
+
+  /**
+   * Starts an instance.
+   *
+   * @param settings settings of the instance; a port of 0 lets the system choose
+   */
+  public static EntryServer start(InstanceSettings settings) {
+    String address = settings.logAddress().toString();
+    return start(settings, new HttpLogService(address, settings.logStream()));
+  }
+
+  /**
+   * Starts an instance with a given log.
+   *
+   * @param settings settings of the instance; a port of 0 lets the system choose
+   * @param log the log
+   */
+  public static EntryServer start(InstanceSettings settings, LogService log) {
+    EntryServer server = new EntryServer(settings, log);
+    LogLine line =
+        LogLine.event("instance_started")
+            .with("instance", settings.instance())
+            .with("caller_address", server.callerAddress())
+            .with("operator_address", server.operatorAddress());
+    LOG.log(Level.INFO, line.toString());
+    return server;
+  }
+
+  /** Returns where callers connect. */
+  public HostPort callerAddress() {
+    return callers.address();
+  }
+
+  /** Returns where operators connect. */
+  public HostPort operatorAddress() {
+    return operators.address();
+  }
+
+  /** Returns the state after the last event. */
+  public NodeState state() {
+    return loop.state();
+  }
+
+  /** Returns whether the control thread has ended because the reducer threw. */
+  public boolean controlFailed() {
+    return loop.failure().isDone();
+  }
+
+  /**
+   * Stops accepting requests. The future completes when no request is open, or after the drain
+   * timeout of the settings; the server then still has to be closed.
+   */
+  public CompletableFuture<DrainResult> drain() {
+    if (drainRequested.compareAndSet(false, true)) {
+      LOG.log(Level.INFO, LogLine.event("drain").with("open", requests.all().size()).toString());
+      scheduler.schedule(
+          () -> drained.complete(DrainResult.TIMED_OUT),
+          settings.drainTimeoutMs(),
+          TimeUnit.MILLISECONDS);
+      requests.drain().thenRun(this::completeAfterFlush);
+    }
+    return drained;
+  }
+
+  /** Returns the end of a drain, whoever requests it. */
+  public CompletableFuture<DrainResult> drained() {
+    return drained;
+  }
+
+  /** Stops at once. Call {@link #drain()} first to let open requests end. */
+  @Override
+  public void close() {
+    if (!closed.compareAndSet(false, true)) {
+      return;
+    }
+    callers.close();
+    stopThreads();
+    operators.close();
+    metrics.close();
+    drained.complete(DrainResult.CLOSED);
+  }
+
+  private void stopThreads() {
+    follower.close();
+    effects.close();
+    loop.close();
+    scheduler.shutdownNow();
+  }
+
+  private void completeAfterFlush() {
+    scheduler.schedule(
+        () -> drained.complete(DrainResult.ALL_ENDED), FLUSH_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** The effects need the loop, which needs the effects; no event comes before both exist. */
+  private ControlLoop<NodeState, Event, Effect> loop() {
+    return loop;
+  }
+
+  private OperatorView operatorView() {
+    return new OperatorView(loop::state, requests, decisions, metrics, clock, follower::hasRead);
+  }
+
+  private static ScheduledExecutorService trafficThreads(String name) {
+    ScheduledThreadPoolExecutor threads =
+        new ScheduledThreadPoolExecutor(TRAFFIC_THREADS, task -> daemon(task, "traffic-" + name));
+    threads.setRemoveOnCancelPolicy(true);
+    return threads;
+  }
+
+  private static Thread daemon(Runnable task, String name) {
+    Thread thread = new Thread(task, name);
+    thread.setDaemon(true);
+    return thread;
+  }
+}
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/HttpListener.java
@@ -0,0 +1,86 @@
+package org.limpetdoor.entry;
+
+import io.micronaut.context.ApplicationContext;
+import io.micronaut.runtime.server.EmbeddedServer;
+import java.util.HashMap;
+import java.util.Map;
+import org.limpetdoor.entry.caller.CallerGateway;
+import org.limpetdoor.entry.operator.DrainSwitch;
+import org.limpetdoor.entry.operator.OperatorView;
+import org.limpetdoor.format.json.HostPort;
+import org.limpetdoor.format.settings.InstanceSettings;
+
+/** One HTTP server with a bean context of its own, so that its routes are found nowhere else. */
+final class HttpListener implements AutoCloseable {
+  private static final String ROLE = "limpetdoor.role";
+  private static final int CALLER_THREADS = 4;
+  private static final int OPERATOR_THREADS = 1;
+
+  /** Operators send no bodies. */
+  private static final int OPERATOR_BODY_BYTES = 16 * 1024;
+
+  private final ApplicationContext context;
+  private final HostPort address;
+
+  private HttpListener(ApplicationContext context, HostPort wanted) {
+    this.context = context;
+    EmbeddedServer server = context.getBean(EmbeddedServer.class).start();
+    this.address = new HostPort(wanted.host(), server.getPort());
+  }
+
+  static HttpListener callers(InstanceSettings settings, CallerGateway gateway) {
+    Map<String, Object> properties =
+        properties("caller", settings.callerAddress(), settings, CALLER_THREADS);
+    properties.put("micronaut.server.max-request-size", settings.maxBodyBytes());
+    properties.put("micronaut.server.max-request-buffer-size", settings.maxBodyBytes());
+    return start(properties, settings.callerAddress(), gateway);
+  }
+
+  static HttpListener operators(InstanceSettings settings, OperatorView view, DrainSwitch drain) {
+    Map<String, Object> properties =
+        properties("operator", settings.operatorAddress(), settings, OPERATOR_THREADS);
+    properties.put("micronaut.server.max-request-size", OPERATOR_BODY_BYTES);
+    return start(properties, settings.operatorAddress(), view, drain);
+  }
+
+  HostPort address() {
+    return address;
+  }
+
+  @Override
+  public void close() {
+    context.close();
+  }
+
+  private static HttpListener start(
+      Map<String, Object> properties, HostPort wanted, Object... singletons) {
+    ApplicationContext context =
+        ApplicationContext.builder()
+            .properties(properties)
+            .singletons(singletons)
+            .deduceEnvironment(false)
+            .environmentPropertySource(false)
+            .banner(false)
+            .start();
+    try {
+      return new HttpListener(context, wanted);
+    } catch (RuntimeException e) {
+      context.close();
+      throw new ListenerFailedException(String.valueOf(properties.get(ROLE)), wanted, e);
+    }
+  }
+
+  /** Settings come from the settings document only, so the environment is not read. */
+  private static Map<String, Object> properties(
+      String role, HostPort address, InstanceSettings settings, int threads) {
+    Map<String, Object> properties = new HashMap<>();
+    properties.put(ROLE, role);
+    properties.put(EntryServer.ROLE_PROPERTY, role);
+    properties.put("micronaut.server.host", address.host().replaceAll("[\\[\\]]", ""));
+    properties.put("micronaut.server.port", address.port() == 0 ? -1 : address.port());
+    properties.put("micronaut.server.netty.max-header-size", settings.maxHeaderBytes());
+    properties.put("micronaut.netty.event-loops.default.num-threads", threads);
+    properties.put("micronaut.metrics.enabled", false);
+    return properties;
+  }
+}
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/ProblemErrorProcessor.java
@@ -0,0 +1,42 @@
+package org.limpetdoor.entry;
+
+import io.micronaut.context.annotation.Requires;
+import io.micronaut.http.MutableHttpResponse;
+import io.micronaut.http.server.exceptions.response.ErrorContext;
+import io.micronaut.http.server.exceptions.response.ErrorResponseProcessor;
+import jakarta.inject.Singleton;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import org.limpetdoor.core.request.Outcome;
+import org.limpetdoor.entry.traffic.Problem;
+
+/**
+ * Gives errors that the HTTP server finds itself, such as a body over the limit, the form of a
+ * problem document. Such a request reached no back end.
+ */
+@Singleton
+@Requires(property = EntryServer.ROLE_PROPERTY)
+final class ProblemErrorProcessor implements ErrorResponseProcessor<byte[]> {
+  private static final int INTERNAL_ERROR = 500;
+
+  @Override
+  public MutableHttpResponse<byte[]> processResponse(
+      ErrorContext context, MutableHttpResponse<?> response) {
+    String title = response.reason();
+    String kind = title.toLowerCase(Locale.ROOT).replaceAll("[^a-z0-9]+", "_");
+    Problem problem =
+        Problem.of(response.code(), kind, detail(context, response, title), Outcome.NOT_RUN);
+    return response
+        .contentType(Problem.MEDIA_TYPE)
+        .body(problem.toJson().getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** The message of an unexpected exception can hold parts of a body, so it is not sent. */
+  private static String detail(
+      ErrorContext context, MutableHttpResponse<?> response, String title) {
+    if (response.code() >= INTERNAL_ERROR || !context.hasErrors()) {
+      return title;
+    }
+    return context.getErrors().get(0).getMessage();
+  }
+}
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/CallerGateway.java
@@ -0,0 +1,175 @@
+package org.limpetdoor.entry.caller;
+
+import io.micronaut.http.HttpHeaders;
+import io.micronaut.http.HttpMethod;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.server.netty.NettyHttpRequest;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import java.net.URI;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.limpetdoor.core.NodeState.Self;
+import org.limpetdoor.core.event.CallerDisconnected;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.RequestArrived;
+import org.limpetdoor.core.id.InvalidNameException;
+import org.limpetdoor.core.id.KeyDigest;
+import org.limpetdoor.core.id.RequestId;
+import org.limpetdoor.core.id.ServiceId;
+import org.limpetdoor.core.request.Refusal;
+import org.limpetdoor.core.request.RefusalReason;
+import org.limpetdoor.core.request.RequestSpec;
+import org.limpetdoor.core.request.Target.ServiceTarget;
+import org.limpetdoor.entry.traffic.AnswerMode;
+import org.limpetdoor.entry.traffic.ForwardedHeaders;
+import org.limpetdoor.entry.traffic.OpenRequest;
+import org.limpetdoor.entry.traffic.OpenRequests;
+import org.limpetdoor.entry.traffic.Problem;
+import org.limpetdoor.entry.traffic.UpstreamCall;
+import org.limpetdoor.runtime.MonotonicClock;
+
+/** Turns requests of callers into open requests and events. */
+public final class CallerGateway {
+  private static final String CHAT_PATH = "/v1/chat/completions";
+  private static final String SERVICES_PATH = "/services/";
+  private static final String BEARER = "Bearer ";
+  private static final int CHARS_PER_TOKEN = 4;
+
+  private final RequestIds ids;
+  private final OpenRequests requests;
+  private final MonotonicClock clock;
+  private final Consumer<Function<Long, Event>> events;
+
+  /**
+   * Creates a gateway.
+   *
+   * @param self identity of the instance
+   * @param requests the open requests
+   * @param clock clock of the control thread
+   * @param events where observations are reported
+   */
+  public CallerGateway(
+      Self self,
+      OpenRequests requests,
+      MonotonicClock clock,
+      Consumer<Function<Long, Event>> events) {
+    this.ids = new RequestIds(self);
+    this.requests = requests;
+    this.clock = clock;
+    this.events = events;
+  }
+
+  /** Takes a chat completion request. */
+  CompletableFuture<HttpResponse<?>> chat(HttpRequest<?> http, byte[] body) {
+    KeyDigest key = key(http.getHeaders());
+    ChatRequest chat = ChatRequest.parse(body);
+    String label = chat.target().label();
+    RequestSpec spec =
+        new RequestSpec(
+            ids.next(),
+            key,
+            chat.target(),
+            idempotencyKey(http),
+            tokens(chat.prompt()),
+            chat.maxTokens(),
+            Digests.prefixHash(label, chat.prompt()),
+            Digests.fingerprint(label, body));
+    AnswerMode mode = chat.stream() ? AnswerMode.TOKEN_STREAM : AnswerMode.MODEL_DOCUMENT;
+    String accepted = chat.stream() ? "text/event-stream" : "application/json";
+    Map<String, List<String>> headers =
+        Map.of("Content-Type", List.of("application/json"), "Accept", List.of(accepted));
+    UpstreamCall call =
+        new UpstreamCall(HttpMethod.POST, CHAT_PATH, headers, Optional.of(body), mode);
+    return open(http, spec, call);
+  }
+
+  /** Takes a call of a plain service. */
+  CompletableFuture<HttpResponse<?>> service(HttpRequest<?> http, String name, byte[] body) {
+    KeyDigest key = key(http.getHeaders());
+    URI uri = http.getUri();
+    String path = servicePath(uri.getRawPath());
+    ServiceTarget target = new ServiceTarget(serviceId(name), http.getMethodName(), path);
+    RequestSpec spec =
+        new RequestSpec(
+            ids.next(),
+            key,
+            target,
+            idempotencyKey(http),
+            0,
+            0,
+            Digests.prefixHash(target.label(), path),
+            Digests.fingerprint(target.label() + http.getMethodName() + path, body));
+    String query = uri.getRawQuery() == null ? "" : "?" + uri.getRawQuery();
+    UpstreamCall call =
+        new UpstreamCall(
+            http.getMethod(),
+            path + query,
+            ForwardedHeaders.toService(http.getHeaders()),
+            body.length == 0 ? Optional.empty() : Optional.of(body),
+            AnswerMode.SERVICE_ANSWER);
+    return open(http, spec, call);
+  }
+
+  private CompletableFuture<HttpResponse<?>> open(
+      HttpRequest<?> http, RequestSpec spec, UpstreamCall call) {
+    OpenRequest request = new OpenRequest(spec, call, clock.nowMs(), requests);
+    RequestId id = spec.id();
+    if (!requests.open(request)) {
+      Refusal refusal = Refusal.notRun(RefusalReason.SHUTTING_DOWN);
+      request.refuse(Problem.of(refusal, spec.target().label()));
+      return request.response();
+    }
+    request.onCallerGone(() -> events.accept(atMs -> new CallerDisconnected(atMs, id)));
+    watchConnection(http, request);
+    events.accept(atMs -> new RequestArrived(atMs, spec));
+    return request.response();
+  }
+
+  /** A caller that leaves while its request waits is seen only by its connection. */
+  private static void watchConnection(HttpRequest<?> http, OpenRequest request) {
+    if (!(http instanceof NettyHttpRequest<?> netty)) {
+      return;
+    }
+    Channel channel = netty.getChannelHandlerContext().channel();
+    ChannelFutureListener listener = closed -> request.callerGone();
+    channel.closeFuture().addListener(listener);
+    request.onClose(() -> channel.closeFuture().removeListener(listener));
+  }
+
+  private static int tokens(String prompt) {
+    return (prompt.length() + CHARS_PER_TOKEN - 1) / CHARS_PER_TOKEN;
+  }
+
+  private static KeyDigest key(HttpHeaders headers) {
+    String value = headers.get(HttpHeaders.AUTHORIZATION);
+    boolean bearer = value != null && value.regionMatches(true, 0, BEARER, 0, BEARER.length());
+    if (!bearer) {
+      throw InvalidRequestException.noKey();
+    }
+    return Digests.ofKey(value.substring(BEARER.length()).strip());
+  }
+
+  private static Optional<String> idempotencyKey(HttpRequest<?> http) {
+    return Optional.ofNullable(http.getHeaders().get("Idempotency-Key"))
+        .filter(value -> !value.isBlank());
+  }
+
+  private static ServiceId serviceId(String name) {
+    try {
+      return new ServiceId(name);
+    } catch (InvalidNameException e) {
+      throw InvalidRequestException.field("name", "the name of a plain service");
+    }
+  }
+
+  private static String servicePath(String rawPath) {
+    int slash = rawPath.indexOf('/', SERVICES_PATH.length());
+    return slash < 0 ? "/" : rawPath.substring(slash);
+  }
+}
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/ChatRequest.java
@@ -0,0 +1,128 @@
+package org.limpetdoor.entry.caller;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.Optional;
+import java.util.function.Function;
+import org.limpetdoor.core.id.AdapterId;
+import org.limpetdoor.core.id.InvalidNameException;
+import org.limpetdoor.core.id.ModelId;
+import org.limpetdoor.core.request.Target.ModelTarget;
+
+/**
+ * What routing needs of a chat completion request. Other fields pass to the engine unread.
+ *
+ * @param target model and adapter
+ * @param prompt text of all messages, in order
+ * @param maxTokens bound on the output, in tokens
+ * @param stream whether the caller wants the answer token by token
+ */
+record ChatRequest(ModelTarget target, String prompt, int maxTokens, boolean stream) {
+  /** Bound on the output of a request that names none, in tokens. */
+  static final int DEFAULT_MAX_TOKENS = 512;
+
+  private static final ObjectMapper JSON =
+      new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+  private static final String NAME_FORM = "a name of letters, digits and . _ - : /";
+
+  /**
+   * Parses a body.
+   *
+   * @throws InvalidRequestException if it has another form
+   */
+  static ChatRequest parse(byte[] body) {
+    JsonNode root = tree(body);
+    if (!root.isObject()) {
+      throw InvalidRequestException.malformed(1, 1);
+    }
+    return new ChatRequest(
+        target(root), prompt(root.path("messages")), maxTokens(root), stream(root));
+  }
+
+  private static JsonNode tree(byte[] body) {
+    try {
+      return JSON.readTree(body);
+    } catch (JsonProcessingException e) {
+      JsonLocation at = e.getLocation();
+      throw at == null
+          ? InvalidRequestException.malformed(1, 1)
+          : InvalidRequestException.malformed(at.getLineNr(), at.getColumnNr());
+    } catch (IOException e) {
+      throw InvalidRequestException.malformed(1, 1);
+    }
+  }
+
+  private static ModelTarget target(JsonNode root) {
+    JsonNode model = root.path("model");
+    JsonNode adapter = root.path("adapter");
+    if (!model.isTextual()) {
+      throw InvalidRequestException.field("model", NAME_FORM);
+    }
+    String[] parts = model.textValue().split("\\+", 2);
+    boolean named = !adapter.isMissingNode() && !adapter.isNull();
+    if (named && (!adapter.isTextual() || parts.length == 2)) {
+      throw InvalidRequestException.field("adapter", "a name, here or after + in model");
+    }
+    ModelId modelId = name("model", parts[0], ModelId::new);
+    Optional<String> adapterName =
+        parts.length == 2 ? Optional.of(parts[1]) : Optional.ofNullable(adapter.textValue());
+    return new ModelTarget(modelId, adapterName.map(text -> name("adapter", text, AdapterId::new)));
+  }
+
+  private static <T> T name(String field, String text, Function<String, T> type) {
+    try {
+      return type.apply(text);
+    } catch (InvalidNameException e) {
+      throw InvalidRequestException.field(field, NAME_FORM);
+    }
+  }
+
+  private static String prompt(JsonNode messages) {
+    if (!messages.isArray() || messages.isEmpty()) {
+      throw InvalidRequestException.field("messages", "an array of at least one message");
+    }
+    StringBuilder text = new StringBuilder();
+    for (int i = 0; i < messages.size(); i++) {
+      JsonNode message = messages.get(i);
+      if (!message.isObject() || !message.path("role").isTextual()) {
+        throw InvalidRequestException.field("messages[" + i + "]", "an object with a role");
+      }
+      appendContent(text, message.path("content"));
+    }
+    return text.toString();
+  }
+
+  /** Content is a text or an array of parts, of which the texts count. */
+  private static void appendContent(StringBuilder text, JsonNode content) {
+    if (content.isTextual()) {
+      text.append(content.textValue()).append('\n');
+    }
+    content.forEach(part -> text.append(part.path("text").asText("")).append('\n'));
+  }
+
+  private static int maxTokens(JsonNode root) {
+    JsonNode value = root.path("max_tokens");
+    if (value.isMissingNode() || value.isNull()) {
+      return DEFAULT_MAX_TOKENS;
+    }
+    if (!value.isIntegralNumber() || !value.canConvertToInt() || value.intValue() < 1) {
+      throw InvalidRequestException.field("max_tokens", "a whole number of at least 1");
+    }
+    return value.intValue();
+  }
+
+  private static boolean stream(JsonNode root) {
+    JsonNode value = root.path("stream");
+    if (value.isMissingNode() || value.isNull()) {
+      return false;
+    }
+    if (!value.isBoolean()) {
+      throw InvalidRequestException.field("stream", "true or false");
+    }
+    return value.booleanValue();
+  }
+}
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/Digests.java
@@ -0,0 +1,53 @@
+package org.limpetdoor.entry.caller;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import org.limpetdoor.core.id.KeyDigest;
+
+/** SHA-256 digests of keys, prompts and bodies. */
+final class Digests {
+  /** Start of the prompt that decides prefix cache affinity: 256 tokens of four characters. */
+  private static final int PREFIX_CHARS = 1_024;
+
+  private Digests() {}
+
+  static KeyDigest ofKey(String key) {
+    return new KeyDigest(HexFormat.of().formatHex(sha256(bytes(key))));
+  }
+
+  static long prefixHash(String target, String prompt) {
+    String prefix = prompt.substring(0, Math.min(prompt.length(), PREFIX_CHARS));
+    return first64Bits(sha256(bytes(target), bytes(prefix)));
+  }
+
+  static long fingerprint(String target, byte[] body) {
+    return first64Bits(sha256(bytes(target), body));
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static long first64Bits(byte[] digest) {
+    return ByteBuffer.wrap(digest).getLong();
+  }
+
+  /** Separates the parts by a zero byte, which names do not contain. */
+  private static byte[] sha256(byte[]... parts) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      for (int i = 0; i < parts.length; i++) {
+        if (i > 0) {
+          digest.update((byte) 0);
+        }
+        digest.update(parts[i]);
+      }
+      return digest.digest();
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/RequestIds.java
@@ -0,0 +1,19 @@
+package org.limpetdoor.entry.caller;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.limpetdoor.core.NodeState.Self;
+import org.limpetdoor.core.id.RequestId;
+
+/** Gives each request an identifier that is unique over instances and their restarts. */
+final class RequestIds {
+  private final String prefix;
+  private final AtomicLong sequence = new AtomicLong();
+
+  RequestIds(Self self) {
+    this.prefix = self.id() + "-" + self.incarnation() + "-";
+  }
+
+  RequestId next() {
+    return new RequestId(prefix + sequence.incrementAndGet());
+  }
+}
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/operator/DrainSwitch.java
@@ -0,0 +1,8 @@
+package org.limpetdoor.entry.operator;
+
+/** Starts a graceful shutdown of the instance. */
+@FunctionalInterface
+public interface DrainSwitch {
+  /** Stops accepting requests and returns at once; a second call has no effect. */
+  void request();
+}
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/OpenRequest.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/OpenRequest.java
@@ -35,6 +35,7 @@
       Sinks.many().unicast().onBackpressureBuffer(new ConcurrentLinkedQueue<>());
   private Optional<UpstreamAttempt> current = Optional.empty();
   private Runnable onCallerGone = () -> {};
+  private Runnable onClose = () -> {};
   private int deliveredTokens;
   private boolean ended;
 
@@ -83,10 +84,15 @@
     locked(() -> onCallerGone = action);
   }
 
+  /** Sets what is done when the caller has its answer or has left. */
+  public void onClose(Runnable action) {
+    locked(() -> onClose = action);
+  }
+
   /** Ends the request because its caller has left. */
   public void callerGone() {
     Runnable action = locked(() -> end() ? onCallerGone : () -> {});
-    registry.close(this);
+    close();
     action.run();
   }
 
@@ -185,10 +191,15 @@
             .asFlux()
             .doOnNext(event -> taken())
             .doOnCancel(this::callerGone)
-            .doFinally(signal -> registry.close(this));
+            .doFinally(signal -> close());
     return HttpResponse.ok(body).contentType(MediaType.TEXT_EVENT_STREAM);
   }
 
+  private void close() {
+    registry.close(this);
+    locked(() -> onClose).run();
+  }
+
   private void taken() {
     int left = pendingEvents.decrementAndGet();
     if (left < MAX_PENDING_EVENTS) {
@@ -198,7 +209,7 @@
 
   private void respond(MutableHttpResponse<?> whole) {
     response.complete(withId(whole));
-    registry.close(this);
+    close();
   }
 
   private MutableHttpResponse<?> withId(MutableHttpResponse<?> whole) {
