--- /dev/null
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/EntryServerTest.java
@@ -0,0 +1,339 @@
+package org.limpetdoor.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.InputStream;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.limpetdoor.core.config.ArrivalLimit;
+import org.limpetdoor.core.config.Configuration;
+import org.limpetdoor.core.config.Contract;
+import org.limpetdoor.core.config.Engine;
+import org.limpetdoor.core.config.FencingSupport;
+import org.limpetdoor.core.config.Model;
+import org.limpetdoor.core.config.PlainService;
+import org.limpetdoor.core.config.QueueLimit;
+import org.limpetdoor.core.config.ServiceEndpoint;
+import org.limpetdoor.core.config.ShedOrder;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.CustomerId;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.id.KeyDigest;
+import org.limpetdoor.core.id.ModelId;
+import org.limpetdoor.core.id.ServiceId;
+import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.format.json.HostPort;
+import org.limpetdoor.format.settings.InstanceSettings;
+
+/** Whole requests from a caller through an instance to engines and back. */
+@Timeout(60)
+final class EntryServerTest {
+  private static final String KEY = "test-key";
+  private static final String CHAT = "/v1/chat/completions";
+  private static final ZoneId ZONE = new ZoneId("a");
+  private static final HostPort ANY_PORT = new HostPort("127.0.0.1", 0);
+  private static final String STREAM =
+      "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}],\"stream\":true}";
+
+  private final HttpClient http = HttpClient.newHttpClient();
+  private FakeEngine first;
+  private FakeEngine second;
+  private EntryServer server;
+
+  @BeforeEach
+  void start() throws Exception {
+    first = new FakeEngine();
+    second = new FakeEngine();
+    FixedLog log = new FixedLog(configuration());
+    server = EntryServer.start(settings(), log);
+    log.awaitPassedOn();
+  }
+
+  @AfterEach
+  void stop() {
+    first.close();
+    second.close();
+    server.close();
+  }
+
+  /** Guards against tokens that are lost, doubled or reordered on the way. */
+  @Test
+  void streamedAnswerArrivesWhole() throws Exception {
+    HttpResponse<String> answer = post(CHAT, STREAM);
+
+    assertThat(answer.statusCode()).isEqualTo(200);
+    assertThat(answer.headers().firstValue("Content-Type").get()).startsWith("text/event-stream");
+    assertThat(tokens(answer.body())).containsExactlyElementsIn(FakeEngine.TOKENS).inOrder();
+    assertThat(answer.body().strip()).endsWith("data: [DONE]");
+  }
+
+  /** Guards against an answer that is not passed on in its own form when no stream is asked for. */
+  @Test
+  void wholeAnswerIsPassedOn() throws Exception {
+    HttpResponse<String> answer = post(CHAT, STREAM.replace("true", "false"));
+
+    assertThat(answer.statusCode()).isEqualTo(200);
+    assertThat(json(answer).at("/usage/completion_tokens").asInt()).isEqualTo(6);
+  }
+
+  /** Guards against a resume that loses or doubles a token, or repeats the opening chunk. */
+  @Test
+  void lostConnectionIsResumedOnTheOtherEngine() throws Exception {
+    first.breakAt(3);
+
+    HttpResponse<String> answer = post(CHAT, STREAM);
+
+    assertThat(tokens(answer.body())).containsExactlyElementsIn(FakeEngine.TOKENS).inOrder();
+    assertThat(answer.body().split("assistant", -1)).hasLength(2);
+    assertThat(answer.body().strip()).endsWith("data: [DONE]");
+  }
+
+  /** Guards against a stream that ends as if it were whole when no engine can finish it. */
+  @Test
+  void failureInTheMiddleOfAStreamIsSentAsAnEvent() throws Exception {
+    first.breakAt(3);
+    second.breakAt(4);
+
+    HttpResponse<String> answer = post(CHAT, STREAM);
+
+    assertThat(answer.body()).contains("event: error");
+    assertThat(answer.body()).contains("\"outcome\":\"unknown\"");
+    assertThat(answer.body()).doesNotContain("[DONE]");
+  }
+
+  /** Guards against a draining engine that turns callers away although another could serve them. */
+  @Test
+  void callThatDidNotStartGoesToTheOtherEngine() throws Exception {
+    first.refuseWith(503, true);
+
+    assertThat(tokens(post(CHAT, STREAM).body()))
+        .containsExactlyElementsIn(FakeEngine.TOKENS)
+        .inOrder();
+  }
+
+  /** Guards against an engine's refusal of the request being retried or hidden. */
+  @Test
+  void refusalOfTheRequestByAnEngineReachesTheCaller() throws Exception {
+    first.refuseWith(422, false);
+
+    HttpResponse<String> answer = post(CHAT, STREAM);
+
+    assertThat(answer.statusCode()).isEqualTo(422);
+    assertThat(json(answer).path("outcome").asText()).isEqualTo("ran");
+  }
+
+  /** Guards against malformed JSON without its place, and against a process that stops serving. */
+  @Test
+  void malformedBodyGivesThePlace() throws Exception {
+    HttpResponse<String> answer = post(CHAT, "{\"model\":\"m\",\n  \"messages\": oops}");
+
+    assertThat(answer.statusCode()).isEqualTo(400);
+    assertThat(answer.headers().firstValue("Content-Type").get())
+        .startsWith("application/problem+json");
+    assertThat(json(answer).path("line").asInt()).isEqualTo(2);
+    assertThat(json(answer).path("column").asInt()).isGreaterThan(10);
+    assertThat(json(answer).path("outcome").asText()).isEqualTo("not_run");
+    assertThat(post(CHAT, STREAM).statusCode()).isEqualTo(200);
+  }
+
+  /** Guards against a field error that does not name the field and its form. */
+  @Test
+  void wrongFieldIsNamed() throws Exception {
+    HttpResponse<String> answer = post(CHAT, STREAM.replace("\"stream\":true", "\"stream\":1"));
+
+    assertThat(answer.statusCode()).isEqualTo(400);
+    assertThat(json(answer).path("field").asText()).isEqualTo("stream");
+    assertThat(json(answer).path("accepted").asText()).isEqualTo("true or false");
+  }
+
+  /** Guards against wrong status codes for names and keys that the configuration lacks. */
+  @Test
+  void unknownNamesAndKeysAreRefused() throws Exception {
+    HttpResponse<String> model = post(CHAT, STREAM.replace("\"m\"", "\"absent\""));
+    HttpResponse<String> key = send(server.callerAddress(), "POST", CHAT, STREAM, "other-key");
+
+    assertThat(model.statusCode()).isEqualTo(404);
+    assertThat(json(model).path("outcome").asText()).isEqualTo("not_run");
+    assertThat(key.statusCode()).isEqualTo(401);
+    assertThat(post("/services/absent/x", "").statusCode()).isEqualTo(404);
+  }
+
+  /** Guards against unbounded bodies, and errors of the HTTP server in another form. */
+  @Test
+  void bodyOverTheLimitIsRefused() throws Exception {
+    HttpResponse<String> answer = post(CHAT, "x".repeat(settings().maxBodyBytes() + 1));
+
+    assertThat(answer.statusCode()).isEqualTo(413);
+    assertThat(json(answer).path("outcome").asText()).isEqualTo("not_run");
+  }
+
+  /** Guards against a changed method, path, query or body on the way to a plain service. */
+  @Test
+  void plainServiceGetsTheCallAsItIs() throws Exception {
+    HttpResponse<String> answer =
+        send(server.callerAddress(), "PUT", "/services/orders/lots/7?x=a%20b", "eggs", KEY);
+
+    assertThat(answer.statusCode()).isEqualTo(200);
+    assertThat(answer.body()).isEqualTo("PUT /lots/7?x=a%20b eggs");
+  }
+
+  /** Guards against operator paths that callers can reach, and the reverse. */
+  @Test
+  void callersAndOperatorsAreSeparate() throws Exception {
+    assertThat(operator("GET", "/health/ready").statusCode()).isEqualTo(200);
+    assertThat(send(server.callerAddress(), "GET", "/status", "", KEY).statusCode()).isEqualTo(404);
+    assertThat(send(server.callerAddress(), "POST", "/drain", "", KEY).statusCode()).isEqualTo(404);
+    assertThat(send(server.operatorAddress(), "POST", CHAT, STREAM, KEY).statusCode())
+        .isEqualTo(404);
+  }
+
+  /** Guards against decisions that operators cannot look up. */
+  @Test
+  void operatorsSeeWhatWasDecided() throws Exception {
+    String id = post(CHAT, STREAM).headers().firstValue("Limpetdoor-Request-Id").get();
+
+    JsonNode explained = json(operator("GET", "/explain/" + id));
+    String metrics = operator("GET", "/metrics").body();
+    JsonNode status = json(operator("GET", "/status"));
+
+    assertThat(explained.at("/decisions/0/event").asText()).isEqualTo("route");
+    assertThat(explained.at("/decisions/0/backend").asText()).isEqualTo("e1");
+    assertThat(metrics).contains("limpetdoor_queue_oldest_age_seconds{customer=\"c\"} 0.0");
+    assertThat(metrics).contains("limpetdoor_decisions_total{kind=\"route\"");
+    assertThat(metrics).contains("limpetdoor_backend_in_flight_requests{backend=\"e1\"}");
+    assertThat(status.path("configurationVersion").asInt()).isEqualTo(0);
+    assertThat(operator("GET", "/explain/absent").statusCode()).isEqualTo(404);
+  }
+
+  /** Guards against a slot that stays taken on the engine when the caller has left. */
+  @Test
+  void attemptOfACallerThatLeftIsCancelled() throws Exception {
+    first.holdAfterFirstToken(new CountDownLatch(1));
+    HttpResponse<InputStream> answer =
+        http.send(
+            request(server.callerAddress(), "POST", CHAT, STREAM, KEY),
+            BodyHandlers.ofInputStream());
+    String id = answer.headers().firstValue("Limpetdoor-Request-Id").get();
+
+    answer.body().close();
+
+    assertThat(first.takeCancelled()).isEqualTo("/v1/attempts/" + id + "#1");
+  }
+
+  /** Guards against a shutdown that cuts off an open stream or accepts new requests. */
+  @Test
+  void drainRefusesNewRequestsAndFinishesOpenStreams() throws Exception {
+    CountDownLatch release = new CountDownLatch(1);
+    first.holdAfterFirstToken(release);
+    HttpResponse<InputStream> open =
+        http.send(
+            request(server.callerAddress(), "POST", CHAT, STREAM, KEY),
+            BodyHandlers.ofInputStream());
+
+    assertThat(operator("POST", "/drain").statusCode()).isEqualTo(202);
+    HttpResponse<String> refused = post(CHAT, STREAM);
+    int ready = operator("GET", "/health/ready").statusCode();
+    boolean endedEarly = server.drained().isDone();
+    release.countDown();
+    String rest = new String(open.body().readAllBytes(), StandardCharsets.UTF_8);
+
+    assertThat(refused.statusCode()).isEqualTo(503);
+    assertThat(json(refused).path("outcome").asText()).isEqualTo("not_run");
+    assertThat(ready).isEqualTo(503);
+    assertThat(endedEarly).isFalse();
+    assertThat(tokens(rest)).containsExactlyElementsIn(FakeEngine.TOKENS).inOrder();
+    assertThat(server.drained().get()).isEqualTo(DrainResult.ALL_ENDED);
+  }
+
+  private HttpResponse<String> post(String path, String body) throws Exception {
+    return send(server.callerAddress(), "POST", path, body, KEY);
+  }
+
+  private HttpResponse<String> operator(String method, String path) throws Exception {
+    return send(server.operatorAddress(), method, path, "", KEY);
+  }
+
+  private HttpResponse<String> send(
+      HostPort address, String method, String path, String body, String key) throws Exception {
+    return http.send(request(address, method, path, body, key), BodyHandlers.ofString());
+  }
+
+  private static HttpRequest request(
+      HostPort address, String method, String path, String body, String key) {
+    return HttpRequest.newBuilder(URI.create("http://" + address + path))
+        .version(HttpClient.Version.HTTP_1_1)
+        .header("Authorization", "Bearer " + key)
+        .header("Content-Type", "application/json")
+        .method(method, body.isEmpty() ? BodyPublishers.noBody() : BodyPublishers.ofString(body))
+        .build();
+  }
+
+  private static JsonNode json(HttpResponse<String> answer) throws Exception {
+    return new ObjectMapper().readTree(answer.body());
+  }
+
+  private static List<String> tokens(String stream) throws Exception {
+    List<String> tokens = new ArrayList<>();
+    for (String line : stream.split("\n")) {
+      if (line.startsWith("data: {")) {
+        JsonNode chunk = new ObjectMapper().readTree(line.substring("data: ".length()));
+        String content = chunk.at("/choices/0/delta/content").asText("");
+        tokens.addAll(content.isEmpty() ? List.of() : List.of(content));
+      }
+    }
+    return tokens;
+  }
+
+  private static InstanceSettings settings() {
+    return InstanceSettings.of(new InstanceId("test"), ZONE, ANY_PORT, ANY_PORT, ANY_PORT);
+  }
+
+  private Configuration configuration() throws Exception {
+    byte[] digest =
+        MessageDigest.getInstance("SHA-256").digest(KEY.getBytes(StandardCharsets.UTF_8));
+    Contract contract =
+        new Contract(
+            new CustomerId("c"),
+            List.of(new KeyDigest(HexFormat.of().formatHex(digest))),
+            new ArrivalLimit(1_000, 1_000, 1_000_000, 1_000_000),
+            new QueueLimit(10, 100_000),
+            60_000,
+            0.5,
+            1,
+            ShedOrder.NORMAL);
+    ServiceEndpoint endpoint = new ServiceEndpoint(new BackendId("s1"), ZONE, first.address(), 4);
+    return Configuration.EMPTY
+        .withContracts(List.of(contract))
+        .withModels(List.of(new Model(new ModelId("m"), "1", 1, 1, 1_000)))
+        .withEngines(List.of(engine("e1", first), engine("e2", second)))
+        .withServices(
+            List.of(new PlainService(new ServiceId("orders"), List.of(endpoint), List.of())));
+  }
+
+  private static Engine engine(String id, FakeEngine engine) {
+    return new Engine(
+        new BackendId(id),
+        ZONE,
+        engine.address(),
+        4,
+        10,
+        FencingSupport.CHECKED,
+        List.of(new ModelId("m")));
+  }
+}
--- /dev/null
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/FakeEngine.java
@@ -0,0 +1,137 @@
+package org.limpetdoor.entry;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/** An engine that streams a fixed answer from the token that it is asked to resume at. */
+final class FakeEngine implements AutoCloseable {
+  static final List<String> TOKENS = List.of("zero", "one", "two", "three", "four", "five");
+  private static final int NEVER = Integer.MAX_VALUE;
+
+  /** A length that the answer does not reach, so that closing breaks the connection. */
+  private static final long UNREACHED_BYTES = 1 << 20;
+
+  private final HttpServer server;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final BlockingQueue<String> cancelled = new LinkedBlockingQueue<>();
+  private volatile int breakAtToken = NEVER;
+  private volatile int refuseStatus;
+  private volatile boolean notStarted;
+  private volatile CountDownLatch holdAfterFirst = new CountDownLatch(0);
+
+  FakeEngine() throws IOException {
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.setExecutor(threads);
+    server.createContext("/v1/chat/completions", this::chat);
+    server.createContext("/v1/attempts/", this::cancel);
+    server.createContext("/", this::echo);
+    server.start();
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.getAddress().getPort();
+  }
+
+  void breakAt(int token) {
+    breakAtToken = token;
+  }
+
+  void refuseWith(int status, boolean saysNotStarted) {
+    refuseStatus = status;
+    notStarted = saysNotStarted;
+  }
+
+  void holdAfterFirstToken(CountDownLatch release) {
+    holdAfterFirst = release;
+  }
+
+  /** Waits for the next cancelled attempt. */
+  String takeCancelled() throws InterruptedException {
+    return cancelled.take();
+  }
+
+  @Override
+  public void close() {
+    holdAfterFirst.countDown();
+    server.stop(0);
+    threads.shutdownNow();
+  }
+
+  private void chat(HttpExchange exchange) throws IOException {
+    String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+    if (refuseStatus > 0) {
+      refuse(exchange);
+    } else if (body.contains("\"stream\":true")) {
+      stream(exchange);
+    } else {
+      answer(exchange, "{\"choices\":[],\"usage\":{\"completion_tokens\":6}}");
+    }
+  }
+
+  private void refuse(HttpExchange exchange) throws IOException {
+    if (notStarted) {
+      exchange.getResponseHeaders().set("Limpetdoor-Not-Started", "true");
+    }
+    exchange.sendResponseHeaders(refuseStatus, -1);
+    exchange.close();
+  }
+
+  private void stream(HttpExchange exchange) throws IOException {
+    int from = Integer.parseInt(exchange.getRequestHeaders().getFirst("Limpetdoor-Resume-At"));
+    exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+    exchange.getResponseHeaders().set("Limpetdoor-Load", "running=3;queued=1");
+    exchange.sendResponseHeaders(200, breakAtToken == NEVER ? 0 : UNREACHED_BYTES);
+    OutputStream out = exchange.getResponseBody();
+    event(out, "{\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}");
+    for (int i = from; i < TOKENS.size() && i < breakAtToken; i++) {
+      event(out, "{\"choices\":[{\"delta\":{\"content\":\"" + TOKENS.get(i) + "\"}}]}");
+      hold();
+    }
+    if (breakAtToken == NEVER) {
+      event(out, "[DONE]");
+    }
+    exchange.close();
+  }
+
+  private void hold() throws IOException {
+    try {
+      holdAfterFirst.await();
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+  }
+
+  private void cancel(HttpExchange exchange) throws IOException {
+    cancelled.add(exchange.getRequestURI().getPath());
+    exchange.sendResponseHeaders(204, -1);
+    exchange.close();
+  }
+
+  private void echo(HttpExchange exchange) throws IOException {
+    String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+    answer(exchange, exchange.getRequestMethod() + " " + exchange.getRequestURI() + " " + body);
+  }
+
+  private static void answer(HttpExchange exchange, String text) throws IOException {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    exchange.sendResponseHeaders(200, bytes.length);
+    exchange.getResponseBody().write(bytes);
+    exchange.close();
+  }
+
+  private static void event(OutputStream out, String data) throws IOException {
+    out.write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+    out.flush();
+  }
+}
--- /dev/null
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/FixedLog.java
@@ -0,0 +1,61 @@
+package org.limpetdoor.entry;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.limpetdoor.core.agreed.AgreedState;
+import org.limpetdoor.core.agreed.AppendId;
+import org.limpetdoor.core.agreed.Envelope;
+import org.limpetdoor.core.agreed.LogRecord.ConfigurationPublished;
+import org.limpetdoor.core.config.Configuration;
+import org.limpetdoor.core.config.ConfigurationPatch;
+import org.limpetdoor.format.record.LogRecordCodec;
+import org.limpetdoor.runtime.log.LogFailure;
+import org.limpetdoor.runtime.log.LogService;
+import org.limpetdoor.runtime.log.LogServiceException;
+
+/** A log that holds one publication. Its first read fails, as in an outage at the start. */
+final class FixedLog implements LogService {
+  private final RawRecord record;
+  private final CountDownLatch passedOn = new CountDownLatch(1);
+  private boolean failed;
+
+  FixedLog(Configuration configuration) {
+    ConfigurationPublished published =
+        new ConfigurationPublished(
+            AgreedState.NO_VERSION, "test", ConfigurationPatch.of(configuration));
+    Envelope envelope = new Envelope(new AppendId("test", 1), published);
+    record = new RawRecord(0, LogRecordCodec.encode(envelope));
+  }
+
+  /** Waits until the record was handed to the control thread, ahead of all later events. */
+  void awaitPassedOn() throws InterruptedException {
+    passedOn.await();
+  }
+
+  @Override
+  public long append(byte[] body) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public Page read(long from, int max, int waitMs) {
+    if (!failed) {
+      failed = true;
+      throw new LogServiceException(LogFailure.UNREACHABLE, "test", "no connection", null);
+    }
+    if (from == 0) {
+      return new Page(List.of(record), 1, 0);
+    }
+    passedOn.countDown();
+    return waitUntilClosed(from);
+  }
+
+  private static Page waitUntilClosed(long from) {
+    try {
+      new CountDownLatch(1).await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return new Page(List.of(), from, 0);
+  }
+}
