--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/CallerGateway.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/CallerGateway.java
@@ -39,6 +39,14 @@
   private static final String CHAT_PATH = "/v1/chat/completions";
   private static final String SERVICES_PATH = "/services/";
   private static final String BEARER = "Bearer ";
+
+  /**
+   * Accept is left out, since the HTTP client strips the line ends of answers to requests that
+   * accept event streams. The body says whether the answer is streamed.
+   */
+  private static final Map<String, List<String>> JSON_BODY =
+      Map.of("Content-Type", List.of("application/json"));
+
   private static final int CHARS_PER_TOKEN = 4;
 
   private final RequestIds ids;
@@ -81,11 +89,8 @@
             Digests.prefixHash(label, chat.prompt()),
             Digests.fingerprint(label, body));
     AnswerMode mode = chat.stream() ? AnswerMode.TOKEN_STREAM : AnswerMode.MODEL_DOCUMENT;
-    String accepted = chat.stream() ? "text/event-stream" : "application/json";
-    Map<String, List<String>> headers =
-        Map.of("Content-Type", List.of("application/json"), "Accept", List.of(accepted));
     UpstreamCall call =
-        new UpstreamCall(HttpMethod.POST, CHAT_PATH, headers, Optional.of(body), mode);
+        new UpstreamCall(HttpMethod.POST, CHAT_PATH, JSON_BODY, Optional.of(body), mode);
     return open(http, spec, call);
   }
 
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamAttempt.java
@@ -6,6 +6,9 @@
 import io.micronaut.http.MutableHttpRequest;
 import io.micronaut.http.MutableHttpResponse;
 import io.micronaut.http.client.exceptions.HttpClientResponseException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Locale;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -17,9 +20,11 @@
 import org.limpetdoor.core.id.AttemptId;
 import org.limpetdoor.core.request.AttemptFailure;
 import org.limpetdoor.core.request.Outcome;
+import org.limpetdoor.runtime.decision.LogLine;
 
 /** One call to a back end. It reports its end once, whatever happens afterwards. */
 abstract class UpstreamAttempt {
+  private static final Logger LOG = System.getLogger(UpstreamAttempt.class.getName());
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int SERVER_ERROR = 500;
 
@@ -124,6 +129,7 @@
     if (end()) {
       int delivered = request.deliveredTokens();
       upstream.report(atMs -> new AttemptFailed(atMs, id(), failure, delivered));
+      logFailure(failure, delivered);
       close();
     }
   }
@@ -166,6 +172,17 @@
     return true;
   }
 
+  private void logFailure(AttemptFailure failure, int delivered) {
+    LogLine line =
+        LogLine.event("attempt_failed")
+            .with("request", id().request())
+            .with("attempt", id().number())
+            .with("backend", dispatch.backend())
+            .with("failure", failure.name().toLowerCase(Locale.ROOT))
+            .with("delivered_tokens", delivered);
+    LOG.log(Level.INFO, line.toString());
+  }
+
   private void noteLoad(HttpHeaders headers) {
     LoadHeader.parse(headers.get("Limpetdoor-Load"))
         .ifPresent(
