--- /dev/null
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/record/LogRecordCodecTest.java
@@ -0,0 +1,99 @@
+package org.limpetdoor.format.record;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.limpetdoor.core.agreed.AppendId;
+import org.limpetdoor.core.agreed.Envelope;
+import org.limpetdoor.core.agreed.LogRecord;
+import org.limpetdoor.core.config.Configuration;
+import org.limpetdoor.core.config.ConfigurationPatch;
+import org.limpetdoor.core.config.Model;
+import org.limpetdoor.core.config.PlatformLimits;
+import org.limpetdoor.core.id.ModelId;
+
+final class LogRecordCodecTest {
+  private static final Envelope PUBLISHED = published();
+
+  @Test
+  void publicationsReadBackEqual() {
+    assertThat(LogRecordCodec.decode(LogRecordCodec.encode(PUBLISHED))).isEqualTo(PUBLISHED);
+  }
+
+  /** Guards against a fold that stops at a record of a later version. */
+  @Test
+  void unknownKindsAreKept() {
+    byte[] bytes =
+        MessagePackMaps.encode(
+            Map.of("kind", "later", "appender", "a", "sequence", 7L, "x", List.of(1L, "b")));
+    assertThat(LogRecordCodec.decode(bytes))
+        .isEqualTo(new Envelope(new AppendId("a", 7), new LogRecord.Unknown("later")));
+  }
+
+  /** Guards against passing on an unknown record without the fields that this version skipped. */
+  @Test
+  void unknownKindsAreNotEncoded() {
+    Envelope unknown = new Envelope(new AppendId("a", 1), new LogRecord.Unknown("later"));
+    assertThrows(MalformedRecordException.class, () -> LogRecordCodec.encode(unknown));
+  }
+
+  /** Guards against allocation of a size that the bytes claim but do not have. */
+  @ParameterizedTest
+  @ValueSource(ints = {0xdf, 0xdd, 0xdb, 0xc6, 0xc9})
+  void claimedSizesAreChecked(int header) {
+    byte[] bytes = {(byte) 0x81, (byte) 0xa1, 'k', (byte) header, 0x7f, -1, -1, -1, 0};
+    assertThrows(MalformedRecordException.class, () -> LogRecordCodec.decode(bytes));
+  }
+
+  /** Guards against nesting that exhausts the stack. */
+  @Test
+  void deepNestingIsRefused() {
+    byte[] bytes = new byte[100_000];
+    Arrays.fill(bytes, (byte) 0x91);
+    bytes[0] = (byte) 0x81;
+    bytes[1] = (byte) 0xa0;
+    assertThrows(MalformedRecordException.class, () -> LogRecordCodec.decode(bytes));
+  }
+
+  /** Guards against untyped exceptions for truncated and damaged records. */
+  @Test
+  void damagedRecordsGiveTheTypedException() {
+    byte[] whole = LogRecordCodec.encode(PUBLISHED);
+    for (int length = 0; length < whole.length; length++) {
+      byte[] part = Arrays.copyOf(whole, length);
+      assertThrows(MalformedRecordException.class, () -> LogRecordCodec.decode(part));
+    }
+    Random random = new Random(42);
+    for (int i = 0; i < 20_000; i++) {
+      byte[] damaged = whole.clone();
+      damaged[random.nextInt(damaged.length)] = (byte) random.nextInt(256);
+      damaged[random.nextInt(damaged.length)] = (byte) random.nextInt(256);
+      decodeOrRefuse(damaged);
+    }
+  }
+
+  private static void decodeOrRefuse(byte[] bytes) {
+    try {
+      assertThat(LogRecordCodec.decode(bytes)).isNotNull();
+    } catch (MalformedRecordException e) {
+      assertThat(e).hasMessageThat().contains("malformed log record");
+    }
+  }
+
+  private static Envelope published() {
+    Configuration content =
+        Configuration.EMPTY
+            .withModels(List.of(new Model(new ModelId("m"), "1", 10, 2, 5)))
+            .withLimits(new PlatformLimits(2.5, 1, 1, 1));
+    ConfigurationPatch patch = ConfigurationPatch.between(Configuration.EMPTY, content);
+    return new Envelope(
+        new AppendId("cli:1", 1), new LogRecord.ConfigurationPublished(-1, "operator", patch));
+  }
+}
