--- /dev/null
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/CliMain.java
@@ -0,0 +1,69 @@
+package org.limpetdoor.cli;
+
+import com.github.rvesse.airline.Cli;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.UUID;
+import org.limpetdoor.runtime.log.HttpLogService;
+
+/** Entry point of the operator's command line. */
+public final class CliMain {
+  private static final int RETRY_DELAY_MS = 500;
+
+  private final Cli<CliCommand> cli =
+      Cli.<CliCommand>builder("limpetdoor")
+          .withDescription("Checks and publishes the configuration of limpetdoor")
+          .withCommand(HelpCommand.class)
+          .withCommand(ValidateCommand.class)
+          .withCommand(DiffCommand.class)
+          .withCommand(PublishCommand.class)
+          .withCommand(HistoryCommand.class)
+          .withCommand(KeyDigestCommand.class)
+          .build();
+
+  private final CliContext context;
+  private final ReportPrinter printer;
+
+  CliMain(CliContext context, PrintStream out, PrintStream err) {
+    this.context = context;
+    this.printer = new ReportPrinter(out, err);
+  }
+
+  /** Runs one command and exits with the status of its {@link ExitCode}. */
+  public static void main(String[] args) {
+    System.exit(run(System.in, System.out, System.err, args).status());
+  }
+
+  /** Runs one command in this process, for programs that contain the command line. */
+  public static ExitCode run(InputStream in, PrintStream out, PrintStream err, String... args) {
+    CliContext context =
+        new CliContext(in, HttpLogService::new, () -> "cli:" + UUID.randomUUID(), RETRY_DELAY_MS);
+    return new CliMain(context, out, err).execute(args);
+  }
+
+  ExitCode execute(String... args) {
+    CliCommand command;
+    try {
+      // A default command would take an unknown command for its argument.
+      command = args.length == 0 ? cli.parse("help") : cli.parse(args);
+    } catch (ParseException e) {
+      return printer.print(Report.failed(ExitCode.USAGE, e.getMessage()), isJson(args));
+    }
+    return printer.print(report(command), command.isJson());
+  }
+
+  // The parser does not tell which options it had read when it failed.
+  private static boolean isJson(String... args) {
+    return Arrays.asList(args).contains("--json");
+  }
+
+  private Report report(CliCommand command) {
+    try {
+      return command.run(context);
+    } catch (RuntimeException e) {
+      return FailureReports.of(e);
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/HelpCommand.java
@@ -0,0 +1,45 @@
+package org.limpetdoor.cli;
+
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.model.CommandMetadata;
+import com.github.rvesse.airline.model.GlobalMetadata;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Describes the commands. */
+@Command(name = "help", description = "Describes the commands")
+public final class HelpCommand extends CliCommand {
+  @AirlineModule private GlobalMetadata<CliCommand> global;
+
+  @Arguments(title = "COMMAND", description = "Command to describe")
+  private List<String> names = new ArrayList<>();
+
+  @Override
+  Report run(CliContext context) {
+    requireKnown();
+    ByteArrayOutputStream text = new ByteArrayOutputStream();
+    try {
+      Help.help(global, names, text);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    String help = text.toString(StandardCharsets.UTF_8);
+    return Report.ok(help.lines().toList(), Map.of("help", help));
+  }
+
+  private void requireKnown() {
+    List<String> known =
+        global.getDefaultGroupCommands().stream().map(CommandMetadata::getName).toList();
+    if (!known.containsAll(names)) {
+      throw new CliException(ExitCode.USAGE, "unknown command in " + names, null);
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/Publisher.java
@@ -0,0 +1,116 @@
+package org.limpetdoor.cli;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.limpetdoor.core.agreed.AppendId;
+import org.limpetdoor.core.agreed.Envelope;
+import org.limpetdoor.core.agreed.LogRecord.ConfigurationPublished;
+import org.limpetdoor.core.config.Configuration;
+import org.limpetdoor.core.config.ConfigurationPatch;
+import org.limpetdoor.core.decision.ConfigurationDecision;
+import org.limpetdoor.format.record.LogRecordCodec;
+import org.limpetdoor.runtime.log.LogService;
+import org.limpetdoor.runtime.log.LogServiceException;
+
+/** Publishes a configuration: one append, then reading back what the fold decided. */
+final class Publisher {
+  private static final int MAX_APPEND_ATTEMPTS = 5;
+
+  private final LogService log;
+  private final HistoryLog histories;
+  private final Retry retry;
+
+  Publisher(LogService log, int retryDelayMs) {
+    this.log = log;
+    this.histories = new HistoryLog(log, retryDelayMs);
+    this.retry = new Retry(MAX_APPEND_ATTEMPTS, retryDelayMs);
+  }
+
+  /**
+   * Publishes a configuration.
+   *
+   * @param content the configuration
+   * @param base version that the operator edited; absent for the version in force
+   * @param publisher name of the operator
+   * @param appender name that no other publication has
+   * @throws CliException if the log lacks old records, or if the outcome is unknown
+   * @throws LogServiceException if the log cannot be used and nothing was changed
+   */
+  Publication publish(Configuration content, OptionalLong base, String publisher, String appender) {
+    History before = histories.readAll();
+    long version = before.version();
+    if (base.isPresent() && base.getAsLong() != version) {
+      return new Publication.Conflict(base.getAsLong(), version, publisherOf(before, version));
+    }
+    ConfigurationPatch patch = ConfigurationPatch.between(before.configuration(), content);
+    if (patch.isEmpty()) {
+      return new Publication.Unchanged(version);
+    }
+    AppendId id = new AppendId(appender, 1);
+    append(new Envelope(id, new ConfigurationPublished(version, publisher, patch)), before);
+    return outcome(id, readBack(before));
+  }
+
+  private void append(Envelope envelope, History before) {
+    byte[] body = LogRecordCodec.encode(envelope);
+    boolean[] mayHaveTakenEffect = {false};
+    try {
+      retry.call(() -> appendOnce(body, mayHaveTakenEffect));
+    } catch (LogServiceException e) {
+      // An earlier attempt may be in the log although the last one failed; reading back decides.
+      if (!mayHaveTakenEffect[0]) {
+        throw e;
+      }
+      if (find(envelope.id(), readBack(before)).isEmpty()) {
+        throw unknown(e);
+      }
+    }
+  }
+
+  private Long appendOnce(byte[] body, boolean[] mayHaveTakenEffect) {
+    try {
+      return log.append(body);
+    } catch (LogServiceException e) {
+      mayHaveTakenEffect[0] |= e.failure().mayHaveTakenEffect();
+      throw e;
+    }
+  }
+
+  private History readBack(History before) {
+    try {
+      return histories.readOn(before);
+    } catch (LogServiceException | CliException e) {
+      throw unknown(e);
+    }
+  }
+
+  private static Publication outcome(AppendId id, History after) {
+    ConfigurationDecision decision = find(id, after).orElseThrow(() -> unknown(null));
+    if (decision.accepted()) {
+      return new Publication.Accepted(decision.offset());
+    }
+    long winner = decision.versionInForce();
+    return new Publication.Conflict(decision.baseVersion(), winner, publisherOf(after, winner));
+  }
+
+  private static Optional<ConfigurationDecision> find(AppendId id, History history) {
+    return history.publications().stream()
+        .filter(publication -> publication.id().equals(id))
+        .map(History.Publication::decision)
+        .findFirst();
+  }
+
+  private static String publisherOf(History history, long version) {
+    return history.publications().stream()
+        .map(History.Publication::decision)
+        .filter(decision -> decision.offset() == version)
+        .map(ConfigurationDecision::publisher)
+        .findFirst()
+        .orElse("");
+  }
+
+  private static CliException unknown(Throwable cause) {
+    return new CliException(
+        ExitCode.OUTCOME_UNKNOWN, "the log did not confirm the publication", cause);
+  }
+}
--- /dev/null
+++ b/limpetdoor-cli/src/test/java/org/limpetdoor/cli/CliMainTest.java
@@ -0,0 +1,251 @@
+package org.limpetdoor.cli;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.limpetdoor.cli.FakeLog.Step;
+import org.limpetdoor.core.agreed.AppendId;
+import org.limpetdoor.core.agreed.Envelope;
+import org.limpetdoor.core.agreed.LogRecord.ConfigurationPublished;
+import org.limpetdoor.core.config.ConfigurationPatch;
+import org.limpetdoor.format.record.LogRecordCodec;
+import org.limpetdoor.runtime.log.LogService;
+
+final class CliMainTest {
+  private static final String EXAMPLE = "../examples/dev/configuration.json";
+  private static final String ADDRESS = "127.0.0.1:1";
+
+  @TempDir private Path directory;
+  private final FakeLog log = new FakeLog();
+  private final AtomicInteger appenders = new AtomicInteger();
+  private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+  private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+  private LogService opened = log;
+  private String input = "";
+
+  @Test
+  void validateAcceptsTheExample() {
+    assertThat(run("validate", EXAMPLE)).isEqualTo(ExitCode.OK);
+    assertThat(text(out)).contains("models=2");
+  }
+
+  @Test
+  void validateReportsProblemsAsJson() throws IOException {
+    Path file = Files.writeString(directory.resolve("wrong.json"), "{\n \"model\": []}");
+    JsonNode result = json(ExitCode.INVALID_INPUT, "validate", file.toString());
+    JsonNode problem = result.path("problems").path(0);
+    assertThat(problem.path("line").asInt()).isEqualTo(2);
+    assertThat(problem.path("path").asText()).isEqualTo("model");
+    assertThat(result.path("nextStep").asText()).isNotEmpty();
+  }
+
+  @Test
+  void unreadableFilesAreInvalidInput() {
+    assertThat(run("validate", "absent.json")).isEqualTo(ExitCode.INVALID_INPUT);
+    assertThat(text(err)).contains("absent.json");
+  }
+
+  /** Guards against a usage error that looks like success to a script. */
+  @Test
+  void wrongCommandLinesAreUsageErrors() {
+    assertThat(run("validate")).isEqualTo(ExitCode.USAGE);
+    assertThat(run("unknown")).isEqualTo(ExitCode.USAGE);
+    assertThat(run("help", "unknown")).isEqualTo(ExitCode.USAGE);
+    assertThat(run("history")).isEqualTo(ExitCode.USAGE);
+    assertThat(run("history", "--log", ADDRESS, "--stream", "a b")).isEqualTo(ExitCode.USAGE);
+    assertThat(run("history", "--log", "somewhere")).isEqualTo(ExitCode.USAGE);
+    assertThat(run("publish", EXAMPLE, "--log", ADDRESS, "--base", "x")).isEqualTo(ExitCode.USAGE);
+    assertThat(json(ExitCode.USAGE, "validate").path("message").asText()).isNotEmpty();
+  }
+
+  @Test
+  void helpListsTheCommands() {
+    assertThat(run()).isEqualTo(ExitCode.OK);
+    assertThat(text(out)).contains("key-digest");
+    assertThat(run("help", "publish")).isEqualTo(ExitCode.OK);
+    assertThat(text(out)).contains("--base");
+  }
+
+  @Test
+  void publishReportsTheNewVersionAndThenNoChange() {
+    assertThat(publish().path("version").asLong()).isEqualTo(0);
+    assertThat(publish().path("changed").asBoolean()).isFalse();
+    assertThat(log.bodies()).hasSize(1);
+  }
+
+  /** Guards against a repeated append that counts as a second publication or as a conflict. */
+  @Test
+  void publishRepeatsAnAppendWhoseAnswerWasLost() {
+    log.script(Step.LOSE_ANSWER, Step.LOSE_REQUEST);
+    assertThat(publish().path("version").asLong()).isEqualTo(0);
+    assertThat(log.bodies()).hasSize(2);
+    assertThat(LogRecordCodec.decode(log.bodies().get(1)).id())
+        .isEqualTo(LogRecordCodec.decode(log.bodies().get(0)).id());
+    JsonNode history = json(ExitCode.OK, "history", "--log", ADDRESS);
+    assertThat(history.path("publications")).hasSize(1);
+    assertThat(history.path("versionInForce").asLong()).isEqualTo(0);
+  }
+
+  /** Guards against reporting a failure although the publication is in force. */
+  @Test
+  void publishReadsBackWhenEveryAnswerIsLost() {
+    log.script(
+        Step.LOSE_ANSWER, Step.LOSE_ANSWER, Step.LOSE_REQUEST, Step.LOSE_REQUEST, Step.UNREACHABLE);
+    assertThat(publish().path("version").asLong()).isEqualTo(0);
+  }
+
+  /** Guards against promising that nothing changed while a record may still arrive. */
+  @Test
+  void publishSaysWhenTheOutcomeIsUnknown() {
+    Step lost = Step.LOSE_REQUEST;
+    log.script(lost, lost, lost, lost, Step.UNREACHABLE);
+    assertThat(run("publish", EXAMPLE, "--log", ADDRESS)).isEqualTo(ExitCode.OUTCOME_UNKNOWN);
+  }
+
+  @Test
+  void publishSaysWhenTheLogIsUnreachable() {
+    Step none = Step.UNREACHABLE;
+    log.script(none, none, none, none, none);
+    assertThat(run("publish", EXAMPLE, "--log", ADDRESS)).isEqualTo(ExitCode.LOG_UNAVAILABLE);
+    assertThat(text(err)).contains("next: ");
+  }
+
+  /** Guards against a publication that overwrites a version that the operator has not seen. */
+  @Test
+  void publishRefusesAnOldBase() {
+    log.add(publicationOf("rival"));
+    JsonNode result = json(ExitCode.CONFLICT, "publish", EXAMPLE, "--log", ADDRESS, "--base", "-1");
+    assertThat(result.path("versionInForce").asLong()).isEqualTo(0);
+    assertThat(result.path("publisher").asText()).isEqualTo("rival");
+    assertThat(log.bodies()).hasSize(1);
+  }
+
+  /** Guards against two racing operators who both believe that they won. */
+  @Test
+  void publishReportsAConflictWhenAnotherRecordComesFirst() {
+    opened = new RacingLog(log, publicationOf("rival"));
+    JsonNode result = json(ExitCode.CONFLICT, "publish", EXAMPLE, "--log", ADDRESS);
+    assertThat(result.path("publisher").asText()).isEqualTo("rival");
+    assertThat(log.bodies()).hasSize(2);
+    assertThat(json(ExitCode.OK, "history", "--log", ADDRESS).path("versionInForce").asLong())
+        .isEqualTo(0);
+  }
+
+  /** Guards against a patch against a configuration that was folded from part of the log. */
+  @Test
+  void publishRefusesALogThatLostOldRecords() {
+    log.add(publicationOf("rival"));
+    log.trimTo(1);
+    assertThat(run("publish", EXAMPLE, "--log", ADDRESS)).isEqualTo(ExitCode.HISTORY_INCOMPLETE);
+  }
+
+  /** Guards against foreign bytes in the stream that stop every later publication. */
+  @Test
+  void malformedRecordsAreSkipped() {
+    log.add(new byte[] {1, 2, 3});
+    assertThat(publish().path("version").asLong()).isEqualTo(1);
+  }
+
+  @Test
+  void diffNamesAddedChangedAndRemovedEntries() throws IOException {
+    publish();
+    String changed =
+        Files.readString(Path.of(EXAMPLE))
+            .replace("\"weight\": 1", "\"weight\": 2")
+            .replace("\"id\": \"orders\"", "\"id\": \"accounts\"");
+    Path file = Files.writeString(directory.resolve("changed.json"), changed);
+    assertThat(run("diff", file.toString(), "--log", ADDRESS)).isEqualTo(ExitCode.OK);
+    assertThat(text(out).lines())
+        .containsAtLeast("change contract bakery", "add service accounts", "remove service orders");
+    JsonNode result = json(ExitCode.OK, "diff", file.toString(), "--log", ADDRESS);
+    assertThat(result.path("patch").path("contracts")).hasSize(2);
+  }
+
+  @Test
+  void keyDigestMatchesTheExample() throws IOException {
+    input = "bakery-key\n";
+    assertThat(run("key-digest")).isEqualTo(ExitCode.OK);
+    assertThat(Files.readString(Path.of(EXAMPLE))).contains(text(out).strip());
+  }
+
+  @Test
+  void keyDigestRefusesAnEmptyKey() {
+    input = "\n";
+    assertThat(run("key-digest")).isEqualTo(ExitCode.INVALID_INPUT);
+  }
+
+  private JsonNode publish() {
+    return json(ExitCode.OK, "publish", EXAMPLE, "--log", ADDRESS, "--publisher", "tester");
+  }
+
+  private JsonNode json(ExitCode expected, String... args) {
+    String[] all = Arrays.copyOf(args, args.length + 1);
+    all[args.length] = "--json";
+    assertThat(run(all)).isEqualTo(expected);
+    try {
+      return new ObjectMapper().readTree(text(out));
+    } catch (IOException e) {
+      throw new AssertionError(text(out), e);
+    }
+  }
+
+  private ExitCode run(String... args) {
+    out.reset();
+    err.reset();
+    CliContext context =
+        new CliContext(
+            new ByteArrayInputStream(input.getBytes(UTF_8)),
+            (address, stream) -> opened,
+            () -> "cli:" + appenders.incrementAndGet(),
+            0);
+    PrintStream outStream = new PrintStream(out, true, UTF_8);
+    return new CliMain(context, outStream, new PrintStream(err, true, UTF_8)).execute(args);
+  }
+
+  private static String text(ByteArrayOutputStream stream) {
+    return stream.toString(UTF_8);
+  }
+
+  private static byte[] publicationOf(String publisher) {
+    ConfigurationPublished record =
+        new ConfigurationPublished(-1, publisher, ConfigurationPatch.EMPTY);
+    return LogRecordCodec.encode(new Envelope(new AppendId(publisher, 1), record));
+  }
+
+  /** A log to which another operator appends right before the first append. */
+  private static final class RacingLog implements LogService {
+    private final FakeLog log;
+    private byte[] rival;
+
+    RacingLog(FakeLog log, byte[] rival) {
+      this.log = log;
+      this.rival = rival;
+    }
+
+    @Override
+    public long append(byte[] body) {
+      if (rival != null) {
+        log.add(rival);
+        rival = null;
+      }
+      return log.append(body);
+    }
+
+    @Override
+    public Page read(long from, int max, int waitMs) {
+      return log.read(from, max, waitMs);
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-cli/src/test/java/org/limpetdoor/cli/FakeLog.java
@@ -0,0 +1,75 @@
+package org.limpetdoor.cli;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.limpetdoor.runtime.log.LogFailure;
+import org.limpetdoor.runtime.log.LogService;
+import org.limpetdoor.runtime.log.LogServiceException;
+
+/** A log in memory whose appends fail as a test scripts them. */
+final class FakeLog implements LogService {
+  private final List<byte[]> bodies = new ArrayList<>();
+  private final Deque<Step> steps = new ArrayDeque<>();
+  private long firstOffset;
+
+  /** What happens to one append. */
+  enum Step {
+    /** The record is kept, the answer is lost. */
+    LOSE_ANSWER(true, LogFailure.ANSWER_LOST),
+    /** The request is lost before it reaches the log, which the client cannot tell. */
+    LOSE_REQUEST(false, LogFailure.ANSWER_LOST),
+    /** No connection is made. */
+    UNREACHABLE(false, LogFailure.UNREACHABLE);
+
+    private final boolean keeps;
+    private final LogFailure failure;
+
+    Step(boolean keeps, LogFailure failure) {
+      this.keeps = keeps;
+      this.failure = failure;
+    }
+  }
+
+  /** Scripts the next appends; later ones succeed. */
+  void script(Step... next) {
+    steps.addAll(List.of(next));
+  }
+
+  /** Appends a record of another client. */
+  void add(byte[] body) {
+    bodies.add(body);
+  }
+
+  void trimTo(long offset) {
+    firstOffset = offset;
+  }
+
+  List<byte[]> bodies() {
+    return bodies;
+  }
+
+  @Override
+  public long append(byte[] body) {
+    Step step = steps.poll();
+    if (step == null || step.keeps) {
+      bodies.add(body);
+    }
+    if (step != null) {
+      throw new LogServiceException(step.failure, "fake", "scripted", null);
+    }
+    return bodies.size() - 1L;
+  }
+
+  @Override
+  public Page read(long from, int max, int waitMs) {
+    List<RawRecord> records = new ArrayList<>();
+    for (int i = (int) Math.max(from, firstOffset);
+        i < bodies.size() && records.size() < max;
+        i++) {
+      records.add(new RawRecord(i, bodies.get(i)));
+    }
+    return new Page(records, from + records.size(), firstOffset);
+  }
+}
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/json/UnitSuffix.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/json/UnitSuffix.java
@@ -1,29 +1,33 @@
 package org.limpetdoor.format.json;
 
-import java.util.Locale;
-
 /** Recognises unit suffixes of field names, to tell a wrong unit from an unknown field. */
 final class UnitSuffix {
-  // Longer suffixes come first, so that "Millis" is not taken for a name that ends in "s".
+  // Longer suffixes come first. The capital keeps plurals such as "slots" apart from seconds.
   private static final String[] SUFFIXES = {
-    "milliseconds",
-    "millis",
-    "seconds",
-    "minutes",
-    "hours",
-    "bytes",
-    "secs",
-    "sec",
-    "mib",
-    "gib",
-    "kib",
-    "mb",
-    "gb",
-    "kb",
-    "ms",
-    "us",
-    "ns",
-    "s"
+    "Milliseconds",
+    "Millis",
+    "Seconds",
+    "Minutes",
+    "Hours",
+    "Bytes",
+    "Secs",
+    "Sec",
+    "MiB",
+    "Mib",
+    "GiB",
+    "Gib",
+    "KiB",
+    "Kib",
+    "MB",
+    "Mb",
+    "GB",
+    "Gb",
+    "KB",
+    "Kb",
+    "Ms",
+    "Us",
+    "Ns",
+    "S"
   };
 
   private UnitSuffix() {}
@@ -33,12 +37,11 @@
   }
 
   private static String stem(String name) {
-    String lower = name.toLowerCase(Locale.ROOT);
     for (String suffix : SUFFIXES) {
-      if (lower.endsWith(suffix) && lower.length() > suffix.length()) {
-        return lower.substring(0, lower.length() - suffix.length());
+      if (name.endsWith(suffix) && name.length() > suffix.length()) {
+        return name.substring(0, name.length() - suffix.length());
       }
     }
-    return lower;
+    return name;
   }
 }
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/settings/SettingsReader.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/settings/SettingsReader.java
@@ -16,6 +16,9 @@
       (value, path, problems) ->
           Optional.ofNullable(ValueTypes.address().read(value, path, problems));
 
+  private static final ValueType<String> STREAM_NAME =
+      ValueTypes.matching("[A-Za-z0-9._-]+", "letters, digits or the characters . _ -");
+
   private SettingsReader() {}
 
   /**
@@ -35,8 +38,7 @@
     HostPort operators = in.required("operatorAddress", ValueTypes.address());
     HostPort log = in.required("logAddress", ValueTypes.address());
     Optional<HostPort> peers = in.optional("peerAddress", OPTIONAL_ADDRESS, Optional.empty());
-    String stream =
-        in.optional("logStream", ValueTypes.text(), InstanceSettings.DEFAULT_LOG_STREAM);
+    String stream = in.optional("logStream", STREAM_NAME, InstanceSettings.DEFAULT_LOG_STREAM);
     Optional<HostPort> list =
         in.optional("instanceListAddress", OPTIONAL_ADDRESS, Optional.empty());
     Optional<HostPort> weights =
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/LogService.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/LogService.java
@@ -29,6 +29,8 @@
    * @param offset place in the log, from 0
    * @param body bytes of the record
    */
+  // Records are told apart by offset, and a copy of each body would double the memory of a page.
+  @SuppressWarnings("ArrayRecordComponent")
   record RawRecord(long offset, byte[] body) {}
 
   /**
