--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/HttpListener.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/HttpListener.java
@@ -32,6 +32,7 @@
     Map<String, Object> properties =
         properties("caller", settings.callerAddress(), settings, CALLER_THREADS);
     properties.put("micronaut.server.max-request-size", settings.maxBodyBytes());
+    properties.put(ConnectionLimit.PROPERTY, settings.maxConnections());
     properties.put("micronaut.server.max-request-buffer-size", settings.maxBodyBytes());
     return start(properties, settings.callerAddress(), gateway);
   }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/ProblemErrorProcessor.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/ProblemErrorProcessor.java
@@ -12,7 +12,8 @@
 
 /**
  * Gives errors that the HTTP server finds itself, such as a body over the limit, the form of a
- * problem document. Such a request reached no back end.
+ * problem document. A request with such an error of its own reached no back end; after an internal
+ * error this is not known.
  */
 @Singleton
 @Requires(property = EntryServer.ROLE_PROPERTY)
@@ -24,8 +25,8 @@
       ErrorContext context, MutableHttpResponse<?> response) {
     String title = response.reason();
     String kind = title.toLowerCase(Locale.ROOT).replaceAll("[^a-z0-9]+", "_");
-    Problem problem =
-        Problem.of(response.code(), kind, detail(context, response, title), Outcome.NOT_RUN);
+    Outcome outcome = response.code() < INTERNAL_ERROR ? Outcome.NOT_RUN : Outcome.UNKNOWN;
+    Problem problem = Problem.of(response.code(), kind, detail(context, response, title), outcome);
     return response
         .contentType(Problem.MEDIA_TYPE)
         .body(problem.toJson().getBytes(StandardCharsets.UTF_8));
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/OpenRequest.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/OpenRequest.java
@@ -117,6 +117,11 @@
     return locked(() -> !ended && current.filter(c -> c.id().equals(attempt)).isPresent());
   }
 
+  /** Returns whether the caller has the start of a stream, perhaps without a token. */
+  boolean begun() {
+    return response.isDone();
+  }
+
   /** Returns the tokens that were passed on to the caller. */
   int deliveredTokens() {
     return locked(() -> deliveredTokens);
@@ -134,7 +139,7 @@
 
   /** Answers with a whole document, unless the attempt is not the current one. */
   boolean answer(AttemptId attempt, MutableHttpResponse<?> whole) {
-    boolean accepted = locked(() -> isCurrent(attempt) && end());
+    boolean accepted = locked(() -> isCurrent(attempt) && !begun() && end());
     if (accepted) {
       respond(whole);
     }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/Problem.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/Problem.java
@@ -73,6 +73,9 @@
         HttpResponse.<byte[]>status(status, HttpStatus.getDefaultReason(status))
             .contentType(MEDIA_TYPE)
             .body(toJson().getBytes(StandardCharsets.UTF_8));
+    if (status == HttpStatus.UNAUTHORIZED.getCode()) {
+      response.header("WWW-Authenticate", "Bearer");
+    }
     retryAfterMs.ifPresent(ms -> response.header("Retry-After", String.valueOf(seconds(ms))));
     return response;
   }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/TokenStreamAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/TokenStreamAttempt.java
@@ -33,7 +33,7 @@
 
   TokenStreamAttempt(DispatchAttempt dispatch, OpenRequest request, Upstream upstream) {
     super(dispatch, request, upstream);
-    this.resumed = dispatch.resumeAtToken() > 0;
+    this.resumed = request.begun();
     this.outputTokens = dispatch.resumeAtToken();
   }
 
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamAttempt.java
@@ -66,7 +66,7 @@
     if (ended.get()) {
       return;
     }
-    scheduleCheck(dispatch.firstByteTimeoutMs());
+    scheduleCheck(firstCheckMs());
     call();
   }
 
@@ -77,6 +77,11 @@
     }
   }
 
+  /** Returns how long the back end may be silent at first, in milliseconds. */
+  long firstCheckMs() {
+    return dispatch.firstByteTimeoutMs();
+  }
+
   /** Sends the request. */
   abstract void call();
 
@@ -214,7 +219,7 @@
   }
 
   final void answerWhole(MutableHttpResponse<?> whole, int outputTokens) {
-    if (request.deliveredTokens() > 0) {
+    if (request.begun()) {
       failed(AttemptFailure.ERROR_ANSWER);
     } else if (request.answer(id(), whole)) {
       completed(outputTokens);
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/WholeAnswerAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/WholeAnswerAttempt.java
@@ -14,12 +14,21 @@
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final Argument<byte[]> BYTES = Argument.of(byte[].class);
 
+  /** Twice the target between tokens. */
+  private static final long MAX_MS_PER_TOKEN = 102;
+
   private volatile Disposable subscription;
 
   WholeAnswerAttempt(DispatchAttempt dispatch, OpenRequest request, Upstream upstream) {
     super(dispatch, request, upstream);
   }
 
+  /** The first byte of a whole answer comes after its last token. */
+  @Override
+  long firstCheckMs() {
+    return super.firstCheckMs() + MAX_MS_PER_TOKEN * request().spec().maxOutputTokens();
+  }
+
   @Override
   void call() {
     subscription =
--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/EntryServerTest.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/EntryServerTest.java
@@ -1,21 +1,23 @@
 package org.limpetdoor.entry;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.InputStream;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -104,6 +106,31 @@
     assertThat(answer.body().strip()).endsWith("data: [DONE]");
   }
 
+  /** Guards against a second opening chunk when the connection breaks before the first token. */
+  @Test
+  void connectionLostBeforeTheFirstTokenIsNotSeen() throws Exception {
+    first.breakAt(0);
+
+    HttpResponse<String> answer = post(CHAT, STREAM);
+
+    assertThat(tokens(answer.body())).containsExactlyElementsIn(FakeEngine.TOKENS).inOrder();
+    assertThat(answer.body().split("assistant", -1)).hasLength(2);
+  }
+
+  /** Guards against connections beyond the limit, each of which takes memory. */
+  @Test
+  void connectionsBeyondTheLimitAreClosed() throws Exception {
+    FixedLog log = new FixedLog(configuration());
+    try (EntryServer limited = EntryServer.start(settings(1), log);
+        Socket held = new Socket("127.0.0.1", limited.callerAddress().port())) {
+      held.getOutputStream().write("GET /x HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(UTF_8));
+      assertThat(held.getInputStream().read()).isEqualTo('H');
+      try (Socket beyond = new Socket("127.0.0.1", limited.callerAddress().port())) {
+        assertThat(beyond.getInputStream().read()).isEqualTo(-1);
+      }
+    }
+  }
+
   /** Guards against a stream that ends as if it were whole when no engine can finish it. */
   @Test
   void failureInTheMiddleOfAStreamIsSentAsAnEvent() throws Exception {
@@ -251,7 +278,7 @@
     int ready = operator("GET", "/health/ready").statusCode();
     boolean endedEarly = server.drained().isDone();
     release.countDown();
-    String rest = new String(open.body().readAllBytes(), StandardCharsets.UTF_8);
+    String rest = new String(open.body().readAllBytes(), UTF_8);
 
     assertThat(refused.statusCode()).isEqualTo(503);
     assertThat(json(refused).path("outcome").asText()).isEqualTo("not_run");
@@ -301,12 +328,29 @@
   }
 
   private static InstanceSettings settings() {
-    return InstanceSettings.of(new InstanceId("test"), ZONE, ANY_PORT, ANY_PORT, ANY_PORT);
+    return settings(InstanceSettings.DEFAULT_MAX_CONNECTIONS);
+  }
+
+  private static InstanceSettings settings(int maxConnections) {
+    return new InstanceSettings(
+        new InstanceId("test"),
+        ZONE,
+        ANY_PORT,
+        ANY_PORT,
+        Optional.empty(),
+        ANY_PORT,
+        InstanceSettings.DEFAULT_LOG_STREAM,
+        Optional.empty(),
+        Optional.empty(),
+        InstanceSettings.DEFAULT_PEER_SECRET,
+        InstanceSettings.DEFAULT_MAX_BODY_BYTES,
+        InstanceSettings.DEFAULT_MAX_HEADER_BYTES,
+        maxConnections,
+        InstanceSettings.DEFAULT_DRAIN_TIMEOUT_MS);
   }
 
   private Configuration configuration() throws Exception {
-    byte[] digest =
-        MessageDigest.getInstance("SHA-256").digest(KEY.getBytes(StandardCharsets.UTF_8));
+    byte[] digest = MessageDigest.getInstance("SHA-256").digest(KEY.getBytes(UTF_8));
     Contract contract =
         new Contract(
             new CustomerId("c"),
