--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
 import org.limpetdoor.core.NodeReducer;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.NodeState.Self;
@@ -80,20 +81,20 @@
     loop.failure().thenAccept(failure -> drain());
     loop.start();
     follower.start();
-    try {
-      this.operators = HttpListener.operators(settings, operatorView(), (DrainSwitch) this::drain);
-      this.callers =
-          HttpListener.callers(settings, new CallerGateway(self, requests, clock, loop::submit));
-    } catch (RuntimeException e) {
-      stopThreads();
-      throw e;
-    }
+    this.operators =
+        startOrUndo(
+            () -> HttpListener.operators(settings, operatorView(), (DrainSwitch) this::drain),
+            this::stopThreads);
+    CallerGateway gateway = new CallerGateway(self, requests, clock, loop::submit);
+    this.callers =
+        startOrUndo(() -> HttpListener.callers(settings, gateway), this::stopWithoutCallers);
   }
 
   /**
    * Starts an instance.
    *
    * @param settings settings of the instance; a port of 0 lets the system choose
+   * @throws ListenerFailedException if an address cannot be listened on
    */
   public static EntryServer start(InstanceSettings settings) {
     String address = settings.logAddress().toString();
@@ -165,12 +166,25 @@
       return;
     }
     callers.close();
-    stopThreads();
-    operators.close();
+    stopWithoutCallers();
     metrics.close();
     drained.complete(DrainResult.CLOSED);
   }
 
+  private static HttpListener startOrUndo(Supplier<HttpListener> start, Runnable undo) {
+    try {
+      return start.get();
+    } catch (RuntimeException e) {
+      undo.run();
+      throw e;
+    }
+  }
+
+  private void stopWithoutCallers() {
+    stopThreads();
+    operators.close();
+  }
+
   private void stopThreads() {
     follower.close();
     effects.close();
--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/EntryServerTest.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/EntryServerTest.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -263,6 +264,26 @@
     assertThat(first.takeCancelled()).isEqualTo("/v1/attempts/" + id + "#1");
   }
 
+  /** Guards against a paused stream that stalls or loses tokens when its caller reads on. */
+  @Test
+  void callerThatPausesGetsTheRest() throws Exception {
+    List<String> large =
+        IntStream.range(0, 5_000).mapToObj(i -> i + "-" + "x".repeat(4_000)).toList();
+    first.answerWith(large);
+    HttpResponse<InputStream> paused =
+        http.send(
+            request(server.callerAddress(), "POST", CHAT, STREAM, KEY),
+            BodyHandlers.ofInputStream());
+
+    first.answerWith(FakeEngine.TOKENS);
+    second.answerWith(FakeEngine.TOKENS);
+    HttpResponse<String> other = post(CHAT, STREAM);
+    String rest = new String(paused.body().readAllBytes(), UTF_8);
+
+    assertThat(tokens(other.body())).containsExactlyElementsIn(FakeEngine.TOKENS).inOrder();
+    assertThat(tokens(rest).equals(large)).isTrue();
+  }
+
   /** Guards against a shutdown that cuts off an open stream or accepts new requests. */
   @Test
   void drainRefusesNewRequestsAndFinishesOpenStreams() throws Exception {
--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/FakeEngine.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/FakeEngine.java
@@ -25,6 +25,7 @@
   private final HttpServer server;
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final BlockingQueue<String> cancelled = new LinkedBlockingQueue<>();
+  private volatile List<String> tokens = TOKENS;
   private volatile int breakAtToken = NEVER;
   private volatile int refuseStatus;
   private volatile boolean notStarted;
@@ -47,6 +48,10 @@
     breakAtToken = token;
   }
 
+  void answerWith(List<String> other) {
+    tokens = other;
+  }
+
   void refuseWith(int status, boolean saysNotStarted) {
     refuseStatus = status;
     notStarted = saysNotStarted;
@@ -88,14 +93,15 @@
   }
 
   private void stream(HttpExchange exchange) throws IOException {
+    List<String> answer = tokens;
     int from = Integer.parseInt(exchange.getRequestHeaders().getFirst("Limpetdoor-Resume-At"));
     exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
     exchange.getResponseHeaders().set("Limpetdoor-Load", "running=3;queued=1");
     exchange.sendResponseHeaders(200, breakAtToken == NEVER ? 0 : UNREACHED_BYTES);
     OutputStream out = exchange.getResponseBody();
     event(out, "{\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}");
-    for (int i = from; i < TOKENS.size() && i < breakAtToken; i++) {
-      event(out, "{\"choices\":[{\"delta\":{\"content\":\"" + TOKENS.get(i) + "\"}}]}");
+    for (int i = from; i < answer.size() && i < breakAtToken; i++) {
+      event(out, "{\"choices\":[{\"delta\":{\"content\":\"" + answer.get(i) + "\"}}]}");
       hold();
     }
     if (breakAtToken == NEVER) {
--- /dev/null
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/traffic/SseDecoderTest.java
@@ -0,0 +1,31 @@
+package org.limpetdoor.entry.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.limpetdoor.entry.traffic.SseDecoder.SseEvent;
+
+/** Splitting of streams into events. */
+final class SseDecoderTest {
+  private static final byte[] STREAM =
+      ": comment\r\ndata: grün\r\n\r\nevent: error\ndata: a\ndata:b\n\ndata: cut".getBytes(UTF_8);
+
+  /** Guards against events that depend on how the network cut the stream. */
+  @Test
+  void cutsInTheStreamDoNotMatter() {
+    for (int cut = 0; cut <= STREAM.length; cut++) {
+      SseDecoder decoder = new SseDecoder();
+      List<SseEvent> events = new ArrayList<>();
+      events.addAll(decoder.decode(Arrays.copyOfRange(STREAM, 0, cut)));
+      events.addAll(decoder.decode(Arrays.copyOfRange(STREAM, cut, STREAM.length)));
+
+      assertThat(events)
+          .containsExactly(new SseEvent("message", "grün"), new SseEvent("error", "a\nb"))
+          .inOrder();
+    }
+  }
+}
