--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/record/LogRecordCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/record/LogRecordCodec.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.limpetdoor.core.LimpetdoorException;
 import org.limpetdoor.core.agreed.AppendId;
 import org.limpetdoor.core.agreed.Envelope;
 import org.limpetdoor.core.agreed.LogRecord;
@@ -41,8 +42,18 @@
     AppendId id = new AppendId(fields.text("appender"), fields.number("sequence"));
     LogRecord content =
         RecordKind.named(kind)
-            .map(known -> known.decode(fields))
+            .map(known -> decode(known, fields))
             .orElseGet(() -> new LogRecord.Unknown(kind));
     return new Envelope(id, content);
   }
+
+  private static LogRecord decode(RecordKind kind, RecordFields fields) {
+    try {
+      return kind.decode(fields);
+    } catch (MalformedRecordException e) {
+      throw e;
+    } catch (LimpetdoorException e) {
+      throw new MalformedRecordException(kind.wireName() + ": " + e.getMessage(), e);
+    }
+  }
 }
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/record/RecordKind.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/record/RecordKind.java
@@ -5,10 +5,8 @@
 import java.util.Optional;
 import org.limpetdoor.core.agreed.LogRecord;
 import org.limpetdoor.core.agreed.LogRecord.ConfigurationPublished;
-import org.limpetdoor.core.config.ConfigurationPatch;
 import org.limpetdoor.format.configuration.ConfigurationWriter;
 import org.limpetdoor.format.configuration.PatchReader;
-import org.limpetdoor.format.json.ReadResult;
 
 /** Kinds of log records. Each kind encodes and decodes its own fields. */
 enum RecordKind {
@@ -26,7 +24,9 @@
     @Override
     LogRecord decode(RecordFields fields) {
       return new ConfigurationPublished(
-          fields.number("baseVersion"), fields.text("publisher"), patch(fields.text("patch")));
+          fields.number("baseVersion"),
+          fields.text("publisher"),
+          PatchReader.read("patch", fields.text("patch")).orThrow());
     }
   };
 
@@ -59,12 +59,4 @@
         .findFirst()
         .orElseThrow(() -> new MalformedRecordException("cannot encode " + content, null));
   }
-
-  private static ConfigurationPatch patch(String text) {
-    ReadResult<ConfigurationPatch> result = PatchReader.read("patch", text);
-    if (result instanceof ReadResult.Invalid<ConfigurationPatch> invalid) {
-      throw new MalformedRecordException(invalid.problems().toString(), null);
-    }
-    return result.orThrow();
-  }
 }
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/HttpLogService.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/HttpLogService.java
@@ -12,6 +12,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 /** The log service over HTTP. */
 public final class HttpLogService implements LogService {
@@ -28,6 +32,7 @@
   private final HttpClient client;
   private final String address;
   private final String recordsUri;
+  private final int callTimeoutMs;
 
   /**
    * Creates a client.
@@ -36,6 +41,11 @@
    * @param stream name of the stream
    */
   public HttpLogService(String address, String stream) {
+    this(address, stream, CALL_TIMEOUT_MS);
+  }
+
+  HttpLogService(String address, String stream, int callTimeoutMs) {
+    this.callTimeoutMs = callTimeoutMs;
     this.address = address;
     this.recordsUri = "http://" + address + "/streams/" + stream + "/records";
     this.client =
@@ -50,21 +60,16 @@
     HttpRequest request =
         HttpRequest.newBuilder(URI.create(recordsUri))
             .header("Content-Type", "application/octet-stream")
-            .timeout(Duration.ofMillis(CALL_TIMEOUT_MS))
             .POST(HttpRequest.BodyPublishers.ofByteArray(body))
             .build();
-    return number(call(request), "offset");
+    return number(call(request, callTimeoutMs), "offset");
   }
 
   @Override
   public Page read(long from, int max, int waitMs) {
     String query = "?from=" + from + "&max=" + max + "&waitMs=" + waitMs;
-    HttpRequest request =
-        HttpRequest.newBuilder(URI.create(recordsUri + query))
-            .timeout(Duration.ofMillis(CALL_TIMEOUT_MS + (long) waitMs))
-            .GET()
-            .build();
-    JsonNode answer = call(request);
+    HttpRequest request = HttpRequest.newBuilder(URI.create(recordsUri + query)).GET().build();
+    JsonNode answer = call(request, callTimeoutMs + (long) waitMs);
     List<RawRecord> records = new ArrayList<>();
     for (JsonNode node : answer.path("records")) {
       records.add(new RawRecord(number(node, "offset"), bytes(node)));
@@ -72,8 +77,8 @@
     return new Page(records, number(answer, "nextOffset"), number(answer, "firstOffset"));
   }
 
-  private JsonNode call(HttpRequest request) {
-    HttpResponse<byte[]> response = send(request);
+  private JsonNode call(HttpRequest request, long timeoutMs) {
+    HttpResponse<byte[]> response = send(request, timeoutMs);
     int status = response.statusCode();
     if (status < STATUS_OK_MIN || status > STATUS_OK_MAX) {
       throw failed(failureOf(status), "status " + status, null);
@@ -85,19 +90,31 @@
     }
   }
 
-  private HttpResponse<byte[]> send(HttpRequest request) {
+  // The client's own timeout ends with the headers; this one also covers a body that stops.
+  private HttpResponse<byte[]> send(HttpRequest request, long timeoutMs) {
+    CompletableFuture<HttpResponse<byte[]>> answer =
+        client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray());
     try {
-      return client.send(request, HttpResponse.BodyHandlers.ofByteArray());
-    } catch (ConnectException | HttpConnectTimeoutException e) {
-      throw failed(LogFailure.UNREACHABLE, "no connection", e);
-    } catch (IOException e) {
-      throw failed(LogFailure.ANSWER_LOST, "no answer: " + e.getMessage(), e);
+      return answer.get(timeoutMs, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException e) {
+      throw unanswered(e.getCause());
+    } catch (TimeoutException e) {
+      answer.cancel(true);
+      throw failed(LogFailure.ANSWER_LOST, "no answer within " + timeoutMs + " ms", e);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+      answer.cancel(true);
       throw failed(LogFailure.ANSWER_LOST, "interrupted", e);
     }
   }
 
+  private LogServiceException unanswered(Throwable cause) {
+    if (cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException) {
+      return failed(LogFailure.UNREACHABLE, "no connection", cause);
+    }
+    return failed(LogFailure.ANSWER_LOST, "no answer: " + cause.getMessage(), cause);
+  }
+
   private long number(JsonNode node, String field) {
     JsonNode value = node.path(field);
     if (!value.canConvertToLong() || !value.isIntegralNumber()) {
--- a/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/log/HttpLogServiceTest.java
+++ b/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/log/HttpLogServiceTest.java
@@ -26,6 +26,7 @@
   private LogService log;
   private volatile int status = 200;
   private volatile String answer = "{}";
+  private volatile int missingBytes;
 
   @BeforeEach
   void startServer() throws IOException {
@@ -78,6 +79,16 @@
     assertThat(failure()).isEqualTo(LogFailure.MALFORMED_ANSWER);
   }
 
+  /** Guards against a caller that waits forever on a connection that went silent. */
+  @Test
+  void silenceWithinAnAnswerIsALostAnswer() {
+    missingBytes = 1;
+    int timeoutMs = 100;
+    String address = "127.0.0.1:" + server.getAddress().getPort();
+    log = new HttpLogService(address, "limpetdoor", timeoutMs);
+    assertThat(failure()).isEqualTo(LogFailure.ANSWER_LOST);
+  }
+
   /** Guards against reporting an append as possibly done although no connection was made. */
   @Test
   void refusedConnectionsHaveNoEffect() {
@@ -97,9 +108,13 @@
         exchange.getRequestMethod() + " " + exchange.getRequestURI() + " " + type + " " + body);
     if (status != DROP_CONNECTION) {
       byte[] bytes = answer.getBytes(StandardCharsets.UTF_8);
-      exchange.sendResponseHeaders(status, bytes.length == 0 ? -1 : bytes.length);
+      exchange.sendResponseHeaders(status, bytes.length == 0 ? -1 : bytes.length + missingBytes);
       exchange.getResponseBody().write(bytes);
     }
-    exchange.close();
+    if (missingBytes == 0) {
+      exchange.close();
+    } else {
+      exchange.getResponseBody().flush();
+    }
   }
 }
