--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/json/ValueTypes.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/json/ValueTypes.java
@@ -18,7 +18,8 @@
       if (value instanceof JsonValue.TextValue text && !text.text().isEmpty()) {
         return text.text();
       }
-      return wrongType(value, path, problems, "a text that is not empty");
+      wrongType(value, path, problems, "a text that is not empty");
+      return null;
     };
   }
 
@@ -31,7 +32,8 @@
   public static <T> ValueType<T> parsed(Function<String, T> parse, String accepted) {
     return (value, path, problems) -> {
       if (!(value instanceof JsonValue.TextValue text)) {
-        return wrongType(value, path, problems, accepted);
+        wrongType(value, path, problems, accepted);
+        return null;
       }
       try {
         return parse.apply(text.text());
@@ -46,7 +48,8 @@
   public static ValueType<String> matching(String pattern, String accepted) {
     return (value, path, problems) -> {
       if (!(value instanceof JsonValue.TextValue text)) {
-        return wrongType(value, path, problems, accepted);
+        wrongType(value, path, problems, accepted);
+        return null;
       }
       if (text.text().matches(pattern)) {
         return text.text();
@@ -107,7 +110,8 @@
             .collect(Collectors.joining(" or "));
     return (value, path, problems) -> {
       if (!(value instanceof JsonValue.TextValue text)) {
-        return wrongType(value, path, problems, accepted);
+        wrongType(value, path, problems, accepted);
+        return null;
       }
       for (E constant : type.getEnumConstants()) {
         if (choiceName(constant).equals(text.text())) {
@@ -128,7 +132,8 @@
   public static <T> ValueType<List<T>> list(ValueType<T> itemType) {
     return (value, path, problems) -> {
       if (!(value instanceof JsonValue.ArrayValue array)) {
-        return wrongType(value, path, problems, "an array");
+        wrongType(value, path, problems, "an array");
+        return null;
       }
       List<T> items = new ArrayList<>();
       for (int i = 0; i < array.items().size(); i++) {
@@ -145,7 +150,8 @@
   public static <T> ValueType<T> object(Function<ObjectReader, T> fields) {
     return (value, path, problems) -> {
       if (!(value instanceof JsonValue.ObjectValue object)) {
-        return wrongType(value, path, problems, "an object");
+        wrongType(value, path, problems, "an object");
+        return null;
       }
       return fields.apply(new ObjectReader(object, path, problems));
     };
@@ -166,7 +172,8 @@
             ? "a whole number, at least " + minimum
             : "a whole number from " + minimum + " to " + maximum;
     if (!(value instanceof JsonValue.NumberValue number) || !number.integer()) {
-      return wrongType(value, path, problems, accepted);
+      wrongType(value, path, problems, accepted);
+      return null;
     }
     try {
       long parsed = Long.parseLong(number.literal());
@@ -181,7 +188,8 @@
     if (value instanceof JsonValue.NumberValue number) {
       return Double.valueOf(number.literal());
     }
-    return wrongType(value, path, problems, accepted);
+    wrongType(value, path, problems, accepted);
+    return null;
   }
 
   private static <T> T checked(
@@ -193,8 +201,7 @@
     return inside ? number : null;
   }
 
-  private static <T> T wrongType(JsonValue value, String path, Problems problems, String accepted) {
+  private static void wrongType(JsonValue value, String path, Problems problems, String accepted) {
     problems.add(ProblemKind.WRONG_TYPE, value.location(), path, value.describe(), accepted);
-    return null;
   }
 }
