--- a/limpetdoor-standin/src/main/java/org/limpetdoor/standin/Standins.java
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/Standins.java
@@ -30,6 +30,8 @@
                     address.host(),
                     "micronaut.server.port",
                     address.port() == 0 ? FREE_PORT : address.port(),
+                    "micronaut.server.idle-timeout",
+                    IDLE_TIMEOUT,
                     "micronaut.netty.event-loops.default.num-threads",
                     EVENT_LOOP_THREADS))
             .start();
