--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/EntryServerTest.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/EntryServerTest.java
@@ -13,44 +13,21 @@
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
-import java.security.MessageDigest;
 import java.util.ArrayList;
-import java.util.HexFormat;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.limpetdoor.core.config.ArrivalLimit;
-import org.limpetdoor.core.config.Configuration;
-import org.limpetdoor.core.config.Contract;
-import org.limpetdoor.core.config.Engine;
-import org.limpetdoor.core.config.FencingSupport;
-import org.limpetdoor.core.config.Model;
-import org.limpetdoor.core.config.PlainService;
-import org.limpetdoor.core.config.QueueLimit;
-import org.limpetdoor.core.config.ServiceEndpoint;
-import org.limpetdoor.core.config.ShedOrder;
-import org.limpetdoor.core.id.BackendId;
-import org.limpetdoor.core.id.CustomerId;
-import org.limpetdoor.core.id.InstanceId;
-import org.limpetdoor.core.id.KeyDigest;
-import org.limpetdoor.core.id.ModelId;
-import org.limpetdoor.core.id.ServiceId;
-import org.limpetdoor.core.id.ZoneId;
 import org.limpetdoor.format.json.HostPort;
-import org.limpetdoor.format.settings.InstanceSettings;
 
 /** Whole requests from a caller through an instance to engines and back. */
 @Timeout(60)
 final class EntryServerTest {
-  private static final String KEY = "test-key";
+  private static final String KEY = Fixtures.KEY;
   private static final String CHAT = "/v1/chat/completions";
-  private static final ZoneId ZONE = new ZoneId("a");
-  private static final HostPort ANY_PORT = new HostPort("127.0.0.1", 0);
   private static final String STREAM =
       "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}],\"stream\":true}";
 
@@ -63,8 +40,8 @@
   void start() throws Exception {
     first = new FakeEngine();
     second = new FakeEngine();
-    FixedLog log = new FixedLog(configuration());
-    server = EntryServer.start(settings(), log);
+    FixedLog log = new FixedLog(Fixtures.configuration(first, second));
+    server = EntryServer.start(Fixtures.settings(), log);
     log.awaitPassedOn();
   }
 
@@ -121,8 +98,8 @@
   /** Guards against connections beyond the limit, each of which takes memory. */
   @Test
   void connectionsBeyondTheLimitAreClosed() throws Exception {
-    FixedLog log = new FixedLog(configuration());
-    try (EntryServer limited = EntryServer.start(settings(1), log);
+    FixedLog log = new FixedLog(Fixtures.configuration(first, second));
+    try (EntryServer limited = EntryServer.start(Fixtures.settings(1), log);
         Socket held = new Socket("127.0.0.1", limited.callerAddress().port())) {
       held.getOutputStream().write("GET /x HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(UTF_8));
       assertThat(held.getInputStream().read()).isEqualTo('H');
@@ -205,7 +182,7 @@
   /** Guards against unbounded bodies, and errors of the HTTP server in another form. */
   @Test
   void bodyOverTheLimitIsRefused() throws Exception {
-    HttpResponse<String> answer = post(CHAT, "x".repeat(settings().maxBodyBytes() + 1));
+    HttpResponse<String> answer = post(CHAT, "x".repeat(Fixtures.settings().maxBodyBytes() + 1));
 
     assertThat(answer.statusCode()).isEqualTo(413);
     assertThat(json(answer).path("outcome").asText()).isEqualTo("not_run");
@@ -347,58 +324,4 @@
     }
     return tokens;
   }
-
-  private static InstanceSettings settings() {
-    return settings(InstanceSettings.DEFAULT_MAX_CONNECTIONS);
-  }
-
-  private static InstanceSettings settings(int maxConnections) {
-    return new InstanceSettings(
-        new InstanceId("test"),
-        ZONE,
-        ANY_PORT,
-        ANY_PORT,
-        Optional.empty(),
-        ANY_PORT,
-        InstanceSettings.DEFAULT_LOG_STREAM,
-        Optional.empty(),
-        Optional.empty(),
-        InstanceSettings.DEFAULT_PEER_SECRET,
-        InstanceSettings.DEFAULT_MAX_BODY_BYTES,
-        InstanceSettings.DEFAULT_MAX_HEADER_BYTES,
-        maxConnections,
-        InstanceSettings.DEFAULT_DRAIN_TIMEOUT_MS);
-  }
-
-  private Configuration configuration() throws Exception {
-    byte[] digest = MessageDigest.getInstance("SHA-256").digest(KEY.getBytes(UTF_8));
-    Contract contract =
-        new Contract(
-            new CustomerId("c"),
-            List.of(new KeyDigest(HexFormat.of().formatHex(digest))),
-            new ArrivalLimit(1_000, 1_000, 1_000_000, 1_000_000),
-            new QueueLimit(10, 100_000),
-            60_000,
-            0.5,
-            1,
-            ShedOrder.NORMAL);
-    ServiceEndpoint endpoint = new ServiceEndpoint(new BackendId("s1"), ZONE, first.address(), 4);
-    return Configuration.EMPTY
-        .withContracts(List.of(contract))
-        .withModels(List.of(new Model(new ModelId("m"), "1", 1, 1, 1_000)))
-        .withEngines(List.of(engine("e1", first), engine("e2", second)))
-        .withServices(
-            List.of(new PlainService(new ServiceId("orders"), List.of(endpoint), List.of())));
-  }
-
-  private static Engine engine(String id, FakeEngine engine) {
-    return new Engine(
-        new BackendId(id),
-        ZONE,
-        engine.address(),
-        4,
-        10,
-        FencingSupport.CHECKED,
-        List.of(new ModelId("m")));
-  }
 }
