--- a/limpetdoor-dev/src/main/java/org/limpetdoor/dev/DevProcess.java
+++ b/limpetdoor-dev/src/main/java/org/limpetdoor/dev/DevProcess.java
@@ -31,7 +31,8 @@
   /**
    * Starts the stand-ins, publishes the configuration and starts the entry.
    *
-   * @param directory holds {@code entry-1.json}, {@code configuration.json} and a file for each stand-in
+   * @param directory holds {@code entry-1.json}, {@code configuration.json} and a file for each
+   *     stand-in
    * @throws IOException if a file cannot be read
    * @throws PublicationFailedException if the configuration is not valid or cannot be published
    */
--- a/limpetdoor-dev/src/test/java/org/limpetdoor/dev/SeparateProcessesTest.java
+++ b/limpetdoor-dev/src/test/java/org/limpetdoor/dev/SeparateProcessesTest.java
@@ -31,7 +31,10 @@
 import org.limpetdoor.entry.EntryMain;
 import org.limpetdoor.standin.StandinMain;
 
-/** The whole path with each part in a process of its own. Verdicts depend on outcomes, never on speed. */
+/**
+ * The whole path with each part in a process of its own. Verdicts depend on outcomes, never on
+ * speed.
+ */
 @Timeout(value = 180, unit = TimeUnit.SECONDS)
 class SeparateProcessesTest {
   private static final int STREAMS = 6;
@@ -105,7 +108,11 @@
   /** Guards against configuration that needs a restart to come into force. */
   @Test
   void secondPublicationChangesBehaviourWithoutRestart() throws Exception {
-    assertThat(StreamedAnswer.read(client, callers[0], "restaurant-key", "eggs").answer().join().status())
+    assertThat(
+            StreamedAnswer.read(client, callers[0], "restaurant-key", "eggs")
+                .answer()
+                .join()
+                .status())
         .isEqualTo(200);
 
     assertThat(publish(configuration(false))).isEqualTo(ExitCode.OK);
@@ -126,7 +133,8 @@
   void plainServiceCallRunsOnce() throws Exception {
     HttpResponse<String> answer =
         client.send(
-            HttpRequest.newBuilder(URI.create("http://" + callers[0] + "/services/orders/reservations"))
+            HttpRequest.newBuilder(
+                    URI.create("http://" + callers[0] + "/services/orders/reservations"))
                 .header("Authorization", "Bearer bakery-key")
                 .header("Content-Type", "application/json")
                 .POST(HttpRequest.BodyPublishers.ofString("{\"lot\":7}"))
@@ -147,9 +155,7 @@
 
     int status = processes.stop("entry-2");
 
-    assertWithMessage(processes.output("entry-2"))
-        .that(open.answer().join().whole())
-        .isTrue();
+    assertWithMessage(processes.output("entry-2")).that(open.answer().join().whole()).isTrue();
     // 143 is the exit status of a Java program that ended after SIGTERM.
     assertThat(status).isAnyOf(0, 143);
   }
@@ -221,7 +227,9 @@
   }
 
   private String logSettings() {
-    return "{\"role\":\"log\",\"address\":\"" + address(logPort) + "\",\"retainRecords\":0,\"retainMs\":0,\"appendsPerSecond\":300}";
+    return "{\"role\":\"log\",\"address\":\""
+        + address(logPort)
+        + "\",\"retainRecords\":0,\"retainMs\":0,\"appendsPerSecond\":300}";
   }
 
   private String serviceSettings() {
