--- /dev/null
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/BackendJob.java
@@ -0,0 +1,51 @@
+package org.limpetdoor.scenario;
+
+import java.util.Comparator;
+import org.limpetdoor.core.id.AttemptId;
+import org.limpetdoor.core.request.RequestSpec;
+
+/** One attempt at a fake back end. */
+final class BackendJob {
+  static final Comparator<BackendJob> ORDER =
+      Comparator.<BackendJob>comparingInt(job -> job.priority).thenComparingLong(job -> job.number);
+
+  final AttemptId attempt;
+  final RequestSpec spec;
+  final int outputTokens;
+  final int resumeAtToken;
+  final long number;
+  final AttemptListener listener;
+  int priority;
+  boolean running;
+  boolean ended;
+  boolean silent;
+  boolean losesReply;
+  long firstTokenAtMs = Long.MAX_VALUE;
+  double tokenMs;
+
+  BackendJob(
+      AttemptId attempt,
+      RequestSpec spec,
+      int outputTokens,
+      int resumeAtToken,
+      int priority,
+      long number,
+      AttemptListener listener) {
+    this.attempt = attempt;
+    this.spec = spec;
+    this.outputTokens = outputTokens;
+    this.resumeAtToken = resumeAtToken;
+    this.priority = priority;
+    this.number = number;
+    this.listener = listener;
+  }
+
+  /** Returns how many tokens of the whole answer were produced by the given time. */
+  int tokensAt(long nowMs) {
+    if (nowMs < firstTokenAtMs) {
+      return resumeAtToken;
+    }
+    int produced = resumeAtToken + 1 + (int) ((nowMs - firstTokenAtMs) / Math.max(tokenMs, 1e-9));
+    return Math.min(outputTokens, produced);
+  }
+}
--- /dev/null
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
@@ -0,0 +1,211 @@
+package org.limpetdoor.scenario;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.BiConsumer;
+import org.limpetdoor.core.config.Backend;
+import org.limpetdoor.core.id.AttemptId;
+import org.limpetdoor.core.request.AttemptFailure;
+
+/**
+ * A small engine or service endpoint on virtual time. A job holds one slot; its time follows from
+ * its tokens and the slow factor, which is read when the job starts and at its first token.
+ */
+public final class FakeBackend {
+  /** Fixed part of the time to first token. */
+  private static final double BASE_MS = 5;
+
+  private static final double PROMPT_TOKEN_MS = 0.1;
+  private static final double OUTPUT_TOKEN_MS = 10;
+
+  private final Backend config;
+  private final VirtualTime time;
+  private final Map<AttemptId, BackendJob> jobs = new LinkedHashMap<>();
+  private final TreeSet<BackendJob> waiting = new TreeSet<>(BackendJob.ORDER);
+  private final EnumMap<BackendFault, Integer> faults = new EnumMap<>(BackendFault.class);
+  private final Set<Long> fatalFingerprints = new HashSet<>();
+  private double slowFactor = 1;
+  private boolean down;
+  private boolean draining;
+  private int running;
+  private int maxRunning;
+  private int accepted;
+
+  FakeBackend(Backend config, VirtualTime time) {
+    this.config = config;
+    this.time = time;
+  }
+
+  /** Makes everything that starts from now on slower by a factor. */
+  public void setSlowFactor(double factor) {
+    slowFactor = factor;
+  }
+
+  /** Refuses new requests with "not started" from now on. */
+  public void drain() {
+    draining = true;
+  }
+
+  /** Applies a fault to the next attempts. */
+  public void arm(BackendFault fault, int attempts) {
+    faults.put(fault, attempts);
+  }
+
+  /** Makes every request with this fingerprint crash the back end when it starts. */
+  public void crashOn(long fingerprint) {
+    fatalFingerprints.add(fingerprint);
+  }
+
+  /** Silences all open connections; the work goes on, and new connections work. */
+  public void silenceOpenConnections() {
+    jobs.values().forEach(job -> job.silent = true);
+  }
+
+  /** Breaks all connections and refuses new ones until {@link #restart()}. */
+  public void crash() {
+    down = true;
+    for (BackendJob job : new ArrayList<>(jobs.values())) {
+      fail(job, AttemptFailure.CONNECTION_LOST);
+    }
+  }
+
+  /** Accepts connections again after a crash. */
+  public void restart() {
+    down = false;
+  }
+
+  /** Returns how many attempts were handed over. */
+  public int accepted() {
+    return accepted;
+  }
+
+  /** Returns the highest number of jobs that ran at once. */
+  public int maxRunning() {
+    return maxRunning;
+  }
+
+  /** Returns the identifier and place from the configuration. */
+  public Backend config() {
+    return config;
+  }
+
+  /** Sends running and waiting counts at an interval; the receiver gets them after the lag. */
+  void report(long intervalMs, long lagMs, BiConsumer<Integer, Integer> receiver) {
+    int runningNow = running;
+    int waitingNow = waiting.size();
+    time.after(lagMs, () -> receiver.accept(runningNow, waitingNow));
+    time.after(intervalMs, () -> report(intervalMs, lagMs, receiver));
+  }
+
+  void dispatch(BackendJob job) {
+    if (down) {
+      fail(job, AttemptFailure.CONNECT_FAILED);
+      return;
+    }
+    if (draining) {
+      fail(job, AttemptFailure.NOT_STARTED);
+      return;
+    }
+    accepted++;
+    for (BackendFault fault : BackendFault.values()) {
+      int left = faults.getOrDefault(fault, 0);
+      if (left > 0) {
+        faults.put(fault, left - 1);
+        fault.accept(this, job);
+        return;
+      }
+    }
+    enqueue(job);
+  }
+
+  void enqueue(BackendJob job) {
+    jobs.put(job.attempt, job);
+    waiting.add(job);
+    startWaiting();
+  }
+
+  void cancel(AttemptId attempt) {
+    BackendJob job = jobs.get(attempt);
+    if (job != null) {
+      remove(job);
+      startWaiting();
+    }
+  }
+
+  void fail(BackendJob job, AttemptFailure failure) {
+    boolean wasSilent = job.silent;
+    remove(job);
+    if (!wasSilent) {
+      job.listener.failed(job, failure, job.tokensAt(time.nowMs()));
+    }
+    startWaiting();
+  }
+
+  private void startWaiting() {
+    while (!down && running < config.slots() && !waiting.isEmpty()) {
+      start(waiting.pollFirst());
+    }
+  }
+
+  private void start(BackendJob job) {
+    job.running = true;
+    running++;
+    maxRunning = Math.max(maxRunning, running);
+    if (fatalFingerprints.contains(job.spec.fingerprint())) {
+      crash();
+      return;
+    }
+    double prefillMs = BASE_MS + job.spec.promptTokens() * PROMPT_TOKEN_MS;
+    time.after(Math.round(prefillMs * slowFactor), () -> firstToken(job));
+  }
+
+  private void firstToken(BackendJob job) {
+    if (job.ended) {
+      return;
+    }
+    job.firstTokenAtMs = time.nowMs();
+    job.tokenMs = OUTPUT_TOKEN_MS * slowFactor;
+    if (!job.silent && !job.losesReply) {
+      job.listener.started(job);
+    }
+    int left = Math.max(0, job.outputTokens - job.resumeAtToken);
+    time.after(Math.round(left * job.tokenMs), () -> lastToken(job));
+  }
+
+  private void lastToken(BackendJob job) {
+    if (job.ended) {
+      return;
+    }
+    if (job.losesReply) {
+      job.firstTokenAtMs = Long.MAX_VALUE;
+      fail(job, AttemptFailure.CONNECTION_LOST);
+      return;
+    }
+    remove(job);
+    if (!job.silent) {
+      job.listener.completed(job, job.outputTokens);
+    }
+    startWaiting();
+  }
+
+  private void remove(BackendJob job) {
+    job.ended = true;
+    jobs.remove(job.attempt);
+    waiting.remove(job);
+    if (job.running) {
+      running--;
+    }
+    job.running = false;
+  }
+
+  /** Returns the jobs in execution or waiting, for checks. */
+  List<AttemptId> openAttempts() {
+    return List.copyOf(jobs.keySet());
+  }
+}
--- /dev/null
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeInstance.java
@@ -0,0 +1,207 @@
+package org.limpetdoor.scenario;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.limpetdoor.core.NodeReducer;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Timed;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.decision.Decision;
+import org.limpetdoor.core.effect.CancelAttempt;
+import org.limpetdoor.core.effect.DispatchAttempt;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.EffectHandler;
+import org.limpetdoor.core.effect.FinishRequest;
+import org.limpetdoor.core.effect.RecordDecision;
+import org.limpetdoor.core.effect.RefuseRequest;
+import org.limpetdoor.core.event.AttemptCompleted;
+import org.limpetdoor.core.event.AttemptFailed;
+import org.limpetdoor.core.event.AttemptStarted;
+import org.limpetdoor.core.event.CallerDisconnected;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.RequestArrived;
+import org.limpetdoor.core.event.TimerFired;
+import org.limpetdoor.core.id.AttemptId;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.RequestId;
+import org.limpetdoor.core.request.AttemptFailure;
+
+/** One instance: the reducer, a timer and an effect handler that talks to the fakes. */
+public final class FakeInstance implements EffectHandler, AttemptListener {
+  /** One-way delay between an instance and a back end. */
+  private static final long LINK_MS = 1;
+
+  private final NodeReducer reducer = new NodeReducer();
+  private final VirtualTime time;
+  private final Map<BackendId, FakeBackend> backends;
+  private final Map<RequestId, CallerRecord> callers = new HashMap<>();
+  private final Map<AttemptId, FakeBackend> open = new HashMap<>();
+  private final Map<AttemptId, Long> lastByteAtMs = new HashMap<>();
+  private final List<Decision> decisions = new ArrayList<>();
+  private NodeState state;
+  private long wakeAtMs = Timed.NEVER_MS;
+  private long jobs;
+
+  FakeInstance(NodeState.Self self, VirtualTime time, Map<BackendId, FakeBackend> backends) {
+    this.state = NodeState.initial(self);
+    this.time = time;
+    this.backends = backends;
+  }
+
+  /** Returns the control state. */
+  public NodeState state() {
+    return state;
+  }
+
+  /** Returns all decisions other than routine routing and admission, in order. */
+  public List<Decision> decisions() {
+    return decisions;
+  }
+
+  /** Reduces one event, carries out its effects and schedules the next timer event. */
+  public void handle(Event event) {
+    Transition<NodeState, Effect> transition = reducer.reduce(state, event);
+    state = transition.state();
+    transition.effects().forEach(effect -> effect.applyTo(this));
+    scheduleWake();
+  }
+
+  void send(CallerRecord caller) {
+    callers.put(caller.spec.id(), caller);
+    handle(new RequestArrived(time.nowMs(), caller.spec));
+  }
+
+  void disconnect(RequestId request) {
+    handle(new CallerDisconnected(time.nowMs(), request));
+  }
+
+  @Override
+  public void dispatchAttempt(DispatchAttempt effect) {
+    CallerRecord caller = callers.get(effect.attempt().request());
+    FakeBackend backend = backends.get(effect.backend());
+    caller.attempts++;
+    open.put(effect.attempt(), backend);
+    BackendJob job =
+        new BackendJob(
+            effect.attempt(),
+            caller.spec,
+            caller.outputTokens,
+            effect.resumeAtToken(),
+            effect.enginePriority(),
+            jobs++,
+            this);
+    time.after(LINK_MS, () -> handOver(backend, job));
+    time.after(effect.firstByteTimeoutMs(), () -> checkFirstByte(job));
+  }
+
+  @Override
+  public void cancelAttempt(CancelAttempt effect) {
+    FakeBackend backend = close(effect.attempt());
+    if (backend != null) {
+      time.after(LINK_MS, () -> backend.cancel(effect.attempt()));
+    }
+  }
+
+  @Override
+  public void finishRequest(FinishRequest effect) {
+    CallerRecord caller = callers.remove(effect.request());
+    caller.finished = true;
+    caller.endedAtMs = time.nowMs();
+  }
+
+  @Override
+  public void refuseRequest(RefuseRequest effect) {
+    CallerRecord caller = callers.remove(effect.request());
+    caller.refusal = effect.refusal();
+    caller.endedAtMs = time.nowMs();
+  }
+
+  @Override
+  public void recordDecision(RecordDecision effect) {
+    switch (effect.decision().kind()) {
+      case ROUTE, ADMISSION -> {}
+      default -> decisions.add(effect.decision());
+    }
+  }
+
+  @Override
+  public void started(BackendJob job) {
+    time.after(LINK_MS, () -> receiveStart(job));
+  }
+
+  @Override
+  public void completed(BackendJob job, int outputTokens) {
+    time.after(
+        LINK_MS,
+        () -> {
+          if (close(job.attempt) != null) {
+            handle(new AttemptCompleted(time.nowMs(), job.attempt, outputTokens));
+          }
+        });
+  }
+
+  @Override
+  public void failed(BackendJob job, AttemptFailure failure, int deliveredTokens) {
+    time.after(LINK_MS, () -> receiveFailure(job.attempt, failure, deliveredTokens));
+  }
+
+  private void handOver(FakeBackend backend, BackendJob job) {
+    CallerRecord caller = callers.get(job.attempt.request());
+    if (caller == null || !open.containsKey(job.attempt)) {
+      return;
+    }
+    caller.handedOver++;
+    backend.dispatch(job);
+  }
+
+  private void receiveStart(BackendJob job) {
+    if (!open.containsKey(job.attempt)) {
+      return;
+    }
+    lastByteAtMs.put(job.attempt, time.nowMs());
+    CallerRecord caller = callers.get(job.attempt.request());
+    if (caller.startedAtMs < 0) {
+      caller.startedAtMs = time.nowMs();
+    }
+    handle(new AttemptStarted(time.nowMs(), job.attempt));
+  }
+
+  private void receiveFailure(AttemptId attempt, AttemptFailure failure, int deliveredTokens) {
+    if (close(attempt) != null) {
+      handle(new AttemptFailed(time.nowMs(), attempt, failure, deliveredTokens));
+    }
+  }
+
+  private void checkFirstByte(BackendJob job) {
+    if (open.containsKey(job.attempt) && !lastByteAtMs.containsKey(job.attempt)) {
+      receiveFailure(job.attempt, AttemptFailure.TIMED_OUT, job.resumeAtToken);
+    }
+  }
+
+  private FakeBackend close(AttemptId attempt) {
+    lastByteAtMs.remove(attempt);
+    return open.remove(attempt);
+  }
+
+  private void scheduleWake() {
+    long dueMs = state.nextDeadlineMs();
+    if (dueMs < wakeAtMs) {
+      wakeAtMs = dueMs;
+      time.at(dueMs, () -> wake(dueMs));
+    }
+  }
+
+  private void wake(long scheduledMs) {
+    if (scheduledMs != wakeAtMs) {
+      return;
+    }
+    wakeAtMs = Timed.NEVER_MS;
+    if (state.nextDeadlineMs() <= time.nowMs()) {
+      handle(new TimerFired(time.nowMs()));
+    } else {
+      scheduleWake();
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioException.java
@@ -0,0 +1,13 @@
+package org.limpetdoor.scenario;
+
+import org.limpetdoor.core.LimpetdoorException;
+
+/** A scenario asks for something that does not exist or has another form. */
+public final class ScenarioException extends LimpetdoorException {
+  private static final long serialVersionUID = 1L;
+
+  /** Creates an exception; the report adds file and line of the step. */
+  public ScenarioException(String message) {
+    super(message, null);
+  }
+}
--- /dev/null
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioObjectFactory.java
@@ -0,0 +1,42 @@
+package org.limpetdoor.scenario;
+
+import io.cucumber.core.backend.ObjectFactory;
+import java.lang.reflect.Constructor;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Gives each scenario a new world and hands it to the constructors of the step classes. */
+public final class ScenarioObjectFactory implements ObjectFactory {
+  private final Map<Class<?>, Object> instances = new HashMap<>();
+  private ScenarioWorld world = new ScenarioWorld();
+
+  @Override
+  public boolean addClass(Class<?> glueClass) {
+    return true;
+  }
+
+  @Override
+  public <T> T getInstance(Class<T> type) {
+    return type.cast(instances.computeIfAbsent(type, this::create));
+  }
+
+  @Override
+  public void start() {
+    world = new ScenarioWorld();
+    instances.clear();
+  }
+
+  @Override
+  public void stop() {
+    instances.clear();
+  }
+
+  private Object create(Class<?> type) {
+    try {
+      Constructor<?> constructor = type.getConstructor(ScenarioWorld.class);
+      return constructor.newInstance(world);
+    } catch (ReflectiveOperationException e) {
+      throw new IllegalStateException(type + " needs a public constructor with a ScenarioWorld", e);
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioWorld.java
@@ -0,0 +1,193 @@
+package org.limpetdoor.scenario;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.agreed.AgreedState;
+import org.limpetdoor.core.agreed.AppendId;
+import org.limpetdoor.core.agreed.Envelope;
+import org.limpetdoor.core.agreed.LogRecord.ConfigurationPublished;
+import org.limpetdoor.core.agreed.StoredRecord;
+import org.limpetdoor.core.config.Backend;
+import org.limpetdoor.core.config.Configuration;
+import org.limpetdoor.core.config.ConfigurationPatch;
+import org.limpetdoor.core.config.Engine;
+import org.limpetdoor.core.config.PlainService;
+import org.limpetdoor.core.event.BackendReported;
+import org.limpetdoor.core.event.RecordsRead;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.CustomerId;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.id.RequestId;
+import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.request.RequestSpec;
+import org.limpetdoor.core.request.Target;
+
+/**
+ * One virtual system: instances, fake back ends and fake callers. Instances start when the first
+ * request or the first wait needs them; the configuration is published to them at that moment.
+ */
+public final class ScenarioWorld {
+  private final VirtualTime time = new VirtualTime();
+  private final Map<BackendId, FakeBackend> backends = new LinkedHashMap<>();
+  private final List<FakeInstance> instances = new ArrayList<>();
+  private final List<CallerRecord> callers = new ArrayList<>();
+  private final Map<String, CallerRecord> named = new LinkedHashMap<>();
+  private final List<String> instanceZones = new ArrayList<>();
+  private Configuration configuration = Configuration.EMPTY;
+  private long publishedVersion = AgreedState.NO_VERSION;
+  private long nextRequest = 1;
+  private long reportLagMs = -1;
+
+  /** Returns the virtual time. */
+  public VirtualTime time() {
+    return time;
+  }
+
+  /** Returns the configuration that is or will be published. */
+  public Configuration configuration() {
+    return configuration;
+  }
+
+  /** Publishes another configuration; at once if the instances run. */
+  public void configure(Configuration value) {
+    Configuration before = configuration;
+    configuration = value;
+    addBackends();
+    if (!instances.isEmpty()) {
+      publish(ConfigurationPatch.between(before, value));
+    }
+  }
+
+  /** Adds an instance in a zone; without any, one instance in zone {@code a} is used. */
+  public void addInstance(String zone) {
+    instanceZones.add(zone);
+  }
+
+  /** Makes back ends report their load with a lag. */
+  public void reportLoadAfterMs(long lagMs) {
+    reportLagMs = lagMs;
+  }
+
+  /** Returns the instances, started if they were not. */
+  public List<FakeInstance> instances() {
+    if (instances.isEmpty()) {
+      start();
+    }
+    return instances;
+  }
+
+  /** Returns a fake back end. */
+  public FakeBackend backend(String id) {
+    return Optional.ofNullable(backends.get(new BackendId(id)))
+        .orElseThrow(() -> new ScenarioException("there is no back end " + id));
+  }
+
+  /** Returns all fake back ends. */
+  public List<FakeBackend> backends() {
+    return List.copyOf(backends.values());
+  }
+
+  /** Returns the records of all callers in the order of sending. */
+  public List<CallerRecord> callers() {
+    return callers;
+  }
+
+  /** Returns the record of a request that was sent under a name. */
+  public CallerRecord caller(String name) {
+    return Optional.ofNullable(named.get(name))
+        .orElseThrow(() -> new ScenarioException("no request was sent as " + name));
+  }
+
+  /** Lets time pass. */
+  public void pass(long durationMs) {
+    instances();
+    time.runUntil(time.nowMs() + durationMs);
+  }
+
+  /** Sends one request to the instances in turn. */
+  public CallerRecord send(String customer, Target target, RequestShape shape) {
+    long number = nextRequest++;
+    String id = "q" + number;
+    RequestSpec spec =
+        new RequestSpec(
+            new RequestId(id),
+            ScenarioKeys.digest(new CustomerId(customer)),
+            target,
+            Optional.empty(),
+            shape.promptTokens(),
+            shape.maxOutputTokens(),
+            shape.prefixHash(),
+            shape.fingerprint() == 0 ? number : shape.fingerprint());
+    CallerRecord caller = new CallerRecord(spec, customer, shape.outputTokens(), time.nowMs());
+    callers.add(caller);
+    List<FakeInstance> running = instances();
+    running.get((int) (number % running.size())).send(caller);
+    return caller;
+  }
+
+  /** Sends one request under a name, by which checks refer to it. */
+  public void sendAs(String name, String customer, Target target, RequestShape shape) {
+    named.put(name, send(customer, target, shape));
+  }
+
+  /** Closes the connection of a caller. */
+  public void disconnect(String name) {
+    RequestId id = caller(name).spec.id();
+    instances().forEach(instance -> instance.disconnect(id));
+  }
+
+  private void start() {
+    if (instanceZones.isEmpty()) {
+      addInstance("a");
+    }
+    for (String zone : instanceZones) {
+      InstanceId id = new InstanceId("i" + (instances.size() + 1));
+      NodeState.Self self = new NodeState.Self(id, 1, new ZoneId(zone));
+      instances.add(new FakeInstance(self, time, backends));
+    }
+    publish(ConfigurationPatch.of(configuration));
+    if (reportLagMs >= 0) {
+      backends.values().forEach(this::startReports);
+    }
+  }
+
+  private void startReports(FakeBackend backend) {
+    backend.report(
+        500,
+        reportLagMs,
+        (running, waiting) ->
+            instances.forEach(
+                instance ->
+                    instance.handle(
+                        new BackendReported(
+                            time.nowMs(), backend.config().id(), running, waiting))));
+  }
+
+  private void publish(ConfigurationPatch patch) {
+    long offset = publishedVersion + 1;
+    Envelope envelope =
+        new Envelope(
+            new AppendId("operator", offset + 1),
+            new ConfigurationPublished(publishedVersion, "operator", patch));
+    publishedVersion = offset;
+    RecordsRead read = new RecordsRead(time.nowMs(), List.of(new StoredRecord(offset, envelope)));
+    instances.forEach(instance -> instance.handle(read));
+  }
+
+  private void addBackends() {
+    for (Engine engine : configuration.engines().values()) {
+      addBackend(engine);
+    }
+    for (PlainService service : configuration.services().values()) {
+      service.endpoints().forEach(this::addBackend);
+    }
+  }
+
+  private void addBackend(Backend config) {
+    backends.computeIfAbsent(config.id(), id -> new FakeBackend(config, time));
+  }
+}
--- /dev/null
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/CheckSteps.java
@@ -0,0 +1,192 @@
+package org.limpetdoor.scenario.steps;
+
+import io.cucumber.java.en.Then;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+import org.limpetdoor.scenario.CallerRecord;
+import org.limpetdoor.scenario.ScenarioWorld;
+
+/** Steps that check what callers got and what back ends saw. */
+public final class CheckSteps {
+  private final ScenarioWorld world;
+
+  /** Creates the steps of one scenario. */
+  public CheckSteps(ScenarioWorld world) {
+    this.world = world;
+  }
+
+  @Then("all requests of {string} finish")
+  public void allFinish(String customer) {
+    List<CallerRecord> all = of(customer);
+    long finished = all.stream().filter(CallerRecord::finished).count();
+    check(finished == all.size(), finished + " of " + all.size() + " finished: " + ends(all));
+  }
+
+  @Then("at least {int} requests of {string} finish")
+  public void atLeastFinish(int minimum, String customer) {
+    long finished = of(customer).stream().filter(CallerRecord::finished).count();
+    check(finished >= minimum, finished + " finished: " + ends(of(customer)));
+  }
+
+  @Then("at most {int} requests of {string} finish")
+  public void atMostFinish(int maximum, String customer) {
+    long finished = of(customer).stream().filter(CallerRecord::finished).count();
+    check(finished <= maximum, finished + " finished");
+  }
+
+  @Then("{string} has between {double} and {double} times as many finished requests as {string}")
+  public void ratio(String customer, double low, double high, String other) {
+    long mine = of(customer).stream().filter(CallerRecord::finished).count();
+    long theirs = of(other).stream().filter(CallerRecord::finished).count();
+    double ratio = (double) mine / Math.max(1, theirs);
+    check(ratio >= low && ratio <= high, mine + " and " + theirs + ", ratio " + ratio);
+  }
+
+  @Then("{int} requests of {string} are refused as {string}")
+  public void refusedCount(int expected, String customer, String reason) {
+    long count = of(customer).stream().filter(refusedAs(reason)).count();
+    check(count == expected, count + " were: " + ends(of(customer)));
+  }
+
+  @Then("no request of {string} is refused as {string}")
+  public void noneRefused(String customer, String reason) {
+    refusedCount(0, customer, reason);
+  }
+
+  @Then("at least {int} requests of {string} are refused as {string}")
+  public void refusedAtLeast(int minimum, String customer, String reason) {
+    long count = of(customer).stream().filter(refusedAs(reason)).count();
+    check(count >= minimum, count + " were: " + ends(of(customer)));
+  }
+
+  @Then("request {string} finishes")
+  public void finishes(String name) {
+    check(world.caller(name).finished(), end(world.caller(name)));
+  }
+
+  @Then("request {string} is refused as {string} with outcome {string}")
+  public void refused(String name, String reason, String outcome) {
+    CallerRecord caller = world.caller(name);
+    boolean matches =
+        caller
+            .refusal()
+            .filter(r -> label(r.reason()).equals(reason))
+            .filter(r -> r.outcome().label().equals(outcome))
+            .isPresent();
+    check(matches, end(caller));
+  }
+
+  @Then("request {string} is not answered")
+  public void unanswered(String name) {
+    CallerRecord caller = world.caller(name);
+    check(!caller.finished() && caller.refusal().isEmpty(), end(caller));
+  }
+
+  @Then("request {string} ends within {int} ms")
+  public void endsWithin(String name, int maxMs) {
+    long took = world.caller(name).timeToEndMs();
+    check(took >= 0 && took <= maxMs, "took " + took + " ms");
+  }
+
+  @Then("request {string} asks for a retry after {int} to {int} ms")
+  public void retryAfter(String name, int low, int high) {
+    long afterMs = world.caller(name).refusal().map(r -> r.retryAfterMs().orElse(-1)).orElse(-1L);
+    check(afterMs >= low && afterMs <= high, "retry after " + afterMs + " ms");
+  }
+
+  @Then("request {string} took {int} attempt(s)")
+  public void attempts(String name, int expected) {
+    int attempts = world.caller(name).attempts();
+    check(attempts == expected, attempts + " attempts");
+  }
+
+  @Then("every refusal of {string} came within {int} ms")
+  public void refusalsWithin(String customer, int maxMs) {
+    long slowest =
+        of(customer).stream()
+            .filter(c -> c.refusal().isPresent())
+            .mapToLong(CallerRecord::timeToEndMs)
+            .max()
+            .orElse(0);
+    check(slowest <= maxMs, "slowest refusal took " + slowest + " ms");
+  }
+
+  @Then("{int} in 100 requests of {string} start within {int} ms")
+  public void startWithin(int percent, String customer, int maxMs) {
+    List<Long> times =
+        of(customer).stream()
+            .map(CallerRecord::timeToStartMs)
+            .map(t -> t < 0 ? Long.MAX_VALUE : t)
+            .sorted()
+            .toList();
+    long time = times.get(Math.max(0, (int) Math.ceil(times.size() * percent / 100.0) - 1));
+    check(time <= maxMs, "took " + time + " ms; " + ends(of(customer)));
+  }
+
+  @Then("back end {string} was handed at least {int} attempt(s)")
+  public void handedAtLeast(String backend, int minimum) {
+    int accepted = world.backend(backend).accepted();
+    check(accepted >= minimum, accepted + " attempts");
+  }
+
+  @Then("back end {string} was handed at most {int} attempt(s)")
+  public void handedAtMost(String backend, int maximum) {
+    int accepted = world.backend(backend).accepted();
+    check(accepted <= maximum, accepted + " attempts");
+  }
+
+  @Then("at least {int} decision(s) of kind {string} was/were recorded")
+  public void decisions(int minimum, String kind) {
+    long count = countDecisions(kind);
+    check(count >= minimum, count + " were");
+  }
+
+  @Then("no decision of kind {string} was recorded")
+  public void noDecision(String kind) {
+    long count = countDecisions(kind);
+    check(count == 0, count + " were");
+  }
+
+  private long countDecisions(String kind) {
+    return world.instances().stream()
+        .flatMap(instance -> instance.decisions().stream())
+        .filter(decision -> decision.kind().eventName().equals(kind))
+        .count();
+  }
+
+  private List<CallerRecord> of(String customer) {
+    return world.callers().stream().filter(c -> c.customer().equals(customer)).toList();
+  }
+
+  private static Predicate<CallerRecord> refusedAs(String reason) {
+    return caller -> caller.refusal().filter(r -> label(r.reason()).equals(reason)).isPresent();
+  }
+
+  private static String ends(List<CallerRecord> callers) {
+    return callers.stream()
+        .collect(Collectors.groupingBy(CheckSteps::end, Collectors.counting()))
+        .toString();
+  }
+
+  private static String end(CallerRecord caller) {
+    if (caller.finished()) {
+      return "finished";
+    }
+    return caller
+        .refusal()
+        .map(r -> label(r.reason()) + "/" + r.outcome().label())
+        .orElse("unanswered");
+  }
+
+  private static String label(Enum<?> value) {
+    return value.name().toLowerCase(Locale.ROOT);
+  }
+
+  private static void check(boolean holds, String found) {
+    if (!holds) {
+      throw new AssertionError(found);
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/Row.java
@@ -0,0 +1,43 @@
+package org.limpetdoor.scenario.steps;
+
+import java.util.Map;
+import java.util.Set;
+import org.limpetdoor.scenario.ScenarioException;
+
+/** One row of a table; an absent or empty cell has a default. */
+record Row(Map<String, String> cells) {
+  /** Returns the row after checking that it has no unknown columns. */
+  static Row of(Map<String, String> cells, Set<String> accepted) {
+    for (String column : cells.keySet()) {
+      if (!accepted.contains(column)) {
+        throw new ScenarioException("unknown column '" + column + "', accepted: " + accepted);
+      }
+    }
+    return new Row(cells);
+  }
+
+  String text(String column) {
+    String value = cells.get(column);
+    if (value == null || value.isEmpty()) {
+      throw new ScenarioException("column '" + column + "' is missing");
+    }
+    return value;
+  }
+
+  String text(String column, String otherwise) {
+    String value = cells.get(column);
+    return value == null || value.isEmpty() ? otherwise : value;
+  }
+
+  double number(String column, double otherwise) {
+    String value = cells.get(column);
+    if (value == null || value.isEmpty()) {
+      return otherwise;
+    }
+    try {
+      return Double.parseDouble(value);
+    } catch (NumberFormatException e) {
+      throw new ScenarioException("column '" + column + "' has '" + value + "', not a number");
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/TrafficSteps.java
@@ -0,0 +1,146 @@
+package org.limpetdoor.scenario.steps;
+
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.When;
+import java.util.Optional;
+import org.limpetdoor.core.id.AdapterId;
+import org.limpetdoor.core.id.ModelId;
+import org.limpetdoor.core.id.ServiceId;
+import org.limpetdoor.core.request.Target;
+import org.limpetdoor.core.request.Target.ModelTarget;
+import org.limpetdoor.core.request.Target.ServiceTarget;
+import org.limpetdoor.scenario.BackendFault;
+import org.limpetdoor.scenario.RequestShape;
+import org.limpetdoor.scenario.ScenarioException;
+import org.limpetdoor.scenario.ScenarioWorld;
+
+/** Steps in which callers send requests, time passes and back ends fail. */
+public final class TrafficSteps {
+  private static final double MS_PER_SECOND = 1_000.0;
+  private static final int PROMPT_TOKENS = 100;
+
+  private final ScenarioWorld world;
+
+  /** Creates the steps of one scenario. */
+  public TrafficSteps(ScenarioWorld world) {
+    this.world = world;
+  }
+
+  @When("{string} sends {int} requests per second to {string} for {int} ms with {int} tokens each")
+  public void stream(String customer, int perSecond, String model, int durationMs, int tokens) {
+    boundedStream(customer, perSecond, model, durationMs, tokens, tokens);
+  }
+
+  @When(
+      "{string} sends {int} requests per second to {string} for {int} ms with {int} of at most {int}"
+          + " tokens each")
+  public void boundedStream(
+      String customer, int perSecond, String model, int durationMs, int tokens, int maxTokens) {
+    long startMs = world.time().nowMs();
+    int count = (int) (perSecond * (long) durationMs / MS_PER_SECOND);
+    RequestShape shape = RequestShape.of(PROMPT_TOKENS, tokens).withMaxOutputTokens(maxTokens);
+    world.instances();
+    for (int i = 0; i < count; i++) {
+      long atMs = startMs + (long) (i * MS_PER_SECOND / perSecond);
+      world.time().at(atMs, () -> world.send(customer, target(model), shape));
+    }
+  }
+
+  @When("{string} sends {int} requests at once to {string} with {int} tokens each")
+  public void batch(String customer, int count, String model, int tokens) {
+    for (int i = 0; i < count; i++) {
+      world.send(customer, target(model), RequestShape.of(PROMPT_TOKENS, tokens));
+    }
+  }
+
+  @When("{string} sends request {string} to {string} with {int} tokens")
+  public void one(String customer, String name, String model, int tokens) {
+    world.sendAs(name, customer, target(model), RequestShape.of(PROMPT_TOKENS, tokens));
+  }
+
+  @When("{string} sends request {string} to {string} with {int} of at most {int} tokens")
+  public void oneBounded(String customer, String name, String model, int tokens, int maxTokens) {
+    RequestShape shape = RequestShape.of(PROMPT_TOKENS, tokens).withMaxOutputTokens(maxTokens);
+    world.sendAs(name, customer, target(model), shape);
+  }
+
+  @When("{string} sends request {string} to {string} with {int} tokens and fingerprint {long}")
+  public void oneWithFingerprint(
+      String customer, String name, String model, int tokens, long fingerprint) {
+    RequestShape shape = RequestShape.of(PROMPT_TOKENS, tokens).withFingerprint(fingerprint);
+    world.sendAs(name, customer, target(model), shape);
+  }
+
+  @When("{string} sends call {string} {string} {string} to service {string}")
+  public void call(String customer, String name, String method, String path, String service) {
+    Target target = new ServiceTarget(new ServiceId(service), method, path);
+    world.sendAs(name, customer, target, RequestShape.of(0, 0));
+  }
+
+  @When("the caller of {string} disconnects")
+  public void disconnect(String name) {
+    world.disconnect(name);
+  }
+
+  @When("{int} ms pass")
+  public void pass(int durationMs) {
+    world.pass(durationMs);
+  }
+
+  @When("back end {string} crashes")
+  public void crash(String backend) {
+    world.backend(backend).crash();
+  }
+
+  @When("back end {string} restarts")
+  public void restart(String backend) {
+    world.backend(backend).restart();
+  }
+
+  @When("back end {string} is slower by a factor of {double}")
+  public void slow(String backend, double factor) {
+    world.backend(backend).setSlowFactor(factor);
+  }
+
+  @When("all back ends are slower by a factor of {double}")
+  public void slowAll(double factor) {
+    world.backends().forEach(backend -> backend.setSlowFactor(factor));
+  }
+
+  @When("back end {string} drains")
+  public void drain(String backend) {
+    world.backend(backend).drain();
+  }
+
+  @When("the open connections of back end {string} go silent")
+  public void silence(String backend) {
+    world.backend(backend).silenceOpenConnections();
+  }
+
+  @Given("back end {string} has fault {string} for the next {int} attempt(s)")
+  public void fault(String backend, String fault, int attempts) {
+    world.backend(backend).arm(faultNamed(fault), attempts);
+  }
+
+  @Given("every back end crashes on fingerprint {long}")
+  public void crashOn(long fingerprint) {
+    world.backends().forEach(backend -> backend.crashOn(fingerprint));
+  }
+
+  private static BackendFault faultNamed(String name) {
+    for (BackendFault fault : BackendFault.values()) {
+      if (fault.label().equals(name)) {
+        return fault;
+      }
+    }
+    throw new ScenarioException(
+        "unknown fault '" + name + "', accepted: lost before running, reply lost, silent");
+  }
+
+  private static Target target(String label) {
+    String[] parts = label.split("\\+", 2);
+    Optional<AdapterId> adapter =
+        parts.length == 1 ? Optional.empty() : Optional.of(new AdapterId(parts[1]));
+    return new ModelTarget(new ModelId(parts[0]), adapter);
+  }
+}
--- /dev/null
+++ b/limpetdoor-scenario/src/test/java/org/limpetdoor/scenario/ScenarioWorldTest.java
@@ -0,0 +1,39 @@
+package org.limpetdoor.scenario;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.id.ModelId;
+import org.limpetdoor.core.request.Target.ModelTarget;
+import org.limpetdoor.scenario.steps.SystemSteps;
+
+/** Guards against a harness that loses requests or whose runs cannot be repeated. */
+final class ScenarioWorldTest {
+  private static final int REQUESTS = 100_000;
+
+  @Test
+  void hundredThousandRequestsAreAllAnsweredAndRunsRepeat() {
+    assertThat(run()).isEqualTo(run());
+  }
+
+  private static List<Long> run() {
+    ScenarioWorld world = new ScenarioWorld();
+    SystemSteps system = new SystemSteps(world);
+    system.model("m1");
+    system.engines(4, 16, "a", "m1");
+    system.customers(List.of(Map.of("customer", "coop")));
+    system.instance("a");
+    system.instance("a");
+    world.instances();
+    ModelTarget target = new ModelTarget(new ModelId("m1"), Optional.empty());
+    for (int i = 0; i < REQUESTS; i++) {
+      world.time().at(i, () -> world.send("coop", target, RequestShape.of(50, 3)));
+    }
+    world.pass(REQUESTS + 10_000);
+    assertThat(world.callers().stream().allMatch(CallerRecord::finished)).isTrue();
+    return world.callers().stream().map(CallerRecord::timeToEndMs).toList();
+  }
+}
