--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioMain.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioMain.java
@@ -28,8 +28,7 @@
                 "--glue",
                 "org.limpetdoor.scenario.steps",
                 "--plugin",
-                FailureReport.class.getName(),
-                "--no-publish"));
+                FailureReport.class.getName()));
     for (String file : files) {
       if (!Files.isReadable(Path.of(file))) {
         System.err.println(file + ": cannot be read; expected a feature file");
@@ -37,6 +36,12 @@
       }
       arguments.add(Path.of(file).toAbsolutePath().toString());
     }
-    return Main.run(arguments.toArray(String[]::new), ScenarioMain.class.getClassLoader());
+    try {
+      return Main.run(arguments.toArray(String[]::new), ScenarioMain.class.getClassLoader());
+    } catch (RuntimeException e) {
+      // Cucumber reports files that it cannot parse this way; the message names file and line.
+      System.err.println(e.getMessage());
+      return USAGE_EXIT;
+    }
   }
 }
