Remember across attempts that a request may have run

A request whose first attempt lost its reply and whose second attempt could not connect was refused as not run. The scenario 'A lost reply makes every later refusal unknown' failed before with backend_failed/not_run and passes now.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -65,10 +65,10 @@
       return Transition.of(state);
     }
     BackendId backend = request.get().backendOf(event.attempt()).orElseThrow();
-    RequestState ended = request.get().withAttemptEnded(event.deliveredTokens());
+    RequestState ended = request.get().withAttemptEnded(event.failure(), event.deliveredTokens());
     NodeState released = Attempts.release(state, backend);
     NodeState noted = event.failure().backendSuspect() ? avoid(released, backend) : released;
-    return retryOrRefuse(noted, ended, event.failure()).then(Queues::drain);
+    return retryOrRefuse(noted, ended).then(Queues::drain);
   }
 
   /** Frees what a request of a caller that has left held. */
@@ -98,7 +98,7 @@
     }
     NodeState dequeued = Queues.remove(state, request.get());
     return Refusals.refuseAccepted(
-        dequeued, request.get(), Refusal.notRun(RefusalReason.DEADLINE_PASSED));
+        dequeued, request.get(), request.get().refusal(RefusalReason.DEADLINE_PASSED));
   }
 
   private static Transition<NodeState, Effect> admit(
@@ -135,22 +135,17 @@
   }
 
   private static Transition<NodeState, Effect> retryOrRefuse(
-      NodeState state, RequestState request, AttemptFailure failure) {
+      NodeState state, RequestState request) {
     boolean mayRepeat =
         Targets.repeatability(state.configuration(), request.spec().target()).mayRepeat();
-    if (failure.mayHaveRun() && !mayRepeat) {
-      return Refusals.refuseAccepted(
-          state, request, Refusal.outcomeUnknown(RefusalReason.BACKEND_FAILED));
+    if (request.mayHaveRun() && !mayRepeat) {
+      return Refusals.refuseAccepted(state, request, request.refusal(RefusalReason.BACKEND_FAILED));
     }
     Router.Choice choice = Router.choose(state, request);
     if (choice.backend().isPresent()) {
       return Attempts.dispatch(state, request, choice);
     }
-    Refusal refusal =
-        failure.mayHaveRun()
-            ? Refusal.outcomeUnknown(RefusalReason.BACKEND_FAILED)
-            : Refusal.notRun(RefusalReason.BACKEND_FAILED);
-    return Refusals.refuseAccepted(state, request, refusal);
+    return Refusals.refuseAccepted(state, request, request.refusal(RefusalReason.BACKEND_FAILED));
   }
 
   private static NodeState avoid(NodeState state, BackendId backend) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestState.java
@@ -18,6 +18,7 @@
  * @param tried back ends of all attempts, in order
  * @param running whether the last attempt is in flight
  * @param deliveredTokens tokens that the caller has
+ * @param mayHaveRun whether any ended attempt may have run; it never becomes false again
  */
 public record RequestState(
     RequestSpec spec,
@@ -25,10 +26,11 @@
     long startDeadlineMs,
     PVector<BackendId> tried,
     boolean running,
-    int deliveredTokens) {
+    int deliveredTokens,
+    boolean mayHaveRun) {
 
   static RequestState arrived(RequestSpec spec, CustomerId customer, long startDeadlineMs) {
-    return new RequestState(spec, customer, startDeadlineMs, TreePVector.empty(), false, 0);
+    return new RequestState(spec, customer, startDeadlineMs, TreePVector.empty(), false, 0, false);
   }
 
   /** Returns the identifier of the last attempt. */
@@ -46,11 +48,23 @@
 
   RequestState withAttempt(BackendId backend) {
     return new RequestState(
-        spec, customer, startDeadlineMs, tried.plus(backend), true, deliveredTokens);
+        spec, customer, startDeadlineMs, tried.plus(backend), true, deliveredTokens, mayHaveRun);
   }
 
-  RequestState withAttemptEnded(int delivered) {
-    return new RequestState(spec, customer, startDeadlineMs, tried, false, delivered);
+  RequestState withAttemptEnded(AttemptFailure failure, int delivered) {
+    return new RequestState(
+        spec,
+        customer,
+        startDeadlineMs,
+        tried,
+        false,
+        Math.max(deliveredTokens, delivered),
+        mayHaveRun || failure.mayHaveRun());
+  }
+
+  /** Returns the refusal that is true after all attempts so far. */
+  Refusal refusal(RefusalReason reason) {
+    return mayHaveRun ? Refusal.outcomeUnknown(reason) : Refusal.notRun(reason);
   }
 
   Timer queueTimer() {
