Admit by contract: fair queues, bounds, early refusal and queue age alarms

Requests wait in pools by upstream and work class, served by guaranteed share, shed order and start-time fair queueing. A request that cannot start within its objective is refused at once with a Retry-After from the measured service rate. Limits are scaled by LimitShare.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
@@ -2,13 +2,18 @@
 
 import java.util.function.BiFunction;
 import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.RequestId;
 import org.limpetdoor.core.request.RequestEvents;
 
 /** Kinds of timers, each with what happens when it is due. */
 public enum TimerKind {
   /** A waiting request reaches its objective. The key is the request identifier. */
-  QUEUE_DEADLINE((state, key) -> RequestEvents.queueDeadline(state, new RequestId(key)));
+  QUEUE_DEADLINE((state, key) -> RequestEvents.queueDeadline(state, new RequestId(key))),
+  /** The ages of all queues are checked. The key has no meaning. */
+  QUEUE_AGE_CHECK((state, key) -> RequestEvents.queueAgeCheck(state)),
+  /** A back end may have become reachable again. The key is its identifier. */
+  BACKEND_RETRY((state, key) -> RequestEvents.backendRetry(state, new BackendId(key)));
 
   private final BiFunction<NodeState, String, Transition<NodeState, Effect>> handler;
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -7,7 +7,9 @@
   /** A request was queued or refused. */
   ADMISSION("admission", "request"),
   /** A published configuration was accepted or rejected. */
-  CONFIGURATION("configuration", "version");
+  CONFIGURATION("configuration", "version"),
+  /** Requests of a customer wait for too long. */
+  QUEUE_AGE_ALARM("queue_age_alarm", "customer");
 
   private final String eventName;
   private final String subjectKey;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
@@ -16,4 +16,7 @@
 
   /** Writes the log line and the metrics of a decision, and keeps it for explanations. */
   void recordDecision(RecordDecision effect);
+
+  /** Tells the operators that requests of a customer wait for too long. */
+  void raiseQueueAgeAlarm(RaiseQueueAgeAlarm effect);
 }
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Admission.java
@@ -0,0 +1,110 @@
+package org.limpetdoor.core.request;
+
+import java.util.Optional;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.config.ArrivalLimit;
+import org.limpetdoor.core.config.Contract;
+import org.limpetdoor.core.config.QueueLimit;
+import org.limpetdoor.core.effect.Effect;
+
+/** Applies the limits of a contract to an arriving request. */
+final class Admission {
+  /** Shortest advice on when to try again; less would only add load. */
+  private static final long MIN_RETRY_AFTER_MS = 100;
+
+  private static final int MARGIN_DIVISOR = 4;
+
+  private Admission() {}
+
+  /** Routes, queues or refuses a request of a known customer for a known target. */
+  static Transition<NodeState, Effect> admit(NodeState state, RequestSpec spec, Contract contract) {
+    LimitShare share = state.requests().learned().share();
+    ArrivalLimit limit = share.of(contract.customer(), contract.arrival());
+    CustomerState customer = state.requests().customer(contract.customer(), limit, state.nowMs());
+    WorkPlan plan = Prediction.plan(state, spec, contract.customer());
+    if (!customer.mayArrive(limit, plan.work())) {
+      long retryAfterMs = customer.retryAfterMs(limit, plan.work());
+      return refuse(state, spec, contract, RefusalReason.RATE_EXCEEDED, retryAfterMs);
+    }
+    RequestState request =
+        RequestState.arrived(
+            spec,
+            contract.customer(),
+            plan,
+            new Waiting(state.requests().nextSequence(), state.nowMs(), spec.id()),
+            state.nowMs() + contract.firstTokenObjectiveMs());
+    NodeState charged =
+        state.withRequests(
+            state
+                .requests()
+                .withNextSequence()
+                .withCustomer(contract.customer(), customer.withArrival(plan.work())));
+    return routeOrQueue(state, charged, request, contract);
+  }
+
+  private static Transition<NodeState, Effect> routeOrQueue(
+      NodeState before, NodeState state, RequestState request, Contract contract) {
+    Pool pool = state.requests().pool(request.plan().pool());
+    Router.Choice choice = Router.choose(state, request);
+    if (!pool.hasWaiting() && choice.backend().isPresent()) {
+      return Attempts.dispatch(state, request, choice);
+    }
+    if (choice.backend().isEmpty() && !choice.worthWaiting()) {
+      return refuse(before, request.spec(), contract, RefusalReason.NO_BACKEND, MIN_RETRY_AFTER_MS);
+    }
+    Optional<Transition<NodeState, Effect>> refused = refuseIfHopeless(before, request, contract);
+    return refused.orElseGet(
+        () ->
+            Queues.enqueue(state, request, contract)
+                .then(next -> Queues.drain(next, request.plan().pool().upstream())));
+  }
+
+  private static Optional<Transition<NodeState, Effect>> refuseIfHopeless(
+      NodeState state, RequestState request, Contract contract) {
+    LimitShare share = state.requests().learned().share();
+    QueueLimit limit = share.of(contract.customer(), contract.queue());
+    CustomerState customer = state.requests().customers().get(contract.customer());
+    int waiting = customer == null ? 0 : customer.oldest().size();
+    long tokens = customer == null ? 0 : customer.queuedTokens();
+    long waitMs = expectedWaitMs(state, request, contract);
+    if (waiting >= limit.maxRequests() || tokens + request.plan().work() > limit.maxTokens()) {
+      long retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, waitMs / Math.max(1, waiting));
+      return Optional.of(
+          refuse(state, request.spec(), contract, RefusalReason.QUEUE_FULL, retryAfterMs));
+    }
+    if (waitMs + marginMs(state, request, contract) <= contract.firstTokenObjectiveMs()) {
+      return Optional.empty();
+    }
+    long retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, waitMs - contract.firstTokenObjectiveMs());
+    return Optional.of(
+        refuse(state, request.spec(), contract, RefusalReason.CANNOT_START_IN_TIME, retryAfterMs));
+  }
+
+  /**
+   * Returns how far the wait may exceed the estimate. Requests of a burst end together, so a slot
+   * can come up to one service time later than at an even rate; a part of the objective bounds the
+   * margin, because it costs admitted work.
+   */
+  private static long marginMs(NodeState state, RequestState request, Contract contract) {
+    Pool pool = state.requests().pool(request.plan().pool());
+    long boundMs = contract.firstTokenObjectiveMs() / MARGIN_DIVISOR;
+    return Math.min(boundMs, Math.round(pool.rate().meanServiceMs()));
+  }
+
+  private static long expectedWaitMs(NodeState state, RequestState request, Contract contract) {
+    Pool pool = state.requests().pool(request.plan().pool());
+    Flow.Terms terms = Queues.terms(state, contract, request.plan().pool());
+    return pool.expectedWaitMs(contract.customer(), terms);
+  }
+
+  private static Transition<NodeState, Effect> refuse(
+      NodeState state,
+      RequestSpec spec,
+      Contract contract,
+      RefusalReason reason,
+      long retryAfterMs) {
+    return Refusals.refuseArrival(
+        state, spec, Optional.of(contract.customer()), Refusal.notRun(reason, retryAfterMs));
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
@@ -7,7 +7,6 @@
 import org.limpetdoor.core.effect.DispatchAttempt;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.RecordDecision;
-import org.limpetdoor.core.id.BackendId;
 
 /** Starts and ends attempts. */
 final class Attempts {
@@ -20,17 +19,23 @@
   static Transition<NodeState, Effect> dispatch(
       NodeState state, RequestState request, Router.Choice choice) {
     Backend backend = choice.backend().orElseThrow();
-    RequestState sent = request.withAttempt(backend.id());
+    RequestState sent = request.withAttempt(backend.id(), state.nowMs());
+    WorkPlan plan = request.plan();
+    Pool pool =
+        state
+            .requests()
+            .pool(plan.pool())
+            .dispatched(request.customer(), Queues.terms(state, request), plan.work());
     NodeState next =
         state
-            .withRequests(state.requests().with(sent))
+            .withRequests(state.requests().with(sent).withPool(plan.pool(), pool))
             .withBackends(state.backends().update(backend.id(), BackendState::withAttemptStarted));
     DispatchAttempt dispatch =
         new DispatchAttempt(
-            sent.currentAttempt(),
+            sent.lastAttempt(),
             backend.id(),
             backend.address(),
-            WorkClass.SHORT.enginePriority(),
+            plan.pool().workClass().enginePriority(),
             sent.deliveredTokens(),
             FIRST_BYTE_TIMEOUT_MS);
     RecordDecision decision =
@@ -39,7 +44,21 @@
   }
 
   /** Gives the slot of an ended attempt back. */
-  static NodeState release(NodeState state, BackendId backend) {
-    return state.withBackends(state.backends().update(backend, BackendState::withAttemptEnded));
+  static NodeState release(NodeState state, RequestState request, ActiveAttempt attempt) {
+    PoolId id = request.plan().pool();
+    Pool pool = state.requests().pool(id).ended(request.customer());
+    return state
+        .withRequests(state.requests().withPool(id, pool))
+        .withBackends(state.backends().update(attempt.backend(), BackendState::withAttemptEnded));
+  }
+
+  /** Notes how long a completed attempt took. */
+  static NodeState measure(
+      NodeState state, RequestState request, ActiveAttempt attempt, int outputTokens) {
+    PoolId id = request.plan().pool();
+    long tookMs = state.nowMs() - attempt.sentAtMs();
+    long work = (long) request.spec().promptTokens() + outputTokens;
+    Pool pool = state.requests().pool(id).measured(tookMs, work);
+    return state.withRequests(state.requests().withPool(id, pool));
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/CustomerState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/CustomerState.java
@@ -1,38 +1,40 @@
 package org.limpetdoor.core.request;
 
 import org.limpetdoor.core.config.ArrivalLimit;
-import org.limpetdoor.core.id.RequestId;
-import org.pcollections.PVector;
-import org.pcollections.TreePVector;
+import org.pcollections.TreePSet;
 
 /**
  * What this instance keeps for one customer.
  *
- * @param queue waiting requests in order of arrival
- * @param queuedTokens work of the waiting requests, in tokens
+ * @param oldest waiting requests of all pools, in order of arrival
+ * @param queuedTokens predicted work of the waiting requests, in tokens
  * @param requestBucket rate limit on requests
  * @param workBucket rate limit on tokens
+ * @param trend how the age of the oldest waiting request develops
  */
 record CustomerState(
-    PVector<RequestId> queue,
+    TreePSet<Waiting> oldest,
     long queuedTokens,
     TokenBucket requestBucket,
-    TokenBucket workBucket) {
+    TokenBucket workBucket,
+    QueueTrend trend) {
 
   static CustomerState initial(ArrivalLimit limit, long nowMs) {
     return new CustomerState(
-        TreePVector.empty(),
+        TreePSet.empty(),
         0,
         TokenBucket.full(limit.burstRequests(), nowMs),
-        TokenBucket.full(limit.burstTokens(), nowMs));
+        TokenBucket.full(limit.burstTokens(), nowMs),
+        QueueTrend.NONE);
   }
 
   CustomerState refilled(ArrivalLimit limit, long nowMs) {
     return new CustomerState(
-        queue,
+        oldest,
         queuedTokens,
         requestBucket.refill(limit.requestsPerSecond(), limit.burstRequests(), nowMs),
-        workBucket.refill(limit.tokensPerSecond(), limit.burstTokens(), nowMs));
+        workBucket.refill(limit.tokensPerSecond(), limit.burstTokens(), nowMs),
+        trend);
   }
 
   boolean mayArrive(ArrivalLimit limit, long workTokens) {
@@ -48,16 +50,20 @@
 
   CustomerState withArrival(long workTokens) {
     return new CustomerState(
-        queue, queuedTokens, requestBucket.take(1), workBucket.take(workTokens));
+        oldest, queuedTokens, requestBucket.take(1), workBucket.take(workTokens), trend);
   }
 
-  CustomerState withQueued(RequestId request, long workTokens) {
+  CustomerState withQueued(Waiting entry, long workTokens) {
     return new CustomerState(
-        queue.plus(request), queuedTokens + workTokens, requestBucket, workBucket);
+        oldest.plus(entry), queuedTokens + workTokens, requestBucket, workBucket, trend);
   }
 
-  CustomerState withoutQueued(RequestId request, long workTokens) {
+  CustomerState withoutQueued(Waiting entry, long workTokens) {
     return new CustomerState(
-        queue.minus(request), queuedTokens - workTokens, requestBucket, workBucket);
+        oldest.minus(entry), queuedTokens - workTokens, requestBucket, workBucket, trend);
+  }
+
+  CustomerState withTrend(QueueTrend value) {
+    return new CustomerState(oldest, queuedTokens, requestBucket, workBucket, value);
   }
 }
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Learned.java
@@ -0,0 +1,32 @@
+package org.limpetdoor.core.request;
+
+import org.limpetdoor.core.NodeState;
+
+/**
+ * What request decisions use beside the requests themselves.
+ *
+ * @param share part of each limit that this instance may use
+ * @param index back ends by upstream
+ */
+record Learned(LimitShare share, RoutingIndex index) {
+  static final Learned INITIAL = new Learned(LimitShare.WHOLE, RoutingIndex.EMPTY);
+
+  /** Returns the state with an index that fits the configuration in force. */
+  static NodeState refresh(NodeState state) {
+    Learned learned = state.requests().learned();
+    double part = learned.share.otherwise();
+    if (learned.index.fits(state.configuration(), part)) {
+      return state;
+    }
+    RoutingIndex index = RoutingIndex.of(state.self(), state.configuration(), part);
+    return state.withRequests(state.requests().withLearned(learned.withIndex(index)));
+  }
+
+  Learned withShare(LimitShare value) {
+    return new Learned(value, index);
+  }
+
+  Learned withIndex(RoutingIndex value) {
+    return new Learned(share, value);
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/LimitShare.java
@@ -0,0 +1,47 @@
+package org.limpetdoor.core.request;
+
+import org.limpetdoor.core.config.ArrivalLimit;
+import org.limpetdoor.core.config.QueueLimit;
+import org.limpetdoor.core.config.Ranges;
+import org.limpetdoor.core.id.CustomerId;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * The part of each limit that this instance may use.
+ *
+ * @param byCustomer part of the contract of a customer, from 0 to 1
+ * @param otherwise part of all other contracts and of platform limits, from 0 to 1
+ */
+public record LimitShare(PMap<CustomerId, Double> byCustomer, double otherwise) {
+  /** The share of an instance that is alone. */
+  public static final LimitShare WHOLE = new LimitShare(HashTreePMap.empty(), 1.0);
+
+  private static final double SMALLEST = 1e-6;
+
+  /** Checks ranges. */
+  public LimitShare {
+    byCustomer.values().forEach(part -> Ranges.within("byCustomer", part, 0, 1));
+    Ranges.within("otherwise", otherwise, 0, 1);
+  }
+
+  /** Returns the part of a customer's contract. */
+  public double of(CustomerId customer) {
+    return byCustomer.getOrDefault(customer, otherwise);
+  }
+
+  ArrivalLimit of(CustomerId customer, ArrivalLimit whole) {
+    double part = Math.max(SMALLEST, of(customer));
+    return new ArrivalLimit(
+        whole.requestsPerSecond() * part,
+        (int) Math.max(1, whole.burstRequests() * part),
+        whole.tokensPerSecond() * part,
+        (long) Math.max(1, whole.burstTokens() * part));
+  }
+
+  QueueLimit of(CustomerId customer, QueueLimit whole) {
+    double part = of(customer);
+    return new QueueLimit(
+        (int) Math.ceil(whole.maxRequests() * part), (long) Math.ceil(whole.maxTokens() * part));
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/PoolId.java
@@ -0,0 +1,10 @@
+package org.limpetdoor.core.request;
+
+/**
+ * Identifies a pool: requests of one work class for one upstream. The classes wait apart, so that
+ * long work that has used up its slots does not hold up short work.
+ *
+ * @param upstream the upstream
+ * @param workClass the class
+ */
+record PoolId(UpstreamId upstream, WorkClass workClass) {}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/QueuedTotals.java
@@ -0,0 +1,52 @@
+package org.limpetdoor.core.request;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.limpetdoor.core.config.ShedOrder;
+
+/**
+ * Sums over the waiting customers of a pool, by shed order.
+ *
+ * @param byOrder the sums
+ */
+record QueuedTotals(Map<ShedOrder, Sum> byOrder) {
+  static final QueuedTotals NONE = new QueuedTotals(Map.of());
+
+  private static final Sum NOTHING = new Sum(0, 0);
+
+  /** Weight and predicted work, in tokens, of the waiting customers of one shed order. */
+  record Sum(long weight, long work) {}
+
+  long weight(ShedOrder order) {
+    return byOrder.getOrDefault(order, NOTHING).weight();
+  }
+
+  long workServedBefore(ShedOrder order) {
+    long work = 0;
+    for (Map.Entry<ShedOrder, Sum> entry : byOrder.entrySet()) {
+      work += order.isShedBefore(entry.getKey()) ? entry.getValue().work() : 0;
+    }
+    return work;
+  }
+
+  QueuedTotals plus(Flow flow) {
+    return change(flow, 1);
+  }
+
+  QueuedTotals minus(Flow flow) {
+    return change(flow, -1);
+  }
+
+  private QueuedTotals change(Flow flow, int sign) {
+    ShedOrder order = flow.terms().shedOrder();
+    Sum old = byOrder.getOrDefault(order, NOTHING);
+    Sum sum =
+        new Sum(
+            old.weight() + (long) sign * flow.terms().weight(),
+            old.work() + sign * flow.queuedWork());
+    Map<ShedOrder, Sum> changed = new EnumMap<>(ShedOrder.class);
+    changed.putAll(byOrder);
+    changed.put(order, sum);
+    return new QueuedTotals(changed);
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Queues.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Queues.java
@@ -7,71 +7,119 @@
 import org.limpetdoor.core.decision.AdmissionDecision;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.RecordDecision;
-import org.limpetdoor.core.id.CustomerId;
-import org.limpetdoor.core.id.RequestId;
+import org.limpetdoor.core.id.BackendId;
 
-/** Queues of waiting requests, one for each customer, bounded by its contract. */
+/** Waiting requests: they wait in the pool of their upstream and class. */
 final class Queues {
   private Queues() {}
 
-  /** Queues a request, or refuses it if the customer's queue is full. */
+  /** Returns what the contract of a customer says about shares in a pool. */
+  static Flow.Terms terms(NodeState state, Contract contract, PoolId pool) {
+    Learned learned = state.requests().learned();
+    int slots = learned.index().candidates(pool.upstream()).slots();
+    double owed = contract.guaranteedShare() * slots * learned.share().of(contract.customer());
+    return new Flow.Terms(contract.weight(), owed, contract.shedOrder());
+  }
+
+  /** Returns the terms of a request, also when its contract was removed meanwhile. */
+  static Flow.Terms terms(NodeState state, RequestState request) {
+    Contract contract = state.configuration().contracts().get(request.customer());
+    PoolId id = request.plan().pool();
+    if (contract != null) {
+      return terms(state, contract, id);
+    }
+    return state.requests().pool(id).flow(request.customer(), Flow.Terms.LAPSED).terms();
+  }
+
+  /** Lets a request wait. */
   static Transition<NodeState, Effect> enqueue(
       NodeState state, RequestState request, Contract contract) {
-    CustomerState customer = state.requests().customers().get(request.customer());
-    long workTokens = request.spec().workTokens();
-    boolean full =
-        customer.queue().size() >= contract.queue().maxRequests()
-            || customer.queuedTokens() + workTokens > contract.queue().maxTokens();
-    if (full) {
-      return Refusals.refuseAccepted(state, request, Refusal.notRun(RefusalReason.QUEUE_FULL));
-    }
-    CustomerState queued = customer.withQueued(request.spec().id(), workTokens);
-    NodeState next =
+    long work = request.plan().work();
+    PoolId id = request.plan().pool();
+    Pool pool =
+        state
+            .requests()
+            .pool(id)
+            .enqueue(request.customer(), terms(state, contract, id), request.place(), work);
+    CustomerState customer =
+        state.requests().customers().get(request.customer()).withQueued(request.place(), work);
+    RequestTable table =
         state
-            .withRequests(state.requests().with(request).withCustomer(request.customer(), queued))
-            .withTimers(state.timers().plus(request.queueTimer()));
+            .requests()
+            .with(request)
+            .withPool(id, pool)
+            .withCustomer(request.customer(), customer);
+    NodeState next =
+        QueueAge.schedule(
+            state.withRequests(table).withTimers(state.timers().plus(request.queueTimer())));
     AdmissionDecision decision =
         new AdmissionDecision(
             request.spec().id(),
             Optional.of(request.customer()),
             request.spec().target().label(),
-            queued.queue().size(),
+            customer.oldest().size(),
             Optional.empty());
     return Transition.of(next, new RecordDecision(decision));
   }
 
   /** Takes a request out of its queue. */
   static NodeState remove(NodeState state, RequestState request) {
-    CustomerState customer = state.requests().customers().get(request.customer());
-    CustomerState without =
-        customer.withoutQueued(request.spec().id(), request.spec().workTokens());
+    long work = request.plan().work();
+    PoolId id = request.plan().pool();
+    RequestTable table = state.requests();
+    Pool pool = table.pool(id).remove(request.customer(), request.place(), work);
+    CustomerState customer =
+        table.customers().get(request.customer()).withoutQueued(request.place(), work);
     return state
-        .withRequests(state.requests().withCustomer(request.customer(), without))
+        .withRequests(table.withPool(id, pool).withCustomer(request.customer(), customer))
         .withTimers(state.timers().minus(request.queueTimer()));
   }
 
-  /**
-   * Dispatches waiting requests for as long as back ends have free slots, in order of arrival for
-   * each customer.
-   */
-  static Transition<NodeState, Effect> drain(NodeState state) {
+  /** Dispatches waiting requests that a back end with a free slot can serve. */
+  static Transition<NodeState, Effect> drain(NodeState state, BackendId backend) {
     Transition<NodeState, Effect> result = Transition.of(state);
-    for (CustomerId customer : state.requests().customers().keySet()) {
-      result = result.then(current -> drainCustomer(current, customer));
+    for (UpstreamId upstream : state.requests().learned().index().upstreams(backend)) {
+      result = result.then(next -> drain(next, upstream));
     }
     return result;
   }
 
-  private static Transition<NodeState, Effect> drainCustomer(NodeState state, CustomerId id) {
+  /** Dispatches waiting requests of an upstream while there are free slots, oldest head first. */
+  static Transition<NodeState, Effect> drain(NodeState state, UpstreamId upstream) {
     Transition<NodeState, Effect> result = Transition.of(state);
-    for (RequestId waiting : state.requests().customers().get(id).queue()) {
-      RequestState request = result.state().requests().byId().get(waiting);
-      Router.Choice choice = Router.choose(result.state(), request);
-      if (choice.backend().isPresent()) {
-        result =
-            result.then(current -> Attempts.dispatch(remove(current, request), request, choice));
-      }
+    boolean dispatched = true;
+    while (dispatched) {
+      Transition<NodeState, Effect> step = dispatchOne(result.state(), upstream);
+      dispatched = !step.effects().isEmpty();
+      result = result.then(next -> step);
     }
     return result;
   }
+
+  private static Transition<NodeState, Effect> dispatchOne(NodeState state, UpstreamId upstream) {
+    Optional<RequestState> shortWork = next(state, new PoolId(upstream, WorkClass.SHORT));
+    Optional<RequestState> longWork = next(state, new PoolId(upstream, WorkClass.LONG));
+    boolean longFirst =
+        longWork.isPresent()
+            && (shortWork.isEmpty()
+                || longWork.get().place().compareTo(shortWork.get().place()) < 0);
+    Transition<NodeState, Effect> first = tryDispatch(state, longFirst ? longWork : shortWork);
+    return first.effects().isEmpty() ? tryDispatch(state, longFirst ? shortWork : longWork) : first;
+  }
+
+  private static Transition<NodeState, Effect> tryDispatch(
+      NodeState state, Optional<RequestState> waiting) {
+    if (waiting.isEmpty()) {
+      return Transition.of(state);
+    }
+    RequestState request = waiting.get();
+    Router.Choice choice = Router.choose(state, request);
+    return choice.backend().isEmpty()
+        ? Transition.of(state)
+        : Attempts.dispatch(remove(state, request), request, choice);
+  }
+
+  private static Optional<RequestState> next(NodeState state, PoolId pool) {
+    return state.requests().pool(pool).next().flatMap(w -> state.requests().find(w.request()));
+  }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Timer;
+import org.limpetdoor.core.TimerKind;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.config.Contract;
 import org.limpetdoor.core.effect.CancelAttempt;
@@ -37,7 +39,7 @@
       return Refusals.refuseArrival(
           state, spec, Optional.of(contract.customer()), Refusal.notRun(unknown.get()));
     }
-    return admit(state, spec, contract);
+    return Admission.admit(Learned.refresh(state), spec, contract);
   }
 
   /** Notes nothing yet: the start of an answer changes no decision. */
@@ -47,28 +49,33 @@
 
   /** Ends a request whose whole answer was passed on. */
   public static Transition<NodeState, Effect> completed(NodeState state, AttemptCompleted event) {
-    Optional<RequestState> request = current(state, event.attempt());
-    if (request.isEmpty()) {
+    Optional<Current> found = current(state, event.attempt());
+    if (found.isEmpty()) {
       return Transition.of(state);
     }
-    BackendId backend = request.get().backendOf(event.attempt()).orElseThrow();
+    RequestState request = found.get().request();
+    ActiveAttempt attempt = found.get().attempt();
     RequestId id = event.attempt().request();
-    NodeState released = Attempts.release(state, backend);
-    NodeState without = released.withRequests(released.requests().without(id));
-    return Transition.<NodeState, Effect>of(without, new FinishRequest(id)).then(Queues::drain);
+    NodeState released = Attempts.release(state, request, attempt);
+    NodeState measured = Attempts.measure(released, request, attempt, event.outputTokens());
+    NodeState without = measured.withRequests(measured.requests().without(id));
+    return Transition.<NodeState, Effect>of(without, new FinishRequest(id))
+        .then(next -> Queues.drain(next, attempt.backend()));
   }
 
   /** Retries a failed attempt elsewhere if the request may be repeated, or refuses the request. */
   public static Transition<NodeState, Effect> failed(NodeState state, AttemptFailed event) {
-    Optional<RequestState> request = current(state, event.attempt());
-    if (request.isEmpty()) {
+    Optional<Current> found = current(state, event.attempt());
+    if (found.isEmpty()) {
       return Transition.of(state);
     }
-    BackendId backend = request.get().backendOf(event.attempt()).orElseThrow();
-    RequestState ended = request.get().withAttemptEnded(event.failure(), event.deliveredTokens());
-    NodeState released = Attempts.release(state, backend);
+    ActiveAttempt attempt = found.get().attempt();
+    BackendId backend = attempt.backend();
+    RequestState ended =
+        found.get().request().withAttemptEnded(attempt, event.failure(), event.deliveredTokens());
+    NodeState released = Attempts.release(state, ended, attempt);
     NodeState noted = event.failure().backendSuspect() ? avoid(released, backend) : released;
-    return retryOrRefuse(noted, ended).then(Queues::drain);
+    return retryOrRefuse(noted, ended).then(next -> Queues.drain(next, backend));
   }
 
   /** Frees what a request of a caller that has left held. */
@@ -79,15 +86,15 @@
       return Transition.of(state);
     }
     RequestState request = found.get();
+    NodeState without = state.withRequests(state.requests().without(event.request()));
     if (!request.running()) {
-      NodeState dequeued = Queues.remove(state, request);
-      return Transition.of(dequeued.withRequests(dequeued.requests().without(event.request())));
+      return Transition.of(Queues.remove(without, request));
+    }
+    Transition<NodeState, Effect> result = Transition.of(without);
+    for (ActiveAttempt attempt : request.active()) {
+      result = result.then(next -> cancel(next, request, attempt));
     }
-    AttemptId attempt = request.currentAttempt();
-    NodeState released = Attempts.release(state, request.backendOf(attempt).orElseThrow());
-    NodeState without = released.withRequests(released.requests().without(event.request()));
-    return Transition.<NodeState, Effect>of(without, new CancelAttempt(attempt))
-        .then(Queues::drain);
+    return result;
   }
 
   /** Refuses a request that waited until its objective passed. */
@@ -96,42 +103,35 @@
     if (request.isEmpty() || request.get().running()) {
       return Transition.of(state);
     }
-    NodeState dequeued = Queues.remove(state, request.get());
-    return Refusals.refuseAccepted(
-        dequeued, request.get(), request.get().refusal(RefusalReason.DEADLINE_PASSED));
+    return QueueAge.exceeded(state, request.get())
+        .then(
+            next ->
+                Refusals.refuseAccepted(
+                    Queues.remove(next, request.get()),
+                    request.get(),
+                    request.get().refusal(RefusalReason.DEADLINE_PASSED)));
   }
 
-  private static Transition<NodeState, Effect> admit(
-      NodeState state, RequestSpec spec, Contract contract) {
-    CustomerState known = state.requests().customers().get(contract.customer());
-    CustomerState customer =
-        known == null
-            ? CustomerState.initial(contract.arrival(), state.nowMs())
-            : known.refilled(contract.arrival(), state.nowMs());
-    if (!customer.mayArrive(contract.arrival(), spec.workTokens())) {
-      long retryAfterMs = customer.retryAfterMs(contract.arrival(), spec.workTokens());
-      Refusal refusal = Refusal.notRun(RefusalReason.RATE_EXCEEDED, retryAfterMs);
-      return Refusals.refuseArrival(state, spec, Optional.of(contract.customer()), refusal);
+  /** Checks the ages of all queues, and dispatches what a change of configuration made possible. */
+  public static Transition<NodeState, Effect> queueAgeCheck(NodeState state) {
+    Transition<NodeState, Effect> result = QueueAge.check(Learned.refresh(state));
+    for (UpstreamId upstream : result.state().requests().waitingUpstreams()) {
+      result = result.then(next -> Queues.drain(next, upstream));
     }
-    CustomerState charged = customer.withArrival(spec.workTokens());
-    NodeState next =
-        state.withRequests(state.requests().withCustomer(contract.customer(), charged));
-    RequestState request =
-        RequestState.arrived(
-            spec, contract.customer(), state.nowMs() + contract.firstTokenObjectiveMs());
-    return routeOrQueue(next, request, contract);
+    return result;
   }
 
-  private static Transition<NodeState, Effect> routeOrQueue(
-      NodeState state, RequestState request, Contract contract) {
-    Router.Choice choice = Router.choose(state, request);
-    if (choice.backend().isPresent()) {
-      return Attempts.dispatch(state, request, choice);
-    }
-    if (!choice.worthWaiting()) {
-      return Refusals.refuseAccepted(state, request, Refusal.notRun(RefusalReason.NO_BACKEND));
-    }
-    return Queues.enqueue(state, request, contract);
+  /** Dispatches waiting requests to a back end that may have become reachable again. */
+  public static Transition<NodeState, Effect> backendRetry(NodeState state, BackendId backend) {
+    return Queues.drain(state, backend);
+  }
+
+  private static Transition<NodeState, Effect> cancel(
+      NodeState state, RequestState request, ActiveAttempt attempt) {
+    NodeState released = Attempts.release(state, request, attempt);
+    AttemptId id = new AttemptId(request.spec().id(), attempt.number());
+    return Transition.<NodeState, Effect>of(released, new CancelAttempt(id))
+        .then(next -> Queues.drain(next, attempt.backend()));
   }
 
   private static Transition<NodeState, Effect> retryOrRefuse(
@@ -150,14 +150,18 @@
 
   private static NodeState avoid(NodeState state, BackendId backend) {
     long untilMs = state.nowMs() + UNREACHABLE_MS;
-    return state.withBackends(
-        state.backends().update(backend, b -> b.withUnreachableUntilMs(untilMs)));
+    Timer retry = new Timer(untilMs, TimerKind.BACKEND_RETRY, backend.value());
+    return state
+        .withBackends(state.backends().update(backend, b -> b.withUnreachableUntilMs(untilMs)))
+        .withTimers(state.timers().plus(retry));
   }
 
-  private static Optional<RequestState> current(NodeState state, AttemptId attempt) {
+  private record Current(RequestState request, ActiveAttempt attempt) {}
+
+  private static Optional<Current> current(NodeState state, AttemptId id) {
     return state
         .requests()
-        .find(attempt.request())
-        .filter(request -> request.backendOf(attempt).isPresent());
+        .find(id.request())
+        .flatMap(request -> request.active(id).map(attempt -> new Current(request, attempt)));
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestState.java
@@ -14,50 +14,76 @@
  *
  * @param spec what is known of the request
  * @param customer the customer
+ * @param plan what it is expected to cost
+ * @param place its place in the order of arrival
  * @param startDeadlineMs latest start, in monotonic milliseconds
  * @param tried back ends of all attempts, in order
- * @param running whether the last attempt is in flight
+ * @param active attempts in flight
  * @param deliveredTokens tokens that the caller has
  * @param mayHaveRun whether any ended attempt may have run; it never becomes false again
  */
 public record RequestState(
     RequestSpec spec,
     CustomerId customer,
+    WorkPlan plan,
+    Waiting place,
     long startDeadlineMs,
     PVector<BackendId> tried,
-    boolean running,
+    PVector<ActiveAttempt> active,
     int deliveredTokens,
     boolean mayHaveRun) {
 
-  static RequestState arrived(RequestSpec spec, CustomerId customer, long startDeadlineMs) {
-    return new RequestState(spec, customer, startDeadlineMs, TreePVector.empty(), false, 0, false);
+  static RequestState arrived(
+      RequestSpec spec, CustomerId customer, WorkPlan plan, Waiting place, long startDeadlineMs) {
+    return new RequestState(
+        spec,
+        customer,
+        plan,
+        place,
+        startDeadlineMs,
+        TreePVector.empty(),
+        TreePVector.empty(),
+        0,
+        false);
   }
 
   /** Returns the identifier of the last attempt. */
-  AttemptId currentAttempt() {
+  AttemptId lastAttempt() {
     return new AttemptId(spec.id(), tried.size());
   }
 
-  /** Returns the back end of the attempt if it is the one in flight. */
-  Optional<BackendId> backendOf(AttemptId attempt) {
-    if (!running || !currentAttempt().equals(attempt)) {
-      return Optional.empty();
+  boolean running() {
+    return !active.isEmpty();
+  }
+
+  /** Returns the attempt if it is in flight. */
+  Optional<ActiveAttempt> active(AttemptId attempt) {
+    for (ActiveAttempt candidate : active) {
+      if (candidate.number() == attempt.number()) {
+        return Optional.of(candidate);
+      }
     }
-    return Optional.of(tried.get(tried.size() - 1));
+    return Optional.empty();
   }
 
-  RequestState withAttempt(BackendId backend) {
-    return new RequestState(
-        spec, customer, startDeadlineMs, tried.plus(backend), true, deliveredTokens, mayHaveRun);
+  RequestState withAttempt(BackendId backend, long nowMs) {
+    ActiveAttempt attempt = new ActiveAttempt(tried.size() + 1, backend, nowMs, false);
+    return with(tried.plus(backend), active.plus(attempt));
   }
 
-  RequestState withAttemptEnded(AttemptFailure failure, int delivered) {
+  RequestState withStarted(ActiveAttempt attempt) {
+    return with(tried, active.minus(attempt).plus(attempt.withStarted()));
+  }
+
+  RequestState withAttemptEnded(ActiveAttempt attempt, AttemptFailure failure, int delivered) {
     return new RequestState(
         spec,
         customer,
+        plan,
+        place,
         startDeadlineMs,
         tried,
-        false,
+        active.minus(attempt),
         Math.max(deliveredTokens, delivered),
         mayHaveRun || failure.mayHaveRun());
   }
@@ -70,4 +96,17 @@
   Timer queueTimer() {
     return new Timer(startDeadlineMs, TimerKind.QUEUE_DEADLINE, spec.id().value());
   }
+
+  private RequestState with(PVector<BackendId> backends, PVector<ActiveAttempt> attempts) {
+    return new RequestState(
+        spec,
+        customer,
+        plan,
+        place,
+        startDeadlineMs,
+        backends,
+        attempts,
+        deliveredTokens,
+        mayHaveRun);
+  }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestTable.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestTable.java
@@ -1,37 +1,103 @@
 package org.limpetdoor.core.request;
 
+import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
+import org.limpetdoor.core.config.ArrivalLimit;
 import org.limpetdoor.core.id.CustomerId;
 import org.limpetdoor.core.id.RequestId;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
+import org.pcollections.TreePSet;
 
 /**
  * Requests that this instance has accepted and not finished.
  *
  * @param byId requests by identifier
- * @param customers queues and rate limits by customer
+ * @param customers rate limits and waiting work by customer
+ * @param waitingCustomers customers with waiting work
+ * @param pools queues by upstream and work class
+ * @param nextSequence sequence number of the next arrival
+ * @param learned what decisions use beside the requests
  */
 public record RequestTable(
-    PMap<RequestId, RequestState> byId, PMap<CustomerId, CustomerState> customers) {
+    PMap<RequestId, RequestState> byId,
+    PMap<CustomerId, CustomerState> customers,
+    TreePSet<CustomerId> waitingCustomers,
+    PMap<PoolId, Pool> pools,
+    long nextSequence,
+    Learned learned) {
   /** No requests. */
   public static final RequestTable EMPTY =
-      new RequestTable(HashTreePMap.empty(), HashTreePMap.empty());
+      new RequestTable(
+          HashTreePMap.empty(),
+          HashTreePMap.empty(),
+          TreePSet.empty(),
+          HashTreePMap.empty(),
+          1,
+          Learned.INITIAL);
 
   /** Returns a request. */
   public Optional<RequestState> find(RequestId id) {
     return Optional.ofNullable(byId.get(id));
   }
 
+  /** Returns a copy in which this instance has another part of the limits. */
+  public RequestTable withLimitShare(LimitShare share) {
+    return withLearned(learned.withShare(share));
+  }
+
+  Pool pool(PoolId id) {
+    return pools.getOrDefault(id, Pool.EMPTY);
+  }
+
+  /** Returns the upstreams with waiting requests in a fixed order. */
+  List<UpstreamId> waitingUpstreams() {
+    return pools.entrySet().stream()
+        .filter(entry -> entry.getValue().hasWaiting())
+        .map(entry -> entry.getKey().upstream())
+        .distinct()
+        .sorted(Comparator.comparing(UpstreamId::name).thenComparing(UpstreamId::service))
+        .toList();
+  }
+
+  CustomerState customer(CustomerId id, ArrivalLimit limit, long nowMs) {
+    CustomerState known = customers.get(id);
+    return known == null ? CustomerState.initial(limit, nowMs) : known.refilled(limit, nowMs);
+  }
+
   RequestTable with(RequestState request) {
-    return new RequestTable(byId.plus(request.spec().id(), request), customers);
+    return new RequestTable(
+        byId.plus(request.spec().id(), request),
+        customers,
+        waitingCustomers,
+        pools,
+        nextSequence,
+        learned);
   }
 
   RequestTable without(RequestId id) {
-    return new RequestTable(byId.minus(id), customers);
+    return new RequestTable(
+        byId.minus(id), customers, waitingCustomers, pools, nextSequence, learned);
   }
 
   RequestTable withCustomer(CustomerId id, CustomerState customer) {
-    return new RequestTable(byId, customers.plus(id, customer));
+    TreePSet<CustomerId> waiting =
+        customer.oldest().isEmpty() ? waitingCustomers.minus(id) : waitingCustomers.plus(id);
+    return new RequestTable(
+        byId, customers.plus(id, customer), waiting, pools, nextSequence, learned);
+  }
+
+  RequestTable withPool(PoolId id, Pool pool) {
+    return new RequestTable(
+        byId, customers, waitingCustomers, pools.plus(id, pool), nextSequence, learned);
+  }
+
+  RequestTable withNextSequence() {
+    return new RequestTable(byId, customers, waitingCustomers, pools, nextSequence + 1, learned);
+  }
+
+  RequestTable withLearned(Learned value) {
+    return new RequestTable(byId, customers, waitingCustomers, pools, nextSequence, value);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Router.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Router.java
@@ -32,7 +32,7 @@
   static Choice choose(NodeState state, RequestState request) {
     List<PassedOver> passedOver = new ArrayList<>();
     List<Backend> free = new ArrayList<>();
-    for (Backend backend : Targets.backends(state.configuration(), request.spec().target())) {
+    for (Backend backend : candidates(state, request)) {
       Optional<PassOverReason> obstacle = obstacle(state, request, backend);
       obstacle.ifPresentOrElse(
           reason -> passedOver.add(new PassedOver(backend.id(), reason)), () -> free.add(backend));
@@ -60,7 +60,7 @@
             .map(r -> state.nowMs() - r.reportedAtMs())
             .orElse(-1L);
     return new RoutingDecision(
-        request.currentAttempt(),
+        request.lastAttempt(),
         request.customer(),
         request.spec().target().label(),
         chosen,
@@ -69,6 +69,15 @@
         reportAgeMs);
   }
 
+  private static List<Backend> candidates(NodeState state, RequestState request) {
+    return state
+        .requests()
+        .learned()
+        .index()
+        .candidates(request.plan().pool().upstream())
+        .backends();
+  }
+
   private static Optional<PassOverReason> obstacle(
       NodeState state, RequestState request, Backend backend) {
     BackendState known = state.backends().get(backend.id());
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Targets.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Targets.java
@@ -1,9 +1,7 @@
 package org.limpetdoor.core.request;
 
-import java.util.List;
 import java.util.Optional;
 import org.limpetdoor.core.config.Adapter;
-import org.limpetdoor.core.config.Backend;
 import org.limpetdoor.core.config.Configuration;
 import org.limpetdoor.core.config.PlainService;
 import org.limpetdoor.core.config.Repeatability;
@@ -33,18 +31,6 @@
     return adapterKnown ? Optional.empty() : Optional.of(RefusalReason.UNKNOWN_ADAPTER);
   }
 
-  /** Returns the back ends that hold the target. */
-  static List<Backend> backends(Configuration configuration, Target target) {
-    if (target instanceof ServiceTarget service) {
-      return List.copyOf(configuration.services().get(service.service()).endpoints());
-    }
-    ModelTarget model = (ModelTarget) target;
-    return configuration.engines().values().stream()
-        .filter(engine -> engine.initialModels().contains(model.model()))
-        .<Backend>map(engine -> engine)
-        .toList();
-  }
-
   /**
    * Returns whether the request may be sent again after it may have run. Model calls have no side
    * effects.
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/UpstreamId.java
@@ -0,0 +1,19 @@
+package org.limpetdoor.core.request;
+
+import org.limpetdoor.core.request.Target.ModelTarget;
+import org.limpetdoor.core.request.Target.ServiceTarget;
+
+/**
+ * Names what a set of back ends serves: a model with all its adapters, or a plain service.
+ *
+ * @param service whether it is a plain service
+ * @param name name of the model or the service
+ */
+record UpstreamId(boolean service, String name) {
+  static UpstreamId of(Target target) {
+    if (target instanceof ServiceTarget call) {
+      return new UpstreamId(true, call.service().value());
+    }
+    return new UpstreamId(false, ((ModelTarget) target).model().value());
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/WorkPlan.java
@@ -0,0 +1,16 @@
+package org.limpetdoor.core.request;
+
+/**
+ * What a request is expected to cost, fixed at arrival.
+ *
+ * @param pool upstream and work class
+ * @param predictedTokens predicted output, in tokens
+ * @param work predicted prompt and output, in tokens, at least 1
+ */
+record WorkPlan(PoolId pool, int predictedTokens, long work) {
+  static WorkPlan of(RequestSpec spec, int predictedTokens, WorkClass workClass) {
+    PoolId pool = new PoolId(UpstreamId.of(spec.target()), workClass);
+    return new WorkPlan(
+        pool, predictedTokens, Math.max(1, (long) spec.promptTokens() + predictedTokens));
+  }
+}
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeInstance.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeInstance.java
@@ -9,11 +9,13 @@
 import org.limpetdoor.core.Timed;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.decision.Decision;
+import org.limpetdoor.core.decision.QueueAgeAlarm;
 import org.limpetdoor.core.effect.CancelAttempt;
 import org.limpetdoor.core.effect.DispatchAttempt;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.EffectHandler;
 import org.limpetdoor.core.effect.FinishRequest;
+import org.limpetdoor.core.effect.RaiseQueueAgeAlarm;
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.effect.RefuseRequest;
 import org.limpetdoor.core.event.AttemptCompleted;
@@ -40,6 +42,7 @@
   private final Map<AttemptId, FakeBackend> open = new HashMap<>();
   private final Map<AttemptId, Long> lastByteAtMs = new HashMap<>();
   private final List<Decision> decisions = new ArrayList<>();
+  private final List<QueueAgeAlarm> alarms = new ArrayList<>();
   private NodeState state;
   private long wakeAtMs = Timed.NEVER_MS;
   private long jobs;
@@ -60,6 +63,11 @@
     return decisions;
   }
 
+  /** Returns all queue age alarms that were raised, in order. */
+  public List<QueueAgeAlarm> alarms() {
+    return alarms;
+  }
+
   /** Reduces one event, carries out its effects and schedules the next timer event. */
   public void handle(Event event) {
     Transition<NodeState, Effect> transition = reducer.reduce(state, event);
@@ -126,6 +134,11 @@
     }
   }
 
+  @Override
+  public void raiseQueueAgeAlarm(RaiseQueueAgeAlarm effect) {
+    alarms.add(effect.alarm());
+  }
+
   @Override
   public void started(BackendJob job) {
     time.after(LINK_MS, () -> receiveStart(job));
