Route by subset, zone, prefix cache and held adapters

Candidates come from a per-instance subset by rendezvous hash, computed only when engines or services change. Adapter loads in flight stay within this instance's share of the platform limit.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/BackendEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/BackendEvents.java
@@ -11,7 +11,8 @@
 
   /** Notes a load report. */
   public static Transition<NodeState, Effect> reported(NodeState state, BackendReported event) {
-    LoadReport report = new LoadReport(event.atMs(), event.running(), event.queued());
+    int own = state.backends().get(event.backend()).inFlight();
+    LoadReport report = new LoadReport(event.atMs(), event.running(), event.queued(), own);
     BackendTable table = state.backends().update(event.backend(), b -> b.withReport(report));
     return Transition.of(state.withBackends(table));
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/BackendState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/BackendState.java
@@ -1,6 +1,7 @@
 package org.limpetdoor.core.backend;
 
 import java.util.Optional;
+import org.limpetdoor.core.id.AdapterId;
 
 /**
  * What this instance knows about one back end.
@@ -10,34 +11,55 @@
  * @param leaving whether a sign was seen that the back end is leaving
  * @param unreachableUntilMs time until which no new work is sent after failures, in monotonic
  *     milliseconds
+ * @param adapters adapters that it probably holds
  */
 public record BackendState(
-    int inFlight, Optional<LoadReport> report, boolean leaving, long unreachableUntilMs) {
+    int inFlight,
+    Optional<LoadReport> report,
+    boolean leaving,
+    long unreachableUntilMs,
+    HeldAdapters adapters) {
   /** A back end about which nothing is known. */
-  public static final BackendState UNKNOWN = new BackendState(0, Optional.empty(), false, 0);
+  public static final BackendState UNKNOWN =
+      new BackendState(0, Optional.empty(), false, 0, HeldAdapters.NONE);
 
   /** Returns a copy with one more attempt in flight. */
   public BackendState withAttemptStarted() {
-    return new BackendState(inFlight + 1, report, leaving, unreachableUntilMs);
+    return withInFlight(inFlight + 1);
   }
 
   /** Returns a copy with one attempt less in flight. */
   public BackendState withAttemptEnded() {
-    return new BackendState(Math.max(0, inFlight - 1), report, leaving, unreachableUntilMs);
+    return withInFlight(Math.max(0, inFlight - 1));
   }
 
   /** Returns a copy with a new load report. */
   public BackendState withReport(LoadReport value) {
-    return new BackendState(inFlight, Optional.of(value), leaving, unreachableUntilMs);
+    return new BackendState(inFlight, Optional.of(value), leaving, unreachableUntilMs, adapters);
   }
 
   /** Returns a copy that gets no new work until the given time. */
   public BackendState withUnreachableUntilMs(long value) {
-    return new BackendState(inFlight, report, leaving, value);
+    return new BackendState(inFlight, report, leaving, value, adapters);
   }
 
   /** Returns a copy that is leaving or not. */
   public BackendState withLeaving(boolean value) {
-    return new BackendState(inFlight, report, value, unreachableUntilMs);
+    return new BackendState(inFlight, report, value, unreachableUntilMs, adapters);
+  }
+
+  /** Returns a copy after the use of an adapter. */
+  public BackendState withAdapterUsed(AdapterId adapter) {
+    return new BackendState(
+        inFlight, report, leaving, unreachableUntilMs, adapters.withUsed(adapter));
+  }
+
+  /** Returns a copy that holds no adapters, as after a restart. */
+  public BackendState withoutAdapters() {
+    return new BackendState(inFlight, report, leaving, unreachableUntilMs, HeldAdapters.NONE);
+  }
+
+  private BackendState withInFlight(int value) {
+    return new BackendState(value, report, leaving, unreachableUntilMs, adapters);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/PassOverReason.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/PassOverReason.java
@@ -3,20 +3,29 @@
 /** Why a candidate back end was not chosen. */
 public enum PassOverReason {
   /** Another candidate had a lower expected load. */
-  HIGHER_LOAD("higher_load"),
+  HIGHER_LOAD("higher_load", false),
   /** All slots of the back end are in use. */
-  NO_FREE_SLOT("no_free_slot"),
+  NO_FREE_SLOT("no_free_slot", true),
   /** The back end does not answer. */
-  UNREACHABLE("unreachable"),
+  UNREACHABLE("unreachable", false),
   /** The back end is leaving. */
-  LEAVING("leaving"),
+  LEAVING("leaving", false),
   /** An earlier attempt of the same request went there. */
-  ALREADY_TRIED("already_tried");
+  ALREADY_TRIED("already_tried", false),
+  /** The engine would have to load the adapter, and as many loads run as the platform allows. */
+  ADAPTER_LOADS_AT_LIMIT("adapter_loads_at_limit", true);
 
   private final String label;
+  private final boolean endsByWaiting;
 
-  PassOverReason(String label) {
+  PassOverReason(String label, boolean endsByWaiting) {
     this.label = label;
+    this.endsByWaiting = endsByWaiting;
+  }
+
+  /** Returns whether the obstacle goes away when requests in flight end. */
+  public boolean endsByWaiting() {
+    return endsByWaiting;
   }
 
   /** Returns the word used in log lines and metrics. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/RoutingReason.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/RoutingReason.java
@@ -5,7 +5,11 @@
   /** It had the lowest expected load of all candidates. */
   LEAST_LOADED("least_loaded"),
   /** No other candidate was in service. */
-  ONLY_CANDIDATE("only_candidate");
+  ONLY_CANDIDATE("only_candidate"),
+  /** It probably has the start of the prompt in its prefix cache. */
+  PREFIX_CACHED("prefix_cached"),
+  /** It already holds the adapter. */
+  ADAPTER_HELD("adapter_held");
 
   private final String label;
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Admission.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Admission.java
@@ -53,7 +53,8 @@
     if (choice.backend().isEmpty() && !choice.worthWaiting()) {
       return refuse(before, request.spec(), contract, RefusalReason.NO_BACKEND, MIN_RETRY_AFTER_MS);
     }
-    Optional<Transition<NodeState, Effect>> refused = refuseIfHopeless(before, request, contract);
+    Optional<Transition<NodeState, Effect>> refused =
+        refuseIfHopeless(before, request, contract, choice);
     return refused.orElseGet(
         () ->
             Queues.enqueue(state, request, contract)
@@ -61,7 +62,7 @@
   }
 
   private static Optional<Transition<NodeState, Effect>> refuseIfHopeless(
-      NodeState state, RequestState request, Contract contract) {
+      NodeState state, RequestState request, Contract contract, Router.Choice choice) {
     LimitShare share = state.requests().learned().share();
     QueueLimit limit = share.of(contract.customer(), contract.queue());
     CustomerState customer = state.requests().customers().get(contract.customer());
@@ -73,7 +74,9 @@
       return Optional.of(
           refuse(state, request.spec(), contract, RefusalReason.QUEUE_FULL, retryAfterMs));
     }
-    if (waitMs + marginMs(state, request, contract) <= contract.firstTokenObjectiveMs()) {
+    // Adapter loads take milliseconds, so the number of slots in use says nothing about the wait.
+    if (choice.waitsForAdapter()
+        || waitMs + marginMs(state, request, contract) <= contract.firstTokenObjectiveMs()) {
       return Optional.empty();
     }
     long retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, waitMs - contract.firstTokenObjectiveMs());
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.core.request;
 
+import java.util.Optional;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.backend.BackendState;
@@ -7,6 +8,8 @@
 import org.limpetdoor.core.effect.DispatchAttempt;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.RecordDecision;
+import org.limpetdoor.core.id.AdapterId;
+import org.limpetdoor.core.id.AttemptId;
 
 /** Starts and ends attempts. */
 final class Attempts {
@@ -39,8 +42,45 @@
             sent.deliveredTokens(),
             FIRST_BYTE_TIMEOUT_MS);
     RecordDecision decision =
-        new RecordDecision(Router.decision(state, sent, backend.id(), choice.passedOver()));
-    return Transition.<NodeState, Effect>of(next, decision).with(dispatch);
+        new RecordDecision(Router.decision(state, sent, backend.id(), choice));
+    NodeState noted = noteAdapter(next, sent, backend, choice.loadsAdapter());
+    return Transition.<NodeState, Effect>of(noted, decision).with(dispatch);
+  }
+
+  private static NodeState noteAdapter(
+      NodeState state, RequestState request, Backend backend, boolean loads) {
+    Optional<AdapterId> adapter = Router.adapter(request);
+    if (adapter.isEmpty()) {
+      return state;
+    }
+    Learned learned = state.requests().learned();
+    UpstreamId upstream = request.plan().pool().upstream();
+    AdapterLoads started = learned.adapterLoads().withStarted(request.lastAttempt(), upstream);
+    NodeState counted = loads ? learned.withAdapterLoads(started).in(state) : state;
+    return counted.withBackends(
+        counted.backends().update(backend.id(), b -> b.withAdapterUsed(adapter.get())));
+  }
+
+  /** Notes that requests of an upstream wait until fewer adapters are being loaded. */
+  static NodeState blockedByAdapter(NodeState state, RequestState request) {
+    Learned learned = state.requests().learned();
+    UpstreamId upstream = request.plan().pool().upstream();
+    return learned.withAdapterLoads(learned.adapterLoads().withBlocked(upstream)).in(state);
+  }
+
+  /** Notes that an engine has the adapter, or that the attempt ended, and serves who waited. */
+  static Transition<NodeState, Effect> adapterLoadEnded(NodeState state, AttemptId attempt) {
+    Learned learned = state.requests().learned();
+    AdapterLoads loads = learned.adapterLoads();
+    if (!loads.inFlight().containsKey(attempt)) {
+      return Transition.of(state);
+    }
+    Transition<NodeState, Effect> result =
+        Transition.of(learned.withAdapterLoads(loads.withEnded(attempt)).in(state));
+    for (UpstreamId upstream : loads.blocked()) {
+      result = result.then(next -> Queues.drain(next, upstream));
+    }
+    return result;
   }
 
   /** Gives the slot of an ended attempt back. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Learned.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Learned.java
@@ -7,9 +7,11 @@
  *
  * @param share part of each limit that this instance may use
  * @param index back ends by upstream
+ * @param adapterLoads adapter loads in flight
  */
-record Learned(LimitShare share, RoutingIndex index) {
-  static final Learned INITIAL = new Learned(LimitShare.WHOLE, RoutingIndex.EMPTY);
+record Learned(LimitShare share, RoutingIndex index, AdapterLoads adapterLoads) {
+  static final Learned INITIAL =
+      new Learned(LimitShare.WHOLE, RoutingIndex.EMPTY, AdapterLoads.NONE);
 
   /** Returns the state with an index that fits the configuration in force. */
   static NodeState refresh(NodeState state) {
@@ -19,14 +21,23 @@
       return state;
     }
     RoutingIndex index = RoutingIndex.of(state.self(), state.configuration(), part);
-    return state.withRequests(state.requests().withLearned(learned.withIndex(index)));
+    return learned.withIndex(index).in(state);
+  }
+
+  /** Returns the state with this in it. */
+  NodeState in(NodeState state) {
+    return state.withRequests(state.requests().withLearned(this));
   }
 
   Learned withShare(LimitShare value) {
-    return new Learned(value, index);
+    return new Learned(value, index, adapterLoads);
   }
 
   Learned withIndex(RoutingIndex value) {
-    return new Learned(share, value);
+    return new Learned(share, value, adapterLoads);
+  }
+
+  Learned withAdapterLoads(AdapterLoads value) {
+    return new Learned(share, index, value);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Queues.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Queues.java
@@ -16,7 +16,7 @@
   /** Returns what the contract of a customer says about shares in a pool. */
   static Flow.Terms terms(NodeState state, Contract contract, PoolId pool) {
     Learned learned = state.requests().learned();
-    int slots = learned.index().candidates(pool.upstream()).slots();
+    int slots = learned.index().candidates(pool.upstream()).fleetSlots();
     double owed = contract.guaranteedShare() * slots * learned.share().of(contract.customer());
     return new Flow.Terms(contract.weight(), owed, contract.shedOrder());
   }
@@ -104,7 +104,9 @@
             && (shortWork.isEmpty()
                 || longWork.get().place().compareTo(shortWork.get().place()) < 0);
     Transition<NodeState, Effect> first = tryDispatch(state, longFirst ? longWork : shortWork);
-    return first.effects().isEmpty() ? tryDispatch(state, longFirst ? shortWork : longWork) : first;
+    return first.effects().isEmpty()
+        ? tryDispatch(first.state(), longFirst ? shortWork : longWork)
+        : first;
   }
 
   private static Transition<NodeState, Effect> tryDispatch(
@@ -114,6 +116,9 @@
     }
     RequestState request = waiting.get();
     Router.Choice choice = Router.choose(state, request);
+    if (choice.backend().isEmpty() && choice.waitsForAdapter()) {
+      return Transition.of(Attempts.blockedByAdapter(state, request));
+    }
     return choice.backend().isEmpty()
         ? Transition.of(state)
         : Attempts.dispatch(remove(state, request), request, choice);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -42,9 +42,15 @@
     return Admission.admit(Learned.refresh(state), spec, contract);
   }
 
-  /** Notes nothing yet: the start of an answer changes no decision. */
+  /** Notes the first byte of an answer. */
   public static Transition<NodeState, Effect> started(NodeState state, AttemptStarted event) {
-    return Transition.of(state);
+    Optional<Current> found = current(state, event.attempt());
+    if (found.isEmpty()) {
+      return Transition.of(state);
+    }
+    RequestState request = found.get().request().withStarted(found.get().attempt());
+    NodeState next = state.withRequests(state.requests().with(request));
+    return Attempts.adapterLoadEnded(next, event.attempt());
   }
 
   /** Ends a request whose whole answer was passed on. */
@@ -60,6 +66,7 @@
     NodeState measured = Attempts.measure(released, request, attempt, event.outputTokens());
     NodeState without = measured.withRequests(measured.requests().without(id));
     return Transition.<NodeState, Effect>of(without, new FinishRequest(id))
+        .then(next -> Attempts.adapterLoadEnded(next, event.attempt()))
         .then(next -> Queues.drain(next, attempt.backend()));
   }
 
@@ -75,7 +82,9 @@
         found.get().request().withAttemptEnded(attempt, event.failure(), event.deliveredTokens());
     NodeState released = Attempts.release(state, ended, attempt);
     NodeState noted = event.failure().backendSuspect() ? avoid(released, backend) : released;
-    return retryOrRefuse(noted, ended).then(next -> Queues.drain(next, backend));
+    return retryOrRefuse(noted, ended)
+        .then(next -> Attempts.adapterLoadEnded(next, event.attempt()))
+        .then(next -> Queues.drain(next, backend));
   }
 
   /** Frees what a request of a caller that has left held. */
@@ -131,6 +140,7 @@
     NodeState released = Attempts.release(state, request, attempt);
     AttemptId id = new AttemptId(request.spec().id(), attempt.number());
     return Transition.<NodeState, Effect>of(released, new CancelAttempt(id))
+        .then(next -> Attempts.adapterLoadEnded(next, id))
         .then(next -> Queues.drain(next, attempt.backend()));
   }
 
@@ -152,7 +162,10 @@
     long untilMs = state.nowMs() + UNREACHABLE_MS;
     Timer retry = new Timer(untilMs, TimerKind.BACKEND_RETRY, backend.value());
     return state
-        .withBackends(state.backends().update(backend, b -> b.withUnreachableUntilMs(untilMs)))
+        .withBackends(
+            state
+                .backends()
+                .update(backend, b -> b.withUnreachableUntilMs(untilMs).withoutAdapters()))
         .withTimers(state.timers().plus(retry));
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestTable.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestTable.java
@@ -1,6 +1,5 @@
 package org.limpetdoor.core.request;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.limpetdoor.core.config.ArrivalLimit;
@@ -57,7 +56,7 @@
         .filter(entry -> entry.getValue().hasWaiting())
         .map(entry -> entry.getKey().upstream())
         .distinct()
-        .sorted(Comparator.comparing(UpstreamId::name).thenComparing(UpstreamId::service))
+        .sorted()
         .toList();
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Router.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Router.java
@@ -1,57 +1,78 @@
 package org.limpetdoor.core.request;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.backend.BackendState;
-import org.limpetdoor.core.backend.LoadReport;
 import org.limpetdoor.core.config.Backend;
 import org.limpetdoor.core.decision.PassOverReason;
 import org.limpetdoor.core.decision.RoutingDecision;
 import org.limpetdoor.core.decision.RoutingDecision.PassedOver;
 import org.limpetdoor.core.decision.RoutingReason;
+import org.limpetdoor.core.id.AdapterId;
 import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.request.Target.ModelTarget;
 
-/** Chooses the back end of an attempt. */
+/** Chooses the back end of an attempt. The cost depends on the subset, not on the fleet. */
 final class Router {
   private Router() {}
 
-  /** The result of routing one request. */
-  record Choice(Optional<Backend> backend, List<PassedOver> passedOver) {
-    /**
-     * Returns whether a candidate is in service but has no free slot, so that waiting makes sense.
-     */
+  /**
+   * The result of routing one request.
+   *
+   * @param backend the chosen back end, if one can take the request now
+   * @param passedOver the others
+   * @param loadsAdapter whether the chosen engine has to load the adapter first
+   * @param reason why it was chosen
+   */
+  record Choice(
+      Optional<Backend> backend,
+      List<PassedOver> passedOver,
+      boolean loadsAdapter,
+      RoutingReason reason) {
+    /** Returns whether a candidate is in service but cannot take more now. */
     boolean worthWaiting() {
-      return passedOver.stream().anyMatch(p -> p.reason() == PassOverReason.NO_FREE_SLOT);
+      return passedOver.stream().anyMatch(p -> p.reason().endsByWaiting());
+    }
+
+    boolean waitsForAdapter() {
+      return passedOver.stream().anyMatch(p -> p.reason() == PassOverReason.ADAPTER_LOADS_AT_LIMIT);
     }
   }
 
-  /** Chooses the candidate with the lowest load in relation to its slots. */
+  /** Chooses the candidate with the lowest score; equal scores go to the lower identifier. */
   static Choice choose(NodeState state, RequestState request) {
     List<PassedOver> passedOver = new ArrayList<>();
-    List<Backend> free = new ArrayList<>();
-    for (Backend backend : candidates(state, request)) {
-      Optional<PassOverReason> obstacle = obstacle(state, request, backend);
-      obstacle.ifPresentOrElse(
-          reason -> passedOver.add(new PassedOver(backend.id(), reason)), () -> free.add(backend));
+    List<Candidate> free = new ArrayList<>();
+    for (Candidate candidate : candidates(state, request)) {
+      PassOverReason obstacle = obstacle(state, request, candidate.backend());
+      if (obstacle == null) {
+        free.add(candidate);
+      } else {
+        passedOver.add(new PassedOver(candidate.backend().id(), obstacle));
+      }
+    }
+    if (free.isEmpty()) {
+      return new Choice(Optional.empty(), passedOver, false, RoutingReason.ONLY_CANDIDATE);
     }
-    Comparator<Backend> order =
-        Comparator.<Backend>comparingDouble(backend -> load(state, backend))
-            .thenComparing(Backend::id);
-    Optional<Backend> chosen = free.stream().min(order);
-    free.stream()
-        .filter(backend -> !backend.id().equals(chosen.map(Backend::id).orElse(null)))
-        .forEach(b -> passedOver.add(new PassedOver(b.id(), PassOverReason.HIGHER_LOAD)));
-    return new Choice(chosen, passedOver);
+    Scorer scorer = Scorer.of(state, request, free);
+    Candidate chosen = scorer.best(free);
+    for (Candidate other : free) {
+      if (!other.equals(chosen)) {
+        passedOver.add(new PassedOver(other.backend().id(), PassOverReason.HIGHER_LOAD));
+      }
+    }
+    return new Choice(
+        Optional.of(chosen.backend()),
+        passedOver,
+        needsLoad(state, request, chosen.backend()),
+        scorer.reason(chosen, free.size()));
   }
 
   /** Returns the typed reason of a choice. */
   static RoutingDecision decision(
-      NodeState state, RequestState request, BackendId chosen, List<PassedOver> passedOver) {
-    boolean alternatives =
-        passedOver.stream().anyMatch(p -> p.reason() == PassOverReason.HIGHER_LOAD);
+      NodeState state, RequestState request, BackendId chosen, Choice choice) {
     long reportAgeMs =
         state
             .backends()
@@ -64,12 +85,12 @@
         request.customer(),
         request.spec().target().label(),
         chosen,
-        alternatives ? RoutingReason.LEAST_LOADED : RoutingReason.ONLY_CANDIDATE,
-        passedOver,
+        choice.reason(),
+        choice.passedOver(),
         reportAgeMs);
   }
 
-  private static List<Backend> candidates(NodeState state, RequestState request) {
+  private static List<Candidate> candidates(NodeState state, RequestState request) {
     return state
         .requests()
         .learned()
@@ -78,32 +99,39 @@
         .backends();
   }
 
-  private static Optional<PassOverReason> obstacle(
-      NodeState state, RequestState request, Backend backend) {
+  private static PassOverReason obstacle(NodeState state, RequestState request, Backend backend) {
     BackendState known = state.backends().get(backend.id());
     if (request.tried().contains(backend.id())) {
-      return Optional.of(PassOverReason.ALREADY_TRIED);
+      return PassOverReason.ALREADY_TRIED;
     }
     if (known.leaving()) {
-      return Optional.of(PassOverReason.LEAVING);
+      return PassOverReason.LEAVING;
     }
     if (known.unreachableUntilMs() > state.nowMs()) {
-      return Optional.of(PassOverReason.UNREACHABLE);
+      return PassOverReason.UNREACHABLE;
     }
     if (known.inFlight() >= backend.slots()) {
-      return Optional.of(PassOverReason.NO_FREE_SLOT);
+      return PassOverReason.NO_FREE_SLOT;
     }
-    return Optional.empty();
+    boolean mayLoad = mayLoadAdapter(state);
+    return !mayLoad && needsLoad(state, request, backend)
+        ? PassOverReason.ADAPTER_LOADS_AT_LIMIT
+        : null;
   }
 
-  /** Own requests in flight count at once; a report corrects them upwards by what others run. */
-  private static double load(NodeState state, Backend backend) {
-    BackendState known = state.backends().get(backend.id());
-    int reported = known.report().map(Router::total).orElse(0);
-    return (double) Math.max(known.inFlight(), reported) / backend.slots();
+  private static boolean needsLoad(NodeState state, RequestState request, Backend backend) {
+    return adapter(request)
+        .filter(id -> !state.backends().get(backend.id()).adapters().holds(id))
+        .isPresent();
+  }
+
+  static Optional<AdapterId> adapter(RequestState request) {
+    return request.spec().target() instanceof ModelTarget call ? call.adapter() : Optional.empty();
   }
 
-  private static int total(LoadReport report) {
-    return report.running() + report.queued();
+  private static boolean mayLoadAdapter(NodeState state) {
+    Learned learned = state.requests().learned();
+    double part = state.configuration().limits().adapterLoadsAtOnce() * learned.share().otherwise();
+    return learned.adapterLoads().inFlight().size() < Math.max(1, (int) part);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RoutingIndex.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RoutingIndex.java
@@ -34,8 +34,8 @@
   static final RoutingIndex EMPTY =
       new RoutingIndex(HashTreePMap.empty(), HashTreePMap.empty(), 1, Map.of(), Map.of());
 
-  /** Back ends for one upstream and the sum of their slots. */
-  record Candidates(List<Backend> backends, int slots) {
+  /** Back ends that are used for one upstream, and the slots of all back ends of the fleet. */
+  record Candidates(List<Candidate> backends, int fleetSlots) {
     static final Candidates NONE = new Candidates(List.of(), 0);
   }
 
@@ -70,11 +70,13 @@
     Map<BackendId, List<UpstreamId>> reverse = new HashMap<>();
     all.forEach(
         (upstream, backends) -> {
-          List<Backend> subset = Subset.choose(self, backends, part);
-          int slots = subset.stream().mapToInt(Backend::slots).sum();
+          List<Candidate> subset = Subset.choose(self, backends, part);
+          int slots = backends.stream().mapToInt(Backend::slots).sum();
           chosen.put(upstream, new Candidates(subset, slots));
-          for (Backend backend : subset) {
-            reverse.computeIfAbsent(backend.id(), key -> new ArrayList<>()).add(upstream);
+          for (Candidate candidate : subset) {
+            reverse
+                .computeIfAbsent(candidate.backend().id(), key -> new ArrayList<>())
+                .add(upstream);
           }
         });
     return new RoutingIndex(
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Subset.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Subset.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.core.request;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import org.limpetdoor.core.NodeState;
@@ -7,10 +8,41 @@
 
 /** Chooses the back ends that one instance uses for one upstream. */
 final class Subset {
+  /** Enough to even out bursts and slow engines; smaller fleets are used as a whole. */
+  static final int MIN_SIZE = 8;
+
+  /** Bounds the cost of a routing decision. */
+  static final int MAX_SIZE = 32;
+
+  /** Each back end is used by about two instances' worth of subsets, so that loads even out. */
+  private static final double OVERLAP = 2;
+
+  /** Back ends kept in other zones, for the case that the own zone fails. */
+  private static final int MIN_REMOTE = 2;
+
   private Subset() {}
 
-  /** Returns the back ends in a fixed order. */
-  static List<Backend> choose(NodeState.Self self, List<Backend> backends, double fleetPart) {
-    return backends.stream().sorted(Comparator.comparing(Backend::id)).toList();
+  /** Returns the candidates by rendezvous hash, own zone first, in a fixed order. */
+  static List<Candidate> choose(NodeState.Self self, List<Backend> backends, double fleetPart) {
+    long key = Rendezvous.hash(self.id().value());
+    List<Candidate> ranked =
+        backends.stream()
+            .map(backend -> Candidate.of(backend, self.zone()))
+            .sorted(
+                Comparator.comparing(Candidate::remote)
+                    .thenComparing(c -> Rendezvous.weight(key, c.hash()), Comparator.reverseOrder())
+                    .thenComparing(c -> c.backend().id()))
+            .toList();
+    int size = size(ranked.size(), fleetPart);
+    int local = (int) ranked.stream().filter(candidate -> !candidate.remote()).count();
+    int remote = Math.min(ranked.size() - local, Math.max(MIN_REMOTE, size - local));
+    List<Candidate> chosen = new ArrayList<>(ranked.subList(0, Math.min(local, size - remote)));
+    chosen.addAll(ranked.subList(local, local + remote));
+    return List.copyOf(chosen);
+  }
+
+  private static int size(int all, double fleetPart) {
+    int wanted = (int) Math.ceil(OVERLAP * all * fleetPart);
+    return Math.min(all, Math.min(MAX_SIZE, Math.max(MIN_SIZE, wanted)));
   }
 }
--- /dev/null
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeAdapterStore.java
@@ -0,0 +1,38 @@
+package org.limpetdoor.scenario;
+
+/** Adapter loads of all engines: beyond the limit, each load takes proportionally longer. */
+public final class FakeAdapterStore {
+  private static final double LOAD_MS = 5;
+
+  private int limit = Integer.MAX_VALUE;
+  private int inFlight;
+  private int maxInFlight;
+  private int loads;
+
+  /** Sets how many loads run at full speed. */
+  public void setLimit(int value) {
+    limit = value;
+  }
+
+  /** Returns the highest number of loads in flight at once. */
+  public int maxInFlight() {
+    return maxInFlight;
+  }
+
+  /** Returns the number of loads. */
+  public int loads() {
+    return loads;
+  }
+
+  /** Begins a load and returns its duration, in milliseconds. */
+  double begin() {
+    inFlight++;
+    loads++;
+    maxInFlight = Math.max(maxInFlight, inFlight);
+    return LOAD_MS * Math.max(1, (double) inFlight / limit);
+  }
+
+  void end() {
+    inFlight--;
+  }
+}
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
@@ -6,12 +6,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BiConsumer;
 import org.limpetdoor.core.config.Backend;
+import org.limpetdoor.core.id.AdapterId;
 import org.limpetdoor.core.id.AttemptId;
 import org.limpetdoor.core.request.AttemptFailure;
+import org.limpetdoor.core.request.Target.ModelTarget;
 
 /**
  * A small engine or service endpoint on virtual time. A job holds one slot; its time follows from
@@ -22,6 +25,12 @@
   private static final double BASE_MS = 5;
 
   private static final double PROMPT_TOKEN_MS = 0.1;
+
+  /** Part of the prompt time that remains when the prefix is cached. */
+  private static final double CACHED_PART = 0.1;
+
+  private static final int PREFIX_CAPACITY = 8;
+  private static final int ADAPTER_CAPACITY = 16;
   private static final double OUTPUT_TOKEN_MS = 10;
 
   private final Backend config;
@@ -30,16 +39,21 @@
   private final TreeSet<BackendJob> waiting = new TreeSet<>(BackendJob.ORDER);
   private final EnumMap<BackendFault, Integer> faults = new EnumMap<>(BackendFault.class);
   private final Set<Long> fatalFingerprints = new HashSet<>();
+  private final FakeAdapterStore adapterStore;
+  private final LruSet<Long> prefixes = new LruSet<>(PREFIX_CAPACITY);
+  private final LruSet<AdapterId> adapters = new LruSet<>(ADAPTER_CAPACITY);
   private double slowFactor = 1;
+  private int prefixHits;
   private boolean down;
   private boolean draining;
   private int running;
   private int maxRunning;
   private int accepted;
 
-  FakeBackend(Backend config, VirtualTime time) {
+  FakeBackend(Backend config, VirtualTime time, FakeAdapterStore adapterStore) {
     this.config = config;
     this.time = time;
+    this.adapterStore = adapterStore;
   }
 
   /** Makes everything that starts from now on slower by a factor. */
@@ -70,6 +84,8 @@
   /** Breaks all connections and refuses new ones until {@link #restart()}. */
   public void crash() {
     down = true;
+    prefixes.clear();
+    adapters.clear();
     for (BackendJob job : new ArrayList<>(jobs.values())) {
       fail(job, AttemptFailure.CONNECTION_LOST);
     }
@@ -85,6 +101,11 @@
     return accepted;
   }
 
+  /** Returns how many requests found their prefix in the cache. */
+  public int prefixHits() {
+    return prefixHits;
+  }
+
   /** Returns the highest number of jobs that ran at once. */
   public int maxRunning() {
     return maxRunning;
@@ -161,8 +182,27 @@
       crash();
       return;
     }
-    double prefillMs = BASE_MS + job.spec.promptTokens() * PROMPT_TOKEN_MS;
-    time.after(Math.round(prefillMs * slowFactor), () -> firstToken(job));
+    Optional<AdapterId> adapter =
+        job.spec.target() instanceof ModelTarget call ? call.adapter() : Optional.empty();
+    if (adapter.isEmpty() || adapters.use(adapter.get())) {
+      prefill(job);
+      return;
+    }
+    time.after(
+        Math.round(adapterStore.begin()),
+        () -> {
+          adapterStore.end();
+          prefill(job);
+        });
+  }
+
+  private void prefill(BackendJob job) {
+    double promptMs = job.spec.promptTokens() * PROMPT_TOKEN_MS;
+    if (job.spec.prefixHash() != 0 && prefixes.use(job.spec.prefixHash())) {
+      prefixHits++;
+      promptMs *= CACHED_PART;
+    }
+    time.after(Math.round((BASE_MS + promptMs) * slowFactor), () -> firstToken(job));
   }
 
   private void firstToken(BackendJob job) {
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioWorld.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioWorld.java
@@ -32,6 +32,7 @@
  */
 public final class ScenarioWorld {
   private final VirtualTime time = new VirtualTime();
+  private final FakeAdapterStore adapterStore = new FakeAdapterStore();
   private final Map<BackendId, FakeBackend> backends = new LinkedHashMap<>();
   private final List<FakeInstance> instances = new ArrayList<>();
   private final List<CallerRecord> callers = new ArrayList<>();
@@ -47,6 +48,11 @@
     return time;
   }
 
+  /** Returns the adapter loads of all engines. */
+  public FakeAdapterStore adapterStore() {
+    return adapterStore;
+  }
+
   /** Returns the configuration that is or will be published. */
   public Configuration configuration() {
     return configuration;
@@ -55,6 +61,7 @@
   /** Publishes another configuration; at once if the instances run. */
   public void configure(Configuration value) {
     Configuration before = configuration;
+    adapterStore.setLimit(value.limits().adapterLoadsAtOnce());
     configuration = value;
     addBackends();
     if (!instances.isEmpty()) {
@@ -188,6 +195,6 @@
   }
 
   private void addBackend(Backend config) {
-    backends.computeIfAbsent(config.id(), id -> new FakeBackend(config, time));
+    backends.computeIfAbsent(config.id(), id -> new FakeBackend(config, time, adapterStore));
   }
 }
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/CheckSteps.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/CheckSteps.java
@@ -6,6 +6,7 @@
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.limpetdoor.scenario.CallerRecord;
+import org.limpetdoor.scenario.FakeBackend;
 import org.limpetdoor.scenario.ScenarioWorld;
 
 /** Steps that check what callers got and what back ends saw. */
@@ -137,6 +138,31 @@
     check(accepted <= maximum, accepted + " attempts");
   }
 
+  @Then("at least {int} in 100 requests find their prefix cached")
+  public void prefixHits(int percent) {
+    long hits = world.backends().stream().mapToLong(FakeBackend::prefixHits).sum();
+    long all = world.backends().stream().mapToLong(FakeBackend::accepted).sum();
+    check(hits * 100 >= percent * all, hits + " of " + all);
+  }
+
+  @Then("at most {int} adapter loads were in flight at once")
+  public void adapterLoads(int maximum) {
+    int most = world.adapterStore().maxInFlight();
+    check(most <= maximum, most + " were");
+  }
+
+  @Then("at most {int} adapter loads happened")
+  public void adapterLoadCount(int maximum) {
+    int loads = world.adapterStore().loads();
+    check(loads <= maximum, loads + " did");
+  }
+
+  @Then("no back end was handed more than {int} attempts")
+  public void handedAtMostEach(int maximum) {
+    int most = world.backends().stream().mapToInt(FakeBackend::accepted).max().orElse(0);
+    check(most <= maximum, most + " attempts");
+  }
+
   @Then("at least {int} decision(s) of kind {string} was/were recorded")
   public void decisions(int minimum, String kind) {
     long count = countDecisions(kind);
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/SystemSteps.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/SystemSteps.java
@@ -14,6 +14,7 @@
 import org.limpetdoor.core.config.FencingSupport;
 import org.limpetdoor.core.config.Model;
 import org.limpetdoor.core.config.PlainService;
+import org.limpetdoor.core.config.PlatformLimits;
 import org.limpetdoor.core.config.QueueLimit;
 import org.limpetdoor.core.config.Repeatability;
 import org.limpetdoor.core.config.ServiceEndpoint;
@@ -65,6 +66,26 @@
     world.configure(configuration().withModels(models));
   }
 
+  @Given("{int} adapters of model {string}")
+  public void adapters(int count, String model) {
+    for (int number = 1; number <= count; number++) {
+      adapter("a" + number, model);
+    }
+  }
+
+  @Given("at most {int} adapter loads at once")
+  public void adapterLoads(int limit) {
+    PlatformLimits known = configuration().limits();
+    world.configure(
+        configuration()
+            .withLimits(
+                new PlatformLimits(
+                    known.weightLoadsPerSecond(),
+                    known.weightLoadsAtOnce(),
+                    limit,
+                    known.maxOrderDelayMs())));
+  }
+
   @Given("an adapter {string} of model {string}")
   public void adapter(String name, String model) {
     List<Adapter> adapters = new ArrayList<>(configuration().adapters().values());
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/TrafficSteps.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/TrafficSteps.java
@@ -46,6 +46,37 @@
     }
   }
 
+  @When(
+      "{string} sends {int} requests per second to {string} for {int} ms with {int} tokens each over"
+          + " {int} prefixes of {int} tokens")
+  public void prefixed(
+      String customer,
+      int perSecond,
+      String model,
+      int durationMs,
+      int tokens,
+      int prefixes,
+      int promptTokens) {
+    long startMs = world.time().nowMs();
+    int count = (int) (perSecond * (long) durationMs / MS_PER_SECOND);
+    world.instances();
+    for (int i = 0; i < count; i++) {
+      // A multiplicative step visits the prefixes in an order that no back end count divides.
+      long prefix = 1 + (i * 7919L) % prefixes;
+      RequestShape shape = RequestShape.of(promptTokens, tokens).withPrefixHash(prefix);
+      long atMs = startMs + (long) (i * MS_PER_SECOND / perSecond);
+      world.time().at(atMs, () -> world.send(customer, target(model), shape));
+    }
+  }
+
+  @When("{string} sends {int} requests at once to each of {int} adapters of {string}")
+  public void adapterBatch(String customer, int count, int adapters, String model) {
+    for (int i = 0; i < count * adapters; i++) {
+      int adapter = 1 + i % adapters;
+      world.send(customer, target(model + "+a" + adapter), RequestShape.of(PROMPT_TOKENS, 10));
+    }
+  }
+
   @When("{string} sends {int} requests at once to {string} with {int} tokens each")
   public void batch(String customer, int count, String model, int tokens) {
     for (int i = 0; i < count; i++) {
