Keep long work from holding up short work

Work is classed by the length learned for customer and model. Long work has capped slots on each engine, and work that runs for as long as long work is demoted with ChangePriority.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
@@ -13,7 +13,9 @@
   /** The ages of all queues are checked. The key has no meaning. */
   QUEUE_AGE_CHECK((state, key) -> RequestEvents.queueAgeCheck(state)),
   /** A back end may have become reachable again. The key is its identifier. */
-  BACKEND_RETRY((state, key) -> RequestEvents.backendRetry(state, new BackendId(key)));
+  BACKEND_RETRY((state, key) -> RequestEvents.backendRetry(state, new BackendId(key))),
+  /** An attempt has run for as long as long work. The key is request and attempt number. */
+  WORK_OUTRUN(RequestEvents::workOutrun);
 
   private final BiFunction<NodeState, String, Transition<NodeState, Effect>> handler;
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/PassOverReason.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/PassOverReason.java
@@ -6,6 +6,8 @@
   HIGHER_LOAD("higher_load", false),
   /** All slots of the back end are in use. */
   NO_FREE_SLOT("no_free_slot", true),
+  /** The slots that long work may hold are in use. */
+  LONG_SLOTS_IN_USE("long_slots_in_use", true),
   /** The back end does not answer. */
   UNREACHABLE("unreachable", false),
   /** The back end is leaving. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
@@ -6,6 +6,7 @@
  */
 public sealed interface Effect
     permits CancelAttempt,
+        ChangePriority,
         DispatchAttempt,
         FinishRequest,
         RaiseQueueAgeAlarm,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
@@ -19,4 +19,7 @@
 
   /** Tells the operators that requests of a customer wait for too long. */
   void raiseQueueAgeAlarm(RaiseQueueAgeAlarm effect);
+
+  /** Changes the priority of an attempt that an engine is running. */
+  void changePriority(ChangePriority effect);
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
-import org.limpetdoor.core.backend.BackendState;
 import org.limpetdoor.core.config.Backend;
 import org.limpetdoor.core.effect.DispatchAttempt;
 import org.limpetdoor.core.effect.Effect;
@@ -32,7 +31,8 @@
     NodeState next =
         state
             .withRequests(state.requests().with(sent).withPool(plan.pool(), pool))
-            .withBackends(state.backends().update(backend.id(), BackendState::withAttemptStarted));
+            .withBackends(
+                state.backends().update(backend.id(), b -> b.withAttemptStarted(isLong(plan))));
     DispatchAttempt dispatch =
         new DispatchAttempt(
             sent.lastAttempt(),
@@ -44,7 +44,12 @@
     RecordDecision decision =
         new RecordDecision(Router.decision(state, sent, backend.id(), choice));
     NodeState noted = noteAdapter(next, sent, backend, choice.loadsAdapter());
-    return Transition.<NodeState, Effect>of(noted, decision).with(dispatch);
+    NodeState timed = Demotion.schedule(noted, sent);
+    return Transition.<NodeState, Effect>of(timed, decision).with(dispatch);
+  }
+
+  private static boolean isLong(WorkPlan plan) {
+    return plan.pool().workClass() == WorkClass.LONG;
   }
 
   private static NodeState noteAdapter(
@@ -89,7 +94,10 @@
     Pool pool = state.requests().pool(id).ended(request.customer());
     return state
         .withRequests(state.requests().withPool(id, pool))
-        .withBackends(state.backends().update(attempt.backend(), BackendState::withAttemptEnded));
+        .withBackends(
+            state
+                .backends()
+                .update(attempt.backend(), b -> b.withAttemptEnded(isLong(request.plan()))));
   }
 
   /** Notes how long a completed attempt took. */
@@ -99,6 +107,7 @@
     long tookMs = state.nowMs() - attempt.sentAtMs();
     long work = (long) request.spec().promptTokens() + outputTokens;
     Pool pool = state.requests().pool(id).measured(tookMs, work);
-    return state.withRequests(state.requests().withPool(id, pool));
+    NodeState measured = state.withRequests(state.requests().withPool(id, pool));
+    return Prediction.learn(measured, request, outputTokens);
   }
 }
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Demotion.java
@@ -0,0 +1,77 @@
+package org.limpetdoor.core.request;
+
+import java.util.Optional;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Timer;
+import org.limpetdoor.core.TimerKind;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.backend.BackendState;
+import org.limpetdoor.core.effect.ChangePriority;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.id.AttemptId;
+import org.limpetdoor.core.id.RequestId;
+import org.limpetdoor.core.request.Target.ModelTarget;
+
+/** Treats work as long when it outruns its prediction. */
+final class Demotion {
+  private static final char SEPARATOR = '#';
+
+  private Demotion() {}
+
+  /** Schedules the check of a new attempt, if its caller's bound allows long work. */
+  static NodeState schedule(NodeState state, RequestState request) {
+    WorkPlan plan = request.plan();
+    RequestSpec spec = request.spec();
+    if (plan.pool().workClass() == WorkClass.LONG || !(spec.target() instanceof ModelTarget call)) {
+      return state;
+    }
+    int longWorkTokens = state.configuration().models().get(call.model()).longWorkTokens();
+    if (spec.maxOutputTokens() < longWorkTokens) {
+      return state;
+    }
+    double msPerWork = state.requests().pool(plan.pool()).rate().msPerWork();
+    long afterMs = Math.round((spec.promptTokens() + longWorkTokens) * msPerWork);
+    AttemptId attempt = request.lastAttempt();
+    String key = attempt.request().value() + SEPARATOR + attempt.number();
+    Timer timer = new Timer(state.nowMs() + afterMs, TimerKind.WORK_OUTRUN, key);
+    return state.withTimers(state.timers().plus(timer));
+  }
+
+  /** Demotes the attempt if it is still in flight. */
+  static Transition<NodeState, Effect> outrun(NodeState state, String key) {
+    int split = key.lastIndexOf(SEPARATOR);
+    AttemptId id =
+        new AttemptId(
+            new RequestId(key.substring(0, split)), Integer.parseInt(key.substring(split + 1)));
+    Optional<RequestState> request = state.requests().find(id.request());
+    Optional<ActiveAttempt> attempt = request.flatMap(r -> r.active(id));
+    if (attempt.isEmpty() || request.get().plan().pool().workClass() == WorkClass.LONG) {
+      return Transition.of(state);
+    }
+    return demote(state, request.get(), attempt.get(), id);
+  }
+
+  private static Transition<NodeState, Effect> demote(
+      NodeState state, RequestState request, ActiveAttempt attempt, AttemptId id) {
+    WorkPlan plan = request.plan().withClass(WorkClass.LONG);
+    RequestState demoted = request.withPlan(plan);
+    RequestTable table = state.requests();
+    Pool shorter = table.pool(request.plan().pool()).ended(request.customer());
+    Pool longer =
+        table
+            .pool(plan.pool())
+            .dispatched(request.customer(), Queues.terms(state, demoted), plan.work());
+    NodeState next =
+        state
+            .withRequests(
+                table
+                    .with(demoted)
+                    .withPool(request.plan().pool(), shorter)
+                    .withPool(plan.pool(), longer))
+            .withBackends(state.backends().update(attempt.backend(), BackendState::withDemoted));
+    ChangePriority effect =
+        new ChangePriority(id, attempt.backend(), WorkClass.LONG.enginePriority());
+    return Transition.<NodeState, Effect>of(next, effect)
+        .then(s -> Queues.drain(s, attempt.backend()));
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Learned.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Learned.java
@@ -8,10 +8,11 @@
  * @param share part of each limit that this instance may use
  * @param index back ends by upstream
  * @param adapterLoads adapter loads in flight
+ * @param lengths output lengths of completed requests
  */
-record Learned(LimitShare share, RoutingIndex index, AdapterLoads adapterLoads) {
+record Learned(LimitShare share, RoutingIndex index, AdapterLoads adapterLoads, Lengths lengths) {
   static final Learned INITIAL =
-      new Learned(LimitShare.WHOLE, RoutingIndex.EMPTY, AdapterLoads.NONE);
+      new Learned(LimitShare.WHOLE, RoutingIndex.EMPTY, AdapterLoads.NONE, Lengths.NONE);
 
   /** Returns the state with an index that fits the configuration in force. */
   static NodeState refresh(NodeState state) {
@@ -30,14 +31,18 @@
   }
 
   Learned withShare(LimitShare value) {
-    return new Learned(value, index, adapterLoads);
+    return new Learned(value, index, adapterLoads, lengths);
   }
 
   Learned withIndex(RoutingIndex value) {
-    return new Learned(share, value, adapterLoads);
+    return new Learned(share, value, adapterLoads, lengths);
   }
 
   Learned withAdapterLoads(AdapterLoads value) {
-    return new Learned(share, index, value);
+    return new Learned(share, index, value, lengths);
+  }
+
+  Learned withLengths(Lengths value) {
+    return new Learned(share, index, adapterLoads, value);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Prediction.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Prediction.java
@@ -10,9 +10,23 @@
 
   static WorkPlan plan(NodeState state, RequestSpec spec, CustomerId customer) {
     int predicted = spec.maxOutputTokens();
+    if (spec.target() instanceof ModelTarget call) {
+      Lengths.Key key = new Lengths.Key(customer, call.model());
+      predicted = state.requests().learned().lengths().predict(key, predicted);
+    }
     return WorkPlan.of(spec, predicted, workClass(state, spec.target(), predicted));
   }
 
+  /** Learns from a completed request. */
+  static NodeState learn(NodeState state, RequestState request, int outputTokens) {
+    if (!(request.spec().target() instanceof ModelTarget call)) {
+      return state;
+    }
+    Learned learned = state.requests().learned();
+    Lengths.Key key = new Lengths.Key(request.customer(), call.model());
+    return learned.withLengths(learned.lengths().with(key, outputTokens)).in(state);
+  }
+
   private static WorkClass workClass(NodeState state, Target target, int predictedTokens) {
     if (target instanceof ModelTarget call) {
       int longWorkTokens = state.configuration().models().get(call.model()).longWorkTokens();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -135,6 +135,11 @@
     return Queues.drain(state, backend);
   }
 
+  /** Treats an attempt that has run for as long as long work as such. */
+  public static Transition<NodeState, Effect> workOutrun(NodeState state, String key) {
+    return Demotion.outrun(state, key);
+  }
+
   private static Transition<NodeState, Effect> cancel(
       NodeState state, RequestState request, ActiveAttempt attempt) {
     NodeState released = Attempts.release(state, request, attempt);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestState.java
@@ -88,6 +88,11 @@
         mayHaveRun || failure.mayHaveRun());
   }
 
+  RequestState withPlan(WorkPlan value) {
+    return new RequestState(
+        spec, customer, value, place, startDeadlineMs, tried, active, deliveredTokens, mayHaveRun);
+  }
+
   /** Returns the refusal that is true after all attempts so far. */
   Refusal refusal(RefusalReason reason) {
     return mayHaveRun ? Refusal.outcomeUnknown(reason) : Refusal.notRun(reason);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Router.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Router.java
@@ -110,8 +110,9 @@
     if (known.unreachableUntilMs() > state.nowMs()) {
       return PassOverReason.UNREACHABLE;
     }
-    if (known.inFlight() >= backend.slots()) {
-      return PassOverReason.NO_FREE_SLOT;
+    PassOverReason full = full(request.plan().pool().workClass(), known, backend.slots());
+    if (full != null) {
+      return full;
     }
     boolean mayLoad = mayLoadAdapter(state);
     return !mayLoad && needsLoad(state, request, backend)
@@ -119,6 +120,20 @@
         : null;
   }
 
+  /**
+   * Long work counts up to its cap only against short work: the engine interrupts long work beyond
+   * it, because it has a lower priority.
+   */
+  private static PassOverReason full(WorkClass workClass, BackendState known, int slots) {
+    int longSlots = WorkClass.LONG.maxSlots(slots);
+    if (workClass == WorkClass.LONG && known.longInFlight() >= longSlots) {
+      return PassOverReason.LONG_SLOTS_IN_USE;
+    }
+    int counted =
+        known.inFlight() - known.longInFlight() + Math.min(longSlots, known.longInFlight());
+    return counted >= slots ? PassOverReason.NO_FREE_SLOT : null;
+  }
+
   private static boolean needsLoad(NodeState state, RequestState request, Backend backend) {
     return adapter(request)
         .filter(id -> !state.backends().get(backend.id()).adapters().holds(id))
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/WorkPlan.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/WorkPlan.java
@@ -8,6 +8,10 @@
  * @param work predicted prompt and output, in tokens, at least 1
  */
 record WorkPlan(PoolId pool, int predictedTokens, long work) {
+  WorkPlan withClass(WorkClass workClass) {
+    return new WorkPlan(new PoolId(pool.upstream(), workClass), predictedTokens, work);
+  }
+
   static WorkPlan of(RequestSpec spec, int predictedTokens, WorkClass workClass) {
     PoolId pool = new PoolId(UpstreamId.of(spec.target()), workClass);
     return new WorkPlan(
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/BackendJob.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/BackendJob.java
@@ -22,6 +22,8 @@
   boolean losesReply;
   long firstTokenAtMs = Long.MAX_VALUE;
   double tokenMs;
+  int doneTokens;
+  int interruptions;
 
   BackendJob(
       AttemptId attempt,
@@ -35,6 +37,7 @@
     this.spec = spec;
     this.outputTokens = outputTokens;
     this.resumeAtToken = resumeAtToken;
+    this.doneTokens = resumeAtToken;
     this.priority = priority;
     this.number = number;
     this.listener = listener;
@@ -43,9 +46,9 @@
   /** Returns how many tokens of the whole answer were produced by the given time. */
   int tokensAt(long nowMs) {
     if (nowMs < firstTokenAtMs) {
-      return resumeAtToken;
+      return doneTokens;
     }
-    int produced = resumeAtToken + 1 + (int) ((nowMs - firstTokenAtMs) / Math.max(tokenMs, 1e-9));
+    int produced = doneTokens + 1 + (int) ((nowMs - firstTokenAtMs) / Math.max(tokenMs, 1e-9));
     return Math.min(outputTokens, produced);
   }
 }
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
@@ -169,11 +169,46 @@
   }
 
   private void startWaiting() {
-    while (!down && running < config.slots() && !waiting.isEmpty()) {
+    while (!down && !waiting.isEmpty()) {
+      if (running >= config.slots() && !interruptFor(waiting.first())) {
+        return;
+      }
       start(waiting.pollFirst());
     }
   }
 
+  /** Interrupts the newest running job of a lower priority, if there is one. */
+  private boolean interruptFor(BackendJob better) {
+    BackendJob victim =
+        jobs.values().stream()
+            .filter(job -> job.running && job.priority > better.priority)
+            .max(BackendJob.ORDER)
+            .orElse(null);
+    if (victim == null) {
+      return false;
+    }
+    victim.doneTokens = victim.tokensAt(time.nowMs());
+    victim.firstTokenAtMs = Long.MAX_VALUE;
+    victim.running = false;
+    victim.interruptions++;
+    running--;
+    waiting.add(victim);
+    return true;
+  }
+
+  void changePriority(AttemptId attempt, int priority) {
+    BackendJob job = jobs.get(attempt);
+    if (job == null) {
+      return;
+    }
+    boolean waits = waiting.remove(job);
+    job.priority = priority;
+    if (waits) {
+      waiting.add(job);
+    }
+    startWaiting();
+  }
+
   private void start(BackendJob job) {
     job.running = true;
     running++;
@@ -202,11 +237,12 @@
       prefixHits++;
       promptMs *= CACHED_PART;
     }
-    time.after(Math.round((BASE_MS + promptMs) * slowFactor), () -> firstToken(job));
+    int run = job.interruptions;
+    time.after(Math.round((BASE_MS + promptMs) * slowFactor), () -> firstToken(job, run));
   }
 
-  private void firstToken(BackendJob job) {
-    if (job.ended) {
+  private void firstToken(BackendJob job, int run) {
+    if (job.ended || job.interruptions != run) {
       return;
     }
     job.firstTokenAtMs = time.nowMs();
@@ -214,12 +250,12 @@
     if (!job.silent && !job.losesReply) {
       job.listener.started(job);
     }
-    int left = Math.max(0, job.outputTokens - job.resumeAtToken);
-    time.after(Math.round(left * job.tokenMs), () -> lastToken(job));
+    int left = Math.max(0, job.outputTokens - job.doneTokens);
+    time.after(Math.round(left * job.tokenMs), () -> lastToken(job, run));
   }
 
-  private void lastToken(BackendJob job) {
-    if (job.ended) {
+  private void lastToken(BackendJob job, int run) {
+    if (job.ended || job.interruptions != run) {
       return;
     }
     if (job.losesReply) {
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeInstance.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeInstance.java
@@ -11,6 +11,7 @@
 import org.limpetdoor.core.decision.Decision;
 import org.limpetdoor.core.decision.QueueAgeAlarm;
 import org.limpetdoor.core.effect.CancelAttempt;
+import org.limpetdoor.core.effect.ChangePriority;
 import org.limpetdoor.core.effect.DispatchAttempt;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.EffectHandler;
@@ -134,6 +135,14 @@
     }
   }
 
+  @Override
+  public void changePriority(ChangePriority effect) {
+    FakeBackend backend = open.get(effect.attempt());
+    if (backend != null) {
+      time.after(LINK_MS, () -> backend.changePriority(effect.attempt(), effect.enginePriority()));
+    }
+  }
+
   @Override
   public void raiseQueueAgeAlarm(RaiseQueueAgeAlarm effect) {
     alarms.add(effect.alarm());
