--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
@@ -16,4 +16,10 @@
 
   /** Writes the log line and the metrics of a decision, and keeps it for explanations. */
   void recordDecision(RecordDecision effect);
+
+  /** Tells the operators that requests of a customer wait for too long. */
+  void raiseQueueAgeAlarm(RaiseQueueAgeAlarm effect);
+
+  /** Changes the priority of an attempt that an engine is running. */
+  void changePriority(ChangePriority effect);
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
@@ -1,13 +1,14 @@
 package org.limpetdoor.core.request;
 
+import java.util.Optional;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
-import org.limpetdoor.core.backend.BackendState;
 import org.limpetdoor.core.config.Backend;
 import org.limpetdoor.core.effect.DispatchAttempt;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.RecordDecision;
-import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.AdapterId;
+import org.limpetdoor.core.id.AttemptId;
 
 /** Starts and ends attempts. */
 final class Attempts {
@@ -20,26 +21,93 @@
   static Transition<NodeState, Effect> dispatch(
       NodeState state, RequestState request, Router.Choice choice) {
     Backend backend = choice.backend().orElseThrow();
-    RequestState sent = request.withAttempt(backend.id());
+    RequestState sent = request.withAttempt(backend.id(), state.nowMs());
+    WorkPlan plan = request.plan();
+    Pool pool =
+        state
+            .requests()
+            .pool(plan.pool())
+            .dispatched(request.customer(), Queues.terms(state, request), plan.work());
     NodeState next =
         state
-            .withRequests(state.requests().with(sent))
-            .withBackends(state.backends().update(backend.id(), BackendState::withAttemptStarted));
+            .withRequests(state.requests().with(sent).withPool(plan.pool(), pool))
+            .withBackends(
+                state.backends().update(backend.id(), b -> b.withAttemptStarted(isLong(plan))));
     DispatchAttempt dispatch =
         new DispatchAttempt(
-            sent.currentAttempt(),
+            sent.lastAttempt(),
             backend.id(),
             backend.address(),
-            WorkClass.SHORT.enginePriority(),
+            plan.pool().workClass().enginePriority(),
             sent.deliveredTokens(),
             FIRST_BYTE_TIMEOUT_MS);
     RecordDecision decision =
-        new RecordDecision(Router.decision(state, sent, backend.id(), choice.passedOver()));
-    return Transition.<NodeState, Effect>of(next, decision).with(dispatch);
+        new RecordDecision(Router.decision(state, sent, backend.id(), choice));
+    NodeState noted = noteAdapter(next, sent, backend, choice.loadsAdapter());
+    NodeState timed = Demotion.schedule(noted, sent);
+    return Transition.<NodeState, Effect>of(timed, decision).with(dispatch);
+  }
+
+  private static boolean isLong(WorkPlan plan) {
+    return plan.pool().workClass() == WorkClass.LONG;
+  }
+
+  private static NodeState noteAdapter(
+      NodeState state, RequestState request, Backend backend, boolean loads) {
+    Optional<AdapterId> adapter = Router.adapter(request);
+    if (adapter.isEmpty()) {
+      return state;
+    }
+    Learned learned = state.requests().learned();
+    UpstreamId upstream = request.plan().pool().upstream();
+    AdapterLoads started = learned.adapterLoads().withStarted(request.lastAttempt(), upstream);
+    NodeState counted = loads ? learned.withAdapterLoads(started).in(state) : state;
+    return counted.withBackends(
+        counted.backends().update(backend.id(), b -> b.withAdapterUsed(adapter.get())));
+  }
+
+  /** Notes that requests of an upstream wait until fewer adapters are being loaded. */
+  static NodeState blockedByAdapter(NodeState state, RequestState request) {
+    Learned learned = state.requests().learned();
+    UpstreamId upstream = request.plan().pool().upstream();
+    return learned.withAdapterLoads(learned.adapterLoads().withBlocked(upstream)).in(state);
+  }
+
+  /** Notes that an engine has the adapter, or that the attempt ended, and serves who waited. */
+  static Transition<NodeState, Effect> adapterLoadEnded(NodeState state, AttemptId attempt) {
+    Learned learned = state.requests().learned();
+    AdapterLoads loads = learned.adapterLoads();
+    if (!loads.inFlight().containsKey(attempt)) {
+      return Transition.of(state);
+    }
+    Transition<NodeState, Effect> result =
+        Transition.of(learned.withAdapterLoads(loads.withEnded(attempt)).in(state));
+    for (UpstreamId upstream : loads.blocked()) {
+      result = result.then(next -> Queues.drain(next, upstream));
+    }
+    return result;
   }
 
   /** Gives the slot of an ended attempt back. */
-  static NodeState release(NodeState state, BackendId backend) {
-    return state.withBackends(state.backends().update(backend, BackendState::withAttemptEnded));
+  static NodeState release(NodeState state, RequestState request, ActiveAttempt attempt) {
+    PoolId id = request.plan().pool();
+    Pool pool = state.requests().pool(id).ended(request.customer());
+    return state
+        .withRequests(state.requests().withPool(id, pool))
+        .withBackends(
+            state
+                .backends()
+                .update(attempt.backend(), b -> b.withAttemptEnded(isLong(request.plan()))));
+  }
+
+  /** Notes how long a completed attempt took. */
+  static NodeState measure(
+      NodeState state, RequestState request, ActiveAttempt attempt, int outputTokens) {
+    PoolId id = request.plan().pool();
+    long tookMs = state.nowMs() - attempt.sentAtMs();
+    long work = (long) request.spec().promptTokens() + outputTokens;
+    Pool pool = state.requests().pool(id).measured(tookMs, work);
+    NodeState measured = state.withRequests(state.requests().withPool(id, pool));
+    return Prediction.learn(measured, request, outputTokens);
   }
 }
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Learned.java
@@ -0,0 +1,48 @@
+package org.limpetdoor.core.request;
+
+import org.limpetdoor.core.NodeState;
+
+/**
+ * What request decisions use beside the requests themselves.
+ *
+ * @param share part of each limit that this instance may use
+ * @param index back ends by upstream
+ * @param adapterLoads adapter loads in flight
+ * @param lengths output lengths of completed requests
+ */
+record Learned(LimitShare share, RoutingIndex index, AdapterLoads adapterLoads, Lengths lengths) {
+  static final Learned INITIAL =
+      new Learned(LimitShare.WHOLE, RoutingIndex.EMPTY, AdapterLoads.NONE, Lengths.NONE);
+
+  /** Returns the state with an index that fits the configuration in force. */
+  static NodeState refresh(NodeState state) {
+    Learned learned = state.requests().learned();
+    double part = learned.share.otherwise();
+    if (learned.index.fits(state.configuration(), part)) {
+      return state;
+    }
+    RoutingIndex index = RoutingIndex.of(state.self(), state.configuration(), part);
+    return learned.withIndex(index).in(state);
+  }
+
+  /** Returns the state with this in it. */
+  NodeState in(NodeState state) {
+    return state.withRequests(state.requests().withLearned(this));
+  }
+
+  Learned withShare(LimitShare value) {
+    return new Learned(value, index, adapterLoads, lengths);
+  }
+
+  Learned withIndex(RoutingIndex value) {
+    return new Learned(share, value, adapterLoads, lengths);
+  }
+
+  Learned withAdapterLoads(AdapterLoads value) {
+    return new Learned(share, index, value, lengths);
+  }
+
+  Learned withLengths(Lengths value) {
+    return new Learned(share, index, adapterLoads, value);
+  }
+}
