Bound retries by a budget and let failed requests wait for another engine

Retries of work that may have run are charged to a budget of a tenth of recent requests. A retry that finds no free engine waits within the objective.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Admission.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Admission.java
@@ -34,9 +34,11 @@
             plan,
             new Waiting(state.requests().nextSequence(), state.nowMs(), spec.id()),
             state.nowMs() + contract.firstTokenObjectiveMs());
+    Learned learned = state.requests().learned();
+    NodeState counted = learned.withRetryBudget(learned.retryBudget().withRequest()).in(state);
     NodeState charged =
-        state.withRequests(
-            state
+        counted.withRequests(
+            counted
                 .requests()
                 .withNextSequence()
                 .withCustomer(contract.customer(), customer.withArrival(plan.work())));
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
@@ -13,7 +13,7 @@
 /** Starts and ends attempts. */
 final class Attempts {
   /** Silence before the first byte after which an attempt has failed. */
-  private static final long FIRST_BYTE_TIMEOUT_MS = 10_000;
+  static final long FIRST_BYTE_TIMEOUT_MS = 10_000;
 
   private Attempts() {}
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Learned.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Learned.java
@@ -9,10 +9,17 @@
  * @param index back ends by upstream
  * @param adapterLoads adapter loads in flight
  * @param lengths output lengths of completed requests
+ * @param retryBudget retries that may be sent
  */
-record Learned(LimitShare share, RoutingIndex index, AdapterLoads adapterLoads, Lengths lengths) {
+record Learned(
+    LimitShare share,
+    RoutingIndex index,
+    AdapterLoads adapterLoads,
+    Lengths lengths,
+    RetryBudget retryBudget) {
   static final Learned INITIAL =
-      new Learned(LimitShare.WHOLE, RoutingIndex.EMPTY, AdapterLoads.NONE, Lengths.NONE);
+      new Learned(
+          LimitShare.WHOLE, RoutingIndex.EMPTY, AdapterLoads.NONE, Lengths.NONE, RetryBudget.FULL);
 
   /** Returns the state with an index that fits the configuration in force. */
   static NodeState refresh(NodeState state) {
@@ -31,18 +38,22 @@
   }
 
   Learned withShare(LimitShare value) {
-    return new Learned(value, index, adapterLoads, lengths);
+    return new Learned(value, index, adapterLoads, lengths, retryBudget);
   }
 
   Learned withIndex(RoutingIndex value) {
-    return new Learned(share, value, adapterLoads, lengths);
+    return new Learned(share, value, adapterLoads, lengths, retryBudget);
   }
 
   Learned withAdapterLoads(AdapterLoads value) {
-    return new Learned(share, index, value, lengths);
+    return new Learned(share, index, value, lengths, retryBudget);
   }
 
   Learned withLengths(Lengths value) {
-    return new Learned(share, index, adapterLoads, value);
+    return new Learned(share, index, adapterLoads, value, retryBudget);
+  }
+
+  Learned withRetryBudget(RetryBudget value) {
+    return new Learned(share, index, adapterLoads, lengths, value);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -82,7 +82,7 @@
         found.get().request().withAttemptEnded(attempt, event.failure(), event.deliveredTokens());
     NodeState released = Attempts.release(state, ended, attempt);
     NodeState noted = event.failure().backendSuspect() ? avoid(released, backend) : released;
-    return retryOrRefuse(noted, ended)
+    return Retries.retryOrRefuse(noted, ended, event.failure())
         .then(next -> Attempts.adapterLoadEnded(next, event.attempt()))
         .then(next -> Queues.drain(next, backend));
   }
@@ -149,20 +149,6 @@
         .then(next -> Queues.drain(next, attempt.backend()));
   }
 
-  private static Transition<NodeState, Effect> retryOrRefuse(
-      NodeState state, RequestState request) {
-    boolean mayRepeat =
-        Targets.repeatability(state.configuration(), request.spec().target()).mayRepeat();
-    if (request.mayHaveRun() && !mayRepeat) {
-      return Refusals.refuseAccepted(state, request, request.refusal(RefusalReason.BACKEND_FAILED));
-    }
-    Router.Choice choice = Router.choose(state, request);
-    if (choice.backend().isPresent()) {
-      return Attempts.dispatch(state, request, choice);
-    }
-    return Refusals.refuseAccepted(state, request, request.refusal(RefusalReason.BACKEND_FAILED));
-  }
-
   private static NodeState avoid(NodeState state, BackendId backend) {
     long untilMs = state.nowMs() + UNREACHABLE_MS;
     Timer retry = new Timer(untilMs, TimerKind.BACKEND_RETRY, backend.value());
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestState.java
@@ -88,6 +88,11 @@
         mayHaveRun || failure.mayHaveRun());
   }
 
+  RequestState withStartDeadlineMs(long value) {
+    return new RequestState(
+        spec, customer, plan, place, value, tried, active, deliveredTokens, mayHaveRun);
+  }
+
   RequestState withPlan(WorkPlan value) {
     return new RequestState(
         spec, customer, value, place, startDeadlineMs, tried, active, deliveredTokens, mayHaveRun);
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Retries.java
@@ -0,0 +1,69 @@
+package org.limpetdoor.core.request;
+
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.config.Contract;
+import org.limpetdoor.core.effect.Effect;
+
+/** Decides what follows when the last attempt of a request has failed. */
+final class Retries {
+  private Retries() {}
+
+  /** Sends the request elsewhere, lets it wait for another back end, or refuses it. */
+  static Transition<NodeState, Effect> retryOrRefuse(
+      NodeState state, RequestState request, AttemptFailure failure) {
+    if (!mayRetry(state, request, failure)) {
+      return refuse(state, request, failure);
+    }
+    Router.Choice choice = Router.choose(state, request);
+    if (choice.backend().isPresent()) {
+      return Attempts.dispatch(charged(state, failure), request, choice);
+    }
+    Contract contract = state.configuration().contracts().get(request.customer());
+    long deadlineMs = waitDeadlineMs(request);
+    if (contract == null || !choice.worthWaiting() || state.nowMs() >= deadlineMs) {
+      return refuse(state, request, failure);
+    }
+    return Queues.enqueue(
+        charged(state, failure), request.withStartDeadlineMs(deadlineMs), contract);
+  }
+
+  /**
+   * A retry is bounded in time even if the caller has part of the answer; one silent attempt must
+   * fit, or silent connections could never be retried.
+   */
+  private static long retryDeadlineMs(RequestState request) {
+    return request.startDeadlineMs() + Attempts.FIRST_BYTE_TIMEOUT_MS;
+  }
+
+  private static long waitDeadlineMs(RequestState request) {
+    return request.deliveredTokens() > 0 ? retryDeadlineMs(request) : request.startDeadlineMs();
+  }
+
+  private static boolean mayRetry(NodeState state, RequestState request, AttemptFailure failure) {
+    boolean mayRepeat =
+        Targets.repeatability(state.configuration(), request.spec().target()).mayRepeat();
+    if (request.mayHaveRun() && !mayRepeat) {
+      return false;
+    }
+    boolean inTime = request.deliveredTokens() > 0 || state.nowMs() < retryDeadlineMs(request);
+    return inTime && (!failure.mayHaveRun() || state.requests().learned().retryBudget().allows());
+  }
+
+  /** Only retries of work that may have run cost back ends work, so only they are charged. */
+  private static NodeState charged(NodeState state, AttemptFailure failure) {
+    Learned learned = state.requests().learned();
+    return failure.mayHaveRun()
+        ? learned.withRetryBudget(learned.retryBudget().withRetry()).in(state)
+        : state;
+  }
+
+  private static Transition<NodeState, Effect> refuse(
+      NodeState state, RequestState request, AttemptFailure failure) {
+    RefusalReason reason =
+        failure == AttemptFailure.TIMED_OUT
+            ? RefusalReason.BACKEND_TIMEOUT
+            : RefusalReason.BACKEND_FAILED;
+    return Refusals.refuseAccepted(state, request, request.refusal(reason));
+  }
+}
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/BackendFault.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/BackendFault.java
@@ -12,6 +12,13 @@
       backend.fail(job, AttemptFailure.CONNECTION_LOST);
     }
   },
+  /** The back end answers with an error after it started. */
+  ERROR_ANSWER(false, false) {
+    @Override
+    void accept(FakeBackend backend, BackendJob job) {
+      backend.fail(job, AttemptFailure.ERROR_ANSWER);
+    }
+  },
   /** The request runs to its end, and the connection breaks before the answer is sent. */
   REPLY_LOST(true, false),
   /** The request runs, and its connection stays silent. */
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/CheckSteps.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/CheckSteps.java
@@ -157,6 +157,12 @@
     check(loads <= maximum, loads + " did");
   }
 
+  @Then("all back ends together were handed at most {int} attempts")
+  public void handedAtMostTogether(int maximum) {
+    int sum = world.backends().stream().mapToInt(FakeBackend::accepted).sum();
+    check(sum <= maximum, sum + " attempts");
+  }
+
   @Then("no back end was handed more than {int} attempts")
   public void handedAtMostEach(int maximum) {
     int most = world.backends().stream().mapToInt(FakeBackend::accepted).max().orElse(0);
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/TrafficSteps.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/TrafficSteps.java
@@ -153,6 +153,11 @@
     world.backend(backend).arm(faultNamed(fault), attempts);
   }
 
+  @Given("every back end has fault {string} for the next {int} attempt(s)")
+  public void faultEverywhere(String fault, int attempts) {
+    world.backends().forEach(backend -> backend.arm(faultNamed(fault), attempts));
+  }
+
   @Given("every back end crashes on fingerprint {long}")
   public void crashOn(long fingerprint) {
     world.backends().forEach(backend -> backend.crashOn(fingerprint));
@@ -165,7 +170,9 @@
       }
     }
     throw new ScenarioException(
-        "unknown fault '" + name + "', accepted: lost before running, reply lost, silent");
+        "unknown fault '"
+            + name
+            + "', accepted: lost before running, reply lost, error answer, silent");
   }
 
   private static Target target(String label) {
