--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestSpec.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestSpec.java
@@ -14,7 +14,7 @@
  * @param idempotencyKey the caller's key for repeats, if it sent one
  * @param promptTokens length of the prompt, in tokens, at least 0
  * @param maxOutputTokens bound on the output set by the caller, in tokens, at least 0
- * @param prefixHash hash of the start of the prompt, for prefix cache affinity
+ * @param prefixHash hash of the start of the prompt, for prefix cache affinity; 0 means no affinity
  * @param fingerprint hash of target and body, which tells whether the same request is sent again
  */
 public record RequestSpec(
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/CallerGateway.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/CallerGateway.java
@@ -108,7 +108,7 @@
             idempotencyKey(http),
             0,
             0,
-            Digests.prefixHash(target.label(), path),
+            0,
             Digests.fingerprint(target.label() + http.getMethodName() + path, body));
     String query = uri.getRawQuery() == null ? "" : "?" + uri.getRawQuery();
     UpstreamCall call =
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/Digests.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/Digests.java
@@ -18,9 +18,12 @@
     return new KeyDigest(HexFormat.of().formatHex(sha256(bytes(key))));
   }
 
+  /** Returns 0, which means no affinity, for a prompt too short to be worth a cache entry. */
   static long prefixHash(String target, String prompt) {
-    String prefix = prompt.substring(0, Math.min(prompt.length(), PREFIX_CHARS));
-    return first64Bits(sha256(bytes(target), bytes(prefix)));
+    if (prompt.length() < PREFIX_CHARS) {
+      return 0;
+    }
+    return first64Bits(sha256(bytes(target), bytes(prompt.substring(0, PREFIX_CHARS))));
   }
 
   static long fingerprint(String target, byte[] body) {
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamEffects.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamEffects.java
@@ -3,6 +3,8 @@
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
 import io.micronaut.http.client.StreamingHttpClient;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -13,14 +15,17 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.limpetdoor.core.effect.CancelAttempt;
+import org.limpetdoor.core.effect.ChangePriority;
 import org.limpetdoor.core.effect.DispatchAttempt;
 import org.limpetdoor.core.effect.EffectHandler;
 import org.limpetdoor.core.effect.FinishRequest;
+import org.limpetdoor.core.effect.RaiseQueueAgeAlarm;
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.effect.RefuseRequest;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.id.AttemptId;
 import org.limpetdoor.runtime.decision.DecisionRecorder;
+import org.limpetdoor.runtime.decision.LogLine;
 import reactor.core.publisher.Mono;
 
 /** Carries out the effects of the reducer on the traffic side. */
@@ -31,6 +36,8 @@
   /** Longest answer that is passed on as a whole. */
   private static final int MAX_ANSWER_BYTES = 16 << 20;
 
+  private static final Logger LOG = System.getLogger(UpstreamEffects.class.getName());
+
   private final OpenRequests requests;
   private final DecisionRecorder decisions;
   private final StreamingHttpClient client;
@@ -79,6 +86,14 @@
     upstream.scheduler().execute(() -> sendCancel(attempt));
   }
 
+  @Override
+  public void changePriority(ChangePriority effect) {
+    UpstreamAttempt attempt = attempts.get(effect.attempt());
+    if (attempt != null) {
+      upstream.scheduler().execute(() -> sendPriority(attempt, effect.enginePriority()));
+    }
+  }
+
   @Override
   public void finishRequest(FinishRequest effect) {
     // The request leaves the registry when the caller has read the last byte.
@@ -94,6 +109,11 @@
     decisions.record(effect.decision());
   }
 
+  @Override
+  public void raiseQueueAgeAlarm(RaiseQueueAgeAlarm effect) {
+    LOG.log(Level.WARNING, LogLine.of(effect.alarm()).toString());
+  }
+
   @Override
   public void close() {
     attempts.values().forEach(UpstreamAttempt::cancel);
@@ -107,11 +127,25 @@
 
   /** The engine also sees the closed connection; the order frees its slot sooner. */
   private void sendCancel(UpstreamAttempt attempt) {
-    String id = URLEncoder.encode(attempt.id().toString(), StandardCharsets.UTF_8);
-    HttpRequest<?> order = HttpRequest.DELETE("http://" + attempt.address() + "/v1/attempts/" + id);
+    send(HttpRequest.DELETE(attemptUri(attempt)));
+  }
+
+  private void sendPriority(UpstreamAttempt attempt, int enginePriority) {
+    send(
+        HttpRequest.PUT(attemptUri(attempt) + "/priority", "")
+            .header("Limpetdoor-Priority", String.valueOf(enginePriority)));
+  }
+
+  /** The answer does not matter: an order that is lost leaves the attempt as it was. */
+  private void send(HttpRequest<?> order) {
     Mono.from(client.exchange(order)).subscribe(answer -> {}, error -> {});
   }
 
+  private static String attemptUri(UpstreamAttempt attempt) {
+    String id = URLEncoder.encode(attempt.id().toString(), StandardCharsets.UTF_8);
+    return "http://" + attempt.address() + "/v1/attempts/" + id;
+  }
+
   private static DefaultHttpClientConfiguration clientConfiguration() {
     DefaultHttpClientConfiguration configuration = new DefaultHttpClientConfiguration();
     configuration.setConnectTimeout(CONNECT_TIMEOUT);
--- a/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/EngineController.java
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/EngineController.java
@@ -9,6 +9,7 @@
 import io.micronaut.http.annotation.Get;
 import io.micronaut.http.annotation.Header;
 import io.micronaut.http.annotation.Post;
+import io.micronaut.http.annotation.Put;
 import java.util.concurrent.CompletableFuture;
 import org.limpetdoor.standin.FaultRequest;
 
@@ -42,6 +43,13 @@
         request, (replyId, atMs) -> new EngineEvent.CancelRequested(replyId, atMs, id));
   }
 
+  @Put("/v1/attempts/{id}/priority")
+  CompletableFuture<MutableHttpResponse<?>> changePriority(
+      HttpRequest<?> request, String id, @Header(name = "Limpetdoor-Priority") int priority) {
+    return standin.ask(
+        request, (replyId, atMs) -> new EngineEvent.PriorityChanged(replyId, atMs, id, priority));
+  }
+
   @Post("/control/orders")
   CompletableFuture<MutableHttpResponse<?>> order(HttpRequest<?> request, @Body Order order) {
     return standin.ask(request, (id, atMs) -> new EngineEvent.OrderReceived(id, atMs, order));
--- a/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/EngineEvent.java
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/EngineEvent.java
@@ -24,6 +24,15 @@
     }
   }
 
+  /** The priority of an attempt was changed. */
+  record PriorityChanged(long replyId, long atMs, String attempt, int priority)
+      implements EngineEvent {
+    @Override
+    public Transition<EngineState, StandinEffect> reduce(EngineState state) {
+      return state.changePriority(replyId, attempt, priority);
+    }
+  }
+
   /** The connection of a reply was closed by the caller. */
   record Disconnected(long replyId, long atMs) implements EngineEvent {
     @Override
--- a/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/EngineState.java
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/EngineState.java
@@ -99,6 +99,18 @@
         .with(Answer.ok(replyId, Map.of("cancelled", attempt)));
   }
 
+  /** Changes the priority of an attempt. Only waiting work is ordered by it. */
+  Transition<EngineState, StandinEffect> changePriority(
+      long replyId, String attempt, int priority) {
+    Optional<Job> waiting =
+        queued.stream().filter(job -> job.attempt().equals(attempt)).findFirst();
+    EngineState changed =
+        waiting
+            .map(job -> withWork(running, queued.minus(job).plus(job.withPriority(priority))))
+            .orElse(this);
+    return Transition.of(changed, Answer.ok(replyId, Map.of("priority", priority)));
+  }
+
   /** Drops the answer of a caller that has gone. */
   Transition<EngineState, StandinEffect> disconnect(long replyId, long nowMs) {
     return find(job -> job.replyId() == replyId)
--- a/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/Job.java
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/Job.java
@@ -56,6 +56,11 @@
     return IntStream.range(resumeAt, tokens).mapToObj(this::token).collect(Collectors.joining());
   }
 
+  Job withPriority(int value) {
+    return new Job(
+        replyId, attempt, value, model, prompt, stream, resumeAt, nextToken, tokens, nextTokenMs);
+  }
+
   private Job with(int token, long dueMs) {
     return new Job(
         replyId, attempt, priority, model, prompt, stream, resumeAt, token, tokens, dueMs);
