Send bodies of whole calls as they are, whatever their content type

The HTTP client encoded form and multipart bodies itself and failed on bytes before anything was sent. Whole calls now use its raw client. Failures before the first byte count as not run.

--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/Failures.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/Failures.java
@@ -2,16 +2,30 @@
 
 import io.micronaut.http.client.exceptions.ContentLengthExceededException;
 import io.micronaut.http.client.exceptions.ReadTimeoutException;
+import io.netty.handler.codec.EncoderException;
+import io.netty.handler.codec.http.multipart.HttpPostRequestEncoder.ErrorDataEncoderException;
 import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.UnknownHostException;
+import java.util.List;
 import org.limpetdoor.core.request.AttemptFailure;
 
 /** Tells how a call failed from what the HTTP client reports. */
 final class Failures {
+  /** Failures before the first byte of the request is sent. */
+  private static final List<Class<? extends Exception>> NOT_SENT =
+      List.of(
+          ConnectException.class,
+          NoRouteToHostException.class,
+          UnknownHostException.class,
+          EncoderException.class,
+          ErrorDataEncoderException.class);
+
   private Failures() {}
 
   /** Returns the kind of a failure without an answer. */
   static AttemptFailure of(Throwable error) {
-    if (hasCause(error, ConnectException.class)) {
+    if (NOT_SENT.stream().anyMatch(type -> hasCause(error, type))) {
       return AttemptFailure.CONNECT_FAILED;
     }
     if (hasCause(error, ReadTimeoutException.class)) {
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/TokenStreamAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/TokenStreamAttempt.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.micronaut.core.io.buffer.ByteBuffer;
 import io.micronaut.http.HttpResponse;
+import io.micronaut.http.MutableHttpRequest;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.limpetdoor.core.effect.DispatchAttempt;
@@ -38,8 +39,9 @@
   }
 
   @Override
-  void call() {
-    upstream().client().exchangeStream(httpRequest()).subscribe(reader);
+  void call(MutableHttpRequest<Object> out) {
+    request().call().body().ifPresent(out::body);
+    upstream().client().exchangeStream(out).subscribe(reader);
     if (hasEnded()) {
       close();
     }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/Upstream.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/Upstream.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.entry.traffic;
 
+import io.micronaut.http.client.RawHttpClient;
 import io.micronaut.http.client.StreamingHttpClient;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
@@ -9,12 +10,14 @@
 /**
  * What attempts need of the instance.
  *
- * @param client client for calls to back ends
+ * @param client client for streamed answers
+ * @param rawClient client that sends bodies as they are, whatever their content type
  * @param scheduler runs timeouts
  * @param events where observations are reported
  */
 record Upstream(
     StreamingHttpClient client,
+    RawHttpClient rawClient,
     ScheduledExecutorService scheduler,
     Consumer<Function<Long, Event>> events) {
   void report(Function<Long, Event> event) {
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamAttempt.java
@@ -9,6 +9,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -67,7 +68,8 @@
       return;
     }
     scheduleCheck(firstCheckMs());
-    call();
+    Optional<MutableHttpRequest<Object>> out = buildRequest();
+    out.ifPresent(this::call);
   }
 
   /** Ends the call without a report; the reducer knows already. */
@@ -83,7 +85,7 @@
   }
 
   /** Sends the request. */
-  abstract void call();
+  abstract void call(MutableHttpRequest<Object> out);
 
   /** Closes the connection of the call. */
   abstract void close();
@@ -147,7 +149,19 @@
     }
   }
 
-  final MutableHttpRequest<?> httpRequest() {
+  /** A request that cannot be built was not sent, so the attempt did not run. */
+  private Optional<MutableHttpRequest<Object>> buildRequest() {
+    try {
+      return Optional.of(httpRequest());
+    } catch (RuntimeException e) {
+      LOG.log(
+          Level.WARNING, LogLine.event("request_not_built").with("attempt", id()).toString(), e);
+      failed(AttemptFailure.CONNECT_FAILED);
+      return Optional.empty();
+    }
+  }
+
+  private MutableHttpRequest<Object> httpRequest() {
     UpstreamCall call = request.call();
     String uri = "http://" + dispatch.address() + call.pathAndQuery();
     MutableHttpRequest<Object> out = HttpRequest.create(call.method(), uri);
@@ -155,7 +169,6 @@
     out.header("Limpetdoor-Attempt", id().toString());
     out.header("Limpetdoor-Priority", String.valueOf(dispatch.enginePriority()));
     out.header("Limpetdoor-Resume-At", String.valueOf(dispatch.resumeAtToken()));
-    call.body().ifPresent(out::body);
     return out;
   }
 
@@ -203,7 +216,7 @@
    * not start, and another may take the call. Any other 4xx speaks about the request itself, which
    * another back end would refuse as well.
    */
-  private void errorAnswer(HttpResponse<?> answer) {
+  final void errorAnswer(HttpResponse<?> answer) {
     boolean notStarted = "true".equals(answer.getHeaders().get("Limpetdoor-Not-Started"));
     boolean aboutRequest = answer.code() < SERVER_ERROR && answer.code() != TOO_MANY_REQUESTS;
     noteLoad(answer.getHeaders());
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamEffects.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamEffects.java
@@ -2,7 +2,10 @@
 
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
+import io.micronaut.http.client.RawHttpClient;
 import io.micronaut.http.client.StreamingHttpClient;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -29,11 +32,12 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
 
   /** Longest answer that is passed on as a whole. */
-  private static final int MAX_ANSWER_BYTES = 16 << 20;
+  static final int MAX_ANSWER_BYTES = 16 << 20;
 
   private final OpenRequests requests;
   private final DecisionRecorder decisions;
   private final StreamingHttpClient client;
+  private final RawHttpClient rawClient;
   private final Upstream upstream;
   private final ConcurrentMap<AttemptId, UpstreamAttempt> attempts = new ConcurrentHashMap<>();
 
@@ -53,7 +57,8 @@
     this.requests = requests;
     this.decisions = decisions;
     this.client = StreamingHttpClient.create(null, clientConfiguration());
-    this.upstream = new Upstream(client, scheduler, event -> events.accept(event));
+    this.rawClient = RawHttpClient.create(null, clientConfiguration());
+    this.upstream = new Upstream(client, rawClient, scheduler, event -> events.accept(event));
   }
 
   @Override
@@ -98,6 +103,15 @@
   public void close() {
     attempts.values().forEach(UpstreamAttempt::cancel);
     client.close();
+    closeRawClient();
+  }
+
+  private void closeRawClient() {
+    try {
+      rawClient.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
   }
 
   private void refuse(OpenRequest request, RefuseRequest effect) {
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/WholeAnswerAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/WholeAnswerAttempt.java
@@ -1,18 +1,29 @@
 package org.limpetdoor.entry.traffic;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.micronaut.core.type.Argument;
+import io.micronaut.core.io.buffer.ByteArrayBufferFactory;
+import io.micronaut.http.ByteBodyHttpResponse;
 import io.micronaut.http.HttpResponse;
+import io.micronaut.http.MutableHttpRequest;
+import io.micronaut.http.MutableHttpResponse;
+import io.micronaut.http.body.ByteBodyFactory;
+import io.micronaut.http.body.CloseableByteBody;
+import io.micronaut.http.client.exceptions.ContentLengthExceededException;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import org.limpetdoor.core.effect.DispatchAttempt;
 import org.limpetdoor.core.request.AttemptFailure;
 import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 
 /** A call whose answer is passed on as a whole. */
 final class WholeAnswerAttempt extends UpstreamAttempt {
   private static final ObjectMapper JSON = new ObjectMapper();
-  private static final Argument<byte[]> BYTES = Argument.of(byte[].class);
+  private static final ByteBodyFactory BODIES =
+      ByteBodyFactory.createDefault(ByteArrayBufferFactory.INSTANCE);
+
+  private static final int CLIENT_ERROR = 400;
 
   /** Twice the target between tokens. */
   private static final long MAX_MS_PER_TOKEN = 102;
@@ -30,9 +41,11 @@
   }
 
   @Override
-  void call() {
+  void call(MutableHttpRequest<Object> out) {
+    CloseableByteBody body = BODIES.adapt(request().call().body().orElse(new byte[0]));
     subscription =
-        Mono.from(upstream().client().exchange(httpRequest(), BYTES, BYTES))
+        Mono.from(upstream().rawClient().exchange(out, body, null))
+            .flatMap(WholeAnswerAttempt::readWhole)
             .subscribe(this::received, this::failed);
     if (hasEnded()) {
       close();
@@ -55,7 +68,34 @@
   @Override
   void callerReady() {}
 
+  /** Answers with an error status come here too, since the raw client does not report them. */
+  private static Mono<HttpResponse<byte[]>> readWhole(HttpResponse<?> answer) {
+    ByteBodyHttpResponse<?> raw = (ByteBodyHttpResponse<?>) answer;
+    return Flux.from(raw.byteBody().toByteArrayPublisher())
+        .collect(ByteArrayOutputStream::new, WholeAnswerAttempt::append)
+        .map(bytes -> copyOf(answer, bytes.toByteArray()))
+        .doFinally(signal -> raw.close());
+  }
+
+  private static void append(ByteArrayOutputStream bytes, byte[] part) {
+    long length = (long) bytes.size() + part.length;
+    if (length > UpstreamEffects.MAX_ANSWER_BYTES) {
+      throw new ContentLengthExceededException(UpstreamEffects.MAX_ANSWER_BYTES, length);
+    }
+    bytes.writeBytes(part);
+  }
+
+  private static HttpResponse<byte[]> copyOf(HttpResponse<?> answer, byte[] body) {
+    MutableHttpResponse<byte[]> copy = HttpResponse.status(answer.code(), answer.reason());
+    answer.getHeaders().forEach((name, values) -> values.forEach(v -> copy.header(name, v)));
+    return copy.body(body);
+  }
+
   private void received(HttpResponse<byte[]> answer) {
+    if (answer.code() >= CLIENT_ERROR) {
+      errorAnswer(answer);
+      return;
+    }
     noteStarted(answer.getHeaders());
     answerWhole(wholeResponse(answer), outputTokens(answer));
   }
--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/FakeEngine.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/FakeEngine.java
@@ -29,6 +29,7 @@
   private volatile int breakAtToken = NEVER;
   private volatile int refuseStatus;
   private volatile boolean notStarted;
+  private volatile String lastContentType;
   private volatile CountDownLatch holdAfterFirst = new CountDownLatch(0);
 
   FakeEngine() throws IOException {
@@ -61,6 +62,11 @@
     holdAfterFirst = release;
   }
 
+  /** Returns the content type of the last call that was echoed. */
+  String lastContentType() {
+    return lastContentType;
+  }
+
   /** Waits for the next cancelled attempt. */
   String takeCancelled() throws InterruptedException {
     return cancelled.take();
@@ -126,13 +132,18 @@
 
   private void echo(HttpExchange exchange) throws IOException {
     String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+    lastContentType = exchange.getRequestHeaders().getFirst("Content-Type");
+    exchange.getResponseHeaders().set("Echo", exchange.getRequestMethod());
     answer(exchange, exchange.getRequestMethod() + " " + exchange.getRequestURI() + " " + body);
   }
 
   private static void answer(HttpExchange exchange, String text) throws IOException {
     byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
-    exchange.sendResponseHeaders(200, bytes.length);
-    exchange.getResponseBody().write(bytes);
+    boolean head = exchange.getRequestMethod().equals("HEAD");
+    exchange.sendResponseHeaders(200, head ? -1 : bytes.length);
+    if (!head) {
+      exchange.getResponseBody().write(bytes);
+    }
     exchange.close();
   }
 
--- /dev/null
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/traffic/FailuresTest.java
@@ -0,0 +1,32 @@
+package org.limpetdoor.entry.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.micronaut.http.client.exceptions.HttpClientException;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.EncoderException;
+import java.net.UnknownHostException;
+import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.request.AttemptFailure;
+
+final class FailuresTest {
+  /** Guards against an unknown outcome of a call of which no byte was sent. */
+  @Test
+  void failureBeforeTheFirstByteDidNotRun() {
+    assertThat(of(new EncoderException("header"))).isEqualTo(AttemptFailure.CONNECT_FAILED);
+    assertThat(of(new UnknownHostException("name"))).isEqualTo(AttemptFailure.CONNECT_FAILED);
+  }
+
+  /** Guards against "not run" for an answer that cannot be read, since its call may have run. */
+  @Test
+  void unreadableAnswerMayHaveRun() {
+    Exception unreadable = new DecoderException(new IllegalArgumentException("version"));
+
+    assertThat(of(unreadable).mayHaveRun()).isTrue();
+    assertThat(of(new IllegalArgumentException("version")).mayHaveRun()).isTrue();
+  }
+
+  private static AttemptFailure of(Exception cause) {
+    return Failures.of(new HttpClientException("failed", cause));
+  }
+}
