Decide the graceful shutdown in the reducer

DrainRequested carries the drain timeout, arrivals are refused with a decision line and StopInstance ends the instance when no accepted request is left or the timeout has passed.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -8,6 +8,7 @@
 import org.limpetdoor.core.event.AttemptStarted;
 import org.limpetdoor.core.event.BackendReported;
 import org.limpetdoor.core.event.CallerDisconnected;
+import org.limpetdoor.core.event.DrainRequested;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.RecordsRead;
 import org.limpetdoor.core.event.RequestArrived;
@@ -30,6 +31,8 @@
   BACKEND_REPORTED(BackendReported.class, BackendEvents::reported),
   /** {@link RecordsRead}. */
   RECORDS_READ(RecordsRead.class, AgreedEvents::recordsRead),
+  /** {@link DrainRequested}. */
+  DRAIN_REQUESTED(DrainRequested.class, DrainEvents::requested),
   /** {@link TimerFired}. */
   TIMER_FIRED(TimerFired.class, TimerEvents::fired);
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/NodeReducer.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/NodeReducer.java
@@ -10,6 +10,6 @@
 public final class NodeReducer implements Reducer<NodeState, Event, Effect> {
   @Override
   public Transition<NodeState, Effect> reduce(NodeState state, Event event) {
-    return event.kind().reduce(state.withNowMs(event.atMs()), event);
+    return event.kind().reduce(state.withNowMs(event.atMs()), event).then(DrainEvents::stopIfIdle);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/NodeState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/NodeState.java
@@ -16,6 +16,7 @@
  * @param backends what this instance knows about back ends
  * @param requests requests that this instance has accepted and not finished
  * @param timers pending timers
+ * @param drain how far the graceful shutdown has come
  */
 public record NodeState(
     Self self,
@@ -23,7 +24,8 @@
     AgreedState agreed,
     BackendTable backends,
     RequestTable requests,
-    Timers timers)
+    Timers timers,
+    DrainPhase drain)
     implements Timed {
 
   /**
@@ -38,7 +40,13 @@
   /** Returns the state of an instance that has just started. */
   public static NodeState initial(Self self) {
     return new NodeState(
-        self, 0, AgreedState.INITIAL, BackendTable.EMPTY, RequestTable.EMPTY, Timers.NONE);
+        self,
+        0,
+        AgreedState.INITIAL,
+        BackendTable.EMPTY,
+        RequestTable.EMPTY,
+        Timers.NONE,
+        DrainPhase.SERVING);
   }
 
   /** Returns the configuration in force. */
@@ -46,6 +54,11 @@
     return agreed.configuration();
   }
 
+  /** Returns whether new requests are refused because the instance shuts down. */
+  public boolean draining() {
+    return drain.refusesArrivals();
+  }
+
   @Override
   public long nextDeadlineMs() {
     return timers.nextDeadlineMs();
@@ -53,26 +66,31 @@
 
   /** Returns a copy at a later time; time never goes back. */
   public NodeState withNowMs(long value) {
-    return new NodeState(self, Math.max(nowMs, value), agreed, backends, requests, timers);
+    return new NodeState(self, Math.max(nowMs, value), agreed, backends, requests, timers, drain);
   }
 
   /** Returns a copy with other agreed state. */
   public NodeState withAgreed(AgreedState value) {
-    return new NodeState(self, nowMs, value, backends, requests, timers);
+    return new NodeState(self, nowMs, value, backends, requests, timers, drain);
   }
 
   /** Returns a copy with another back-end table. */
   public NodeState withBackends(BackendTable value) {
-    return new NodeState(self, nowMs, agreed, value, requests, timers);
+    return new NodeState(self, nowMs, agreed, value, requests, timers, drain);
   }
 
   /** Returns a copy with another request table. */
   public NodeState withRequests(RequestTable value) {
-    return new NodeState(self, nowMs, agreed, backends, value, timers);
+    return new NodeState(self, nowMs, agreed, backends, value, timers, drain);
   }
 
   /** Returns a copy with other timers. */
   public NodeState withTimers(Timers value) {
-    return new NodeState(self, nowMs, agreed, backends, requests, value);
+    return new NodeState(self, nowMs, agreed, backends, requests, value, drain);
+  }
+
+  /** Returns a copy in another phase of the graceful shutdown. */
+  public NodeState withDrain(DrainPhase value) {
+    return new NodeState(self, nowMs, agreed, backends, requests, timers, value);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
@@ -8,7 +8,9 @@
 /** Kinds of timers, each with what happens when it is due. */
 public enum TimerKind {
   /** A waiting request reaches its objective. The key is the request identifier. */
-  QUEUE_DEADLINE((state, key) -> RequestEvents.queueDeadline(state, new RequestId(key)));
+  QUEUE_DEADLINE((state, key) -> RequestEvents.queueDeadline(state, new RequestId(key))),
+  /** A graceful shutdown has taken as long as it may. The key is the instance. */
+  DRAIN_TIMEOUT((state, key) -> DrainEvents.timedOut(state));
 
   private final BiFunction<NodeState, String, Transition<NodeState, Effect>> handler;
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -7,7 +7,9 @@
   /** A request was queued or refused. */
   ADMISSION("admission", "request"),
   /** A published configuration was accepted or rejected. */
-  CONFIGURATION("configuration", "version");
+  CONFIGURATION("configuration", "version"),
+  /** The instance began its graceful shutdown. */
+  DRAIN("drain", "instance");
 
   private final String eventName;
   private final String subjectKey;
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DrainDecision.java
@@ -0,0 +1,30 @@
+package org.limpetdoor.core.decision;
+
+import java.util.List;
+import org.limpetdoor.core.id.InstanceId;
+
+/**
+ * Says that an instance refuses new requests from now on.
+ *
+ * @param instance the instance
+ * @param openRequests accepted requests that run on
+ * @param drainTimeoutMs time that they have, in milliseconds
+ */
+public record DrainDecision(InstanceId instance, int openRequests, long drainTimeoutMs)
+    implements Decision {
+  @Override
+  public DecisionKind kind() {
+    return DecisionKind.DRAIN;
+  }
+
+  @Override
+  public String subject() {
+    return instance.value();
+  }
+
+  @Override
+  public List<Field> fields() {
+    return List.of(
+        Field.of("open_requests", openRequests), Field.of("drain_timeout_ms", drainTimeoutMs));
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
@@ -5,7 +5,12 @@
  * not decided here.
  */
 public sealed interface Effect
-    permits CancelAttempt, DispatchAttempt, FinishRequest, RecordDecision, RefuseRequest {
+    permits CancelAttempt,
+        DispatchAttempt,
+        FinishRequest,
+        RecordDecision,
+        RefuseRequest,
+        StopInstance {
   /** Hands this effect to the matching method of a handler. */
   void applyTo(EffectHandler handler);
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
@@ -16,4 +16,7 @@
 
   /** Writes the log line and the metrics of a decision, and keeps it for explanations. */
   void recordDecision(RecordDecision effect);
+
+  /** Ends the instance. */
+  void stopInstance(StopInstance effect);
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -9,6 +9,7 @@
         AttemptStarted,
         BackendReported,
         CallerDisconnected,
+        DrainRequested,
         RecordsRead,
         RequestArrived,
         TimerFired {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -27,6 +27,10 @@
   public static Transition<NodeState, Effect> arrived(NodeState state, RequestArrived event) {
     RequestSpec spec = event.spec();
     Optional<Contract> found = state.configuration().contractOf(spec.key());
+    if (state.draining()) {
+      return Refusals.refuseArrival(
+          state, spec, found.map(Contract::customer), Refusal.notRun(RefusalReason.SHUTTING_DOWN));
+    }
     if (found.isEmpty()) {
       return Refusals.refuseArrival(
           state, spec, Optional.empty(), Refusal.notRun(RefusalReason.UNKNOWN_KEY));
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
@@ -14,6 +14,8 @@
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.NodeState.Self;
 import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.StopInstance;
+import org.limpetdoor.core.event.DrainRequested;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.RecordsRead;
 import org.limpetdoor.core.event.TimerFired;
@@ -57,7 +59,6 @@
   private final HttpListener callers;
   private final HttpListener operators;
   private final CompletableFuture<DrainResult> drained = new CompletableFuture<>();
-  private final AtomicBoolean drainRequested = new AtomicBoolean();
   private final AtomicBoolean closed = new AtomicBoolean();
 
   private EntryServer(InstanceSettings settings, LogService log) {
@@ -66,7 +67,8 @@
     String name = settings.instance().value();
     this.scheduler = trafficThreads(name);
     this.effects =
-        new UpstreamEffects(requests, decisions, scheduler, event -> loop().submit(event));
+        new UpstreamEffects(
+            requests, decisions, scheduler, event -> loop().submit(event), this::stopped);
     this.loop =
         new ControlLoop<>(
             "control-" + name,
@@ -78,7 +80,7 @@
     this.follower =
         new LogFollower(
             "log-" + name, log, read -> loop.submit(atMs -> new RecordsRead(atMs, read)));
-    loop.failure().thenAccept(failure -> drain());
+    loop.failure().thenAccept(failure -> drainWithoutControl());
     loop.start();
     follower.start();
     this.operators =
@@ -143,14 +145,7 @@
    * timeout of the settings; the server then still has to be closed.
    */
   public CompletableFuture<DrainResult> drain() {
-    if (drainRequested.compareAndSet(false, true)) {
-      LOG.log(Level.INFO, LogLine.event("drain").with("open", requests.all().size()).toString());
-      scheduler.schedule(
-          () -> drained.complete(DrainResult.TIMED_OUT),
-          settings.drainTimeoutMs(),
-          TimeUnit.MILLISECONDS);
-      requests.drain().thenRun(this::completeAfterFlush);
-    }
+    loop.submit(atMs -> new DrainRequested(atMs, settings.drainTimeoutMs()));
     return drained;
   }
 
@@ -192,6 +187,23 @@
     scheduler.shutdownNow();
   }
 
+  private void stopped(StopInstance.Reason reason) {
+    if (reason == StopInstance.Reason.TIMED_OUT) {
+      drained.complete(DrainResult.TIMED_OUT);
+    } else {
+      requests.awaitEmpty().thenRun(this::completeAfterFlush);
+    }
+  }
+
+  /** Lets open streams end after the reducer has failed, which can time or refuse nothing more. */
+  private void drainWithoutControl() {
+    scheduler.schedule(
+        () -> drained.complete(DrainResult.TIMED_OUT),
+        settings.drainTimeoutMs(),
+        TimeUnit.MILLISECONDS);
+    requests.drain().thenRun(this::completeAfterFlush);
+  }
+
   private void completeAfterFlush() {
     scheduler.schedule(
         () -> drained.complete(DrainResult.ALL_ENDED), FLUSH_MS, TimeUnit.MILLISECONDS);
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/operator/OperatorView.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/operator/OperatorView.java
@@ -74,7 +74,11 @@
   /** Returns whether callers may be sent to this instance. */
   boolean ready() {
     boolean configured = state.get().agreed().configurationVersion() >= 0;
-    return !requests.draining() && (configured || logRead.getAsBoolean());
+    return !draining() && (configured || logRead.getAsBoolean());
+  }
+
+  private boolean draining() {
+    return state.get().draining() || requests.draining();
   }
 
   /** Returns all metrics as Prometheus text. */
@@ -95,7 +99,7 @@
     status.put("incarnation", now.self().incarnation());
     status.put("zone", now.self().zone().value());
     status.put("ready", ready());
-    status.put("draining", requests.draining());
+    status.put("draining", draining());
     status.put("configurationVersion", now.agreed().configurationVersion());
     status.put("nextOffset", now.agreed().nextOffset());
     status.put("openRequests", requests.all().size());
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/OpenRequests.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/OpenRequests.java
@@ -13,11 +13,12 @@
   private final ConcurrentMap<RequestId, OpenRequest> byId = new ConcurrentHashMap<>();
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
   private volatile boolean draining;
+  private volatile boolean awaited;
 
   /**
    * Adds a request.
    *
-   * @return false if the instance is draining; the request is then not open
+   * @return false if the control thread has ended; the request is then not open
    */
   public boolean open(OpenRequest request) {
     byId.put(request.id(), request);
@@ -31,7 +32,7 @@
   /** Removes a request whose caller has its answer or has left. */
   void close(OpenRequest request) {
     byId.remove(request.id());
-    completeIfDrained();
+    completeIfEmpty();
   }
 
   /** Returns an open request. */
@@ -44,10 +45,16 @@
     return List.copyOf(byId.values());
   }
 
-  /** Stops taking requests; the future completes when none is open. */
+  /** Stops taking requests, which is needed only when no reducer can refuse them. */
   public CompletableFuture<Void> drain() {
     draining = true;
-    completeIfDrained();
+    return awaitEmpty();
+  }
+
+  /** Returns a future that completes when no request is open. */
+  public CompletableFuture<Void> awaitEmpty() {
+    awaited = true;
+    completeIfEmpty();
     return drained;
   }
 
@@ -56,8 +63,8 @@
     return draining;
   }
 
-  private void completeIfDrained() {
-    if (draining && byId.isEmpty()) {
+  private void completeIfEmpty() {
+    if (awaited && byId.isEmpty()) {
       drained.complete(null);
     }
   }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamEffects.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamEffects.java
@@ -21,6 +21,7 @@
 import org.limpetdoor.core.effect.FinishRequest;
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.effect.RefuseRequest;
+import org.limpetdoor.core.effect.StopInstance;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.id.AttemptId;
 import org.limpetdoor.runtime.decision.DecisionRecorder;
@@ -39,6 +40,7 @@
   private final StreamingHttpClient client;
   private final RawHttpClient rawClient;
   private final Upstream upstream;
+  private final Consumer<StopInstance.Reason> stop;
   private final ConcurrentMap<AttemptId, UpstreamAttempt> attempts = new ConcurrentHashMap<>();
 
   /**
@@ -48,12 +50,15 @@
    * @param decisions records decisions
    * @param scheduler opens calls and runs timeouts
    * @param events where observations are reported
+   * @param stop ends the instance
    */
   public UpstreamEffects(
       OpenRequests requests,
       DecisionRecorder decisions,
       ScheduledExecutorService scheduler,
-      Consumer<Function<Long, Event>> events) {
+      Consumer<Function<Long, Event>> events,
+      Consumer<StopInstance.Reason> stop) {
+    this.stop = stop;
     this.requests = requests;
     this.decisions = decisions;
     this.client = StreamingHttpClient.create(null, clientConfiguration());
@@ -99,6 +104,11 @@
     decisions.record(effect.decision());
   }
 
+  @Override
+  public void stopInstance(StopInstance effect) {
+    stop.accept(effect.reason());
+  }
+
   @Override
   public void close() {
     attempts.values().forEach(UpstreamAttempt::cancel);
