--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/Fixtures.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/Fixtures.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
@@ -56,13 +57,21 @@
         InstanceSettings.DEFAULT_DRAIN_TIMEOUT_MS);
   }
 
+  static KeyDigest keyDigest() {
+    try {
+      byte[] digest = MessageDigest.getInstance("SHA-256").digest(KEY.getBytes(UTF_8));
+      return new KeyDigest(HexFormat.of().formatHex(digest));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   /** Returns a customer, a model on both engines and a plain service on the first. */
-  static Configuration configuration(FakeEngine first, FakeEngine second) throws Exception {
-    byte[] digest = MessageDigest.getInstance("SHA-256").digest(KEY.getBytes(UTF_8));
+  static Configuration configuration(FakeEngine first, FakeEngine second) {
     Contract contract =
         new Contract(
             new CustomerId("c"),
-            List.of(new KeyDigest(HexFormat.of().formatHex(digest))),
+            List.of(keyDigest()),
             new ArrivalLimit(1_000, 1_000, 1_000_000, 1_000_000),
             new QueueLimit(10, 100_000),
             60_000,
