--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/ChatRequest.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/ChatRequest.java
@@ -39,6 +39,14 @@
     if (!root.isObject()) {
       throw InvalidRequestException.malformed(1, 1);
     }
+    try {
+      return of(root);
+    } catch (InvalidRequestException e) {
+      throw e.in(body);
+    }
+  }
+
+  private static ChatRequest of(JsonNode root) {
     return new ChatRequest(
         target(root), prompt(root.path("messages")), maxTokens(root), stream(root));
   }
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/FieldLocations.java
@@ -0,0 +1,52 @@
+package org.limpetdoor.entry.caller;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import org.limpetdoor.core.SourceLocation;
+
+/** Finds fields in a body that was parsed before. */
+final class FieldLocations {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final SourceLocation START = new SourceLocation("body", 1, 1);
+
+  private FieldLocations() {}
+
+  /**
+   * Returns where the value of a field begins, or where the object begins if the field is absent.
+   * The body is read again, since only wrong requests need the place.
+   *
+   * @param body a JSON object
+   * @param field path such as {@code messages[0]}
+   */
+  static SourceLocation find(byte[] body, String field) {
+    String pointer = "/" + field.replace("[", "/").replace("]", "");
+    try (JsonParser parser = JSON.createParser(body)) {
+      parser.nextToken();
+      return find(parser, pointer);
+    } catch (IOException e) {
+      return START;
+    }
+  }
+
+  /** The last of repeated fields counts, as it does when the body is parsed. */
+  private static SourceLocation find(JsonParser parser, String pointer) throws IOException {
+    SourceLocation found = location(parser.currentTokenLocation());
+    for (JsonToken token = parser.nextToken(); token != null; token = parser.nextToken()) {
+      if (begins(token) && parser.getParsingContext().pathAsPointer().toString().equals(pointer)) {
+        found = location(parser.currentTokenLocation());
+      }
+    }
+    return found;
+  }
+
+  private static boolean begins(JsonToken token) {
+    return token.isStructStart() || token.isScalarValue();
+  }
+
+  private static SourceLocation location(JsonLocation at) {
+    return new SourceLocation("body", at.getLineNr(), at.getColumnNr());
+  }
+}
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/InvalidRequestException.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/InvalidRequestException.java
@@ -46,6 +46,17 @@
     return new InvalidRequestException(problem, detail, new SourceLocation("headers", 0, 0));
   }
 
+  /** Returns a copy that names the place of its field in the body. */
+  InvalidRequestException in(byte[] body) {
+    Object field = problem.members().get("field");
+    if (field == null) {
+      return this;
+    }
+    SourceLocation at = FieldLocations.find(body, field.toString());
+    Problem placed = problem.with("line", at.line()).with("column", at.column());
+    return new InvalidRequestException(placed, String.valueOf(problem.members().get("detail")), at);
+  }
+
   Problem problem() {
     return problem;
   }
--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/EntryServerTest.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/EntryServerTest.java
@@ -169,6 +169,21 @@
     assertThat(json(answer).path("accepted").asText()).isEqualTo("true or false");
   }
 
+  /** Guards against a field error that leaves the caller to search a long body for its place. */
+  @Test
+  void wrongFieldGivesThePlace() throws Exception {
+    String body = "{\"model\":\"m\",\n \"messages\":[{\"role\":\"user\"},\n  7]}";
+
+    JsonNode nested = json(post(CHAT, body));
+    JsonNode absent = json(post(CHAT, "\n {\"model\":\"m\"}"));
+
+    assertThat(nested.path("field").asText()).isEqualTo("messages[1]");
+    assertThat(nested.path("line").asInt()).isEqualTo(3);
+    assertThat(nested.path("column").asInt()).isEqualTo(3);
+    assertThat(absent.path("line").asInt()).isEqualTo(2);
+    assertThat(absent.path("column").asInt()).isEqualTo(2);
+  }
+
   /** Guards against wrong status codes for names and keys that the configuration lacks. */
   @Test
   void unknownNamesAndKeysAreRefused() throws Exception {
