--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
@@ -15,7 +15,9 @@
   /** A back end may have become reachable again. The key is its identifier. */
   BACKEND_RETRY((state, key) -> RequestEvents.backendRetry(state, new BackendId(key))),
   /** An attempt has run for as long as long work. The key is request and attempt number. */
-  WORK_OUTRUN(RequestEvents::workOutrun);
+  WORK_OUTRUN(RequestEvents::workOutrun),
+  /** A graceful shutdown has taken as long as it may. The key is the instance. */
+  DRAIN_TIMEOUT((state, key) -> DrainEvents.timedOut(state));
 
   private final BiFunction<NodeState, String, Transition<NodeState, Effect>> handler;
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/Decision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/Decision.java
@@ -7,7 +7,11 @@
  * made from it, so that they cannot disagree.
  */
 public sealed interface Decision
-    permits AdmissionDecision, ConfigurationDecision, QueueAgeAlarm, RoutingDecision {
+    permits AdmissionDecision,
+        ConfigurationDecision,
+        DrainDecision,
+        QueueAgeAlarm,
+        RoutingDecision {
   /** Returns the kind, the name of the event in log lines. */
   DecisionKind kind();
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -9,7 +9,9 @@
   /** A published configuration was accepted or rejected. */
   CONFIGURATION("configuration", "version"),
   /** Requests of a customer wait for too long. */
-  QUEUE_AGE_ALARM("queue_age_alarm", "customer");
+  QUEUE_AGE_ALARM("queue_age_alarm", "customer"),
+  /** The instance began its graceful shutdown. */
+  DRAIN("drain", "instance");
 
   private final String eventName;
   private final String subjectKey;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
@@ -11,7 +11,8 @@
         FinishRequest,
         RaiseQueueAgeAlarm,
         RecordDecision,
-        RefuseRequest {
+        RefuseRequest,
+        StopInstance {
   /** Hands this effect to the matching method of a handler. */
   void applyTo(EffectHandler handler);
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
@@ -22,4 +22,7 @@
 
   /** Changes the priority of an attempt that an engine is running. */
   void changePriority(ChangePriority effect);
+
+  /** Ends the instance. */
+  void stopInstance(StopInstance effect);
 }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamEffects.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamEffects.java
@@ -2,9 +2,12 @@
 
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
+import io.micronaut.http.client.RawHttpClient;
 import io.micronaut.http.client.StreamingHttpClient;
-import java.lang.System.Logger;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.lang.System.Logger.Level;
+import java.lang.System.Logger;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -22,6 +25,7 @@
 import org.limpetdoor.core.effect.RaiseQueueAgeAlarm;
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.effect.RefuseRequest;
+import org.limpetdoor.core.effect.StopInstance;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.id.AttemptId;
 import org.limpetdoor.runtime.decision.DecisionRecorder;
@@ -34,14 +38,16 @@
   private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
 
   /** Longest answer that is passed on as a whole. */
-  private static final int MAX_ANSWER_BYTES = 16 << 20;
+  static final int MAX_ANSWER_BYTES = 16 << 20;
 
   private static final Logger LOG = System.getLogger(UpstreamEffects.class.getName());
 
   private final OpenRequests requests;
   private final DecisionRecorder decisions;
   private final StreamingHttpClient client;
+  private final RawHttpClient rawClient;
   private final Upstream upstream;
+  private final Consumer<StopInstance.Reason> stop;
   private final ConcurrentMap<AttemptId, UpstreamAttempt> attempts = new ConcurrentHashMap<>();
 
   /**
@@ -51,16 +57,20 @@
    * @param decisions records decisions
    * @param scheduler opens calls and runs timeouts
    * @param events where observations are reported
+   * @param stop ends the instance
    */
   public UpstreamEffects(
       OpenRequests requests,
       DecisionRecorder decisions,
       ScheduledExecutorService scheduler,
-      Consumer<Function<Long, Event>> events) {
+      Consumer<Function<Long, Event>> events,
+      Consumer<StopInstance.Reason> stop) {
+    this.stop = stop;
     this.requests = requests;
     this.decisions = decisions;
     this.client = StreamingHttpClient.create(null, clientConfiguration());
-    this.upstream = new Upstream(client, scheduler, event -> events.accept(event));
+    this.rawClient = RawHttpClient.create(null, clientConfiguration());
+    this.upstream = new Upstream(client, rawClient, scheduler, event -> events.accept(event));
   }
 
   @Override
@@ -114,10 +124,24 @@
     LOG.log(Level.WARNING, LogLine.of(effect.alarm()).toString());
   }
 
+  @Override
+  public void stopInstance(StopInstance effect) {
+    stop.accept(effect.reason());
+  }
+
   @Override
   public void close() {
     attempts.values().forEach(UpstreamAttempt::cancel);
     client.close();
+    closeRawClient();
+  }
+
+  private void closeRawClient() {
+    try {
+      rawClient.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
   }
 
   private void refuse(OpenRequest request, RefuseRequest effect) {
