--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/CliCommand.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/CliCommand.java
@@ -9,6 +9,12 @@
       description = "Writes the result as one JSON object")
   private boolean json;
 
+  // Handled before parsing; declared so that it is listed in the help.
+  @Option(
+      name = {"--help"},
+      description = "Describes the command")
+  private boolean help;
+
   boolean isJson() {
     return json;
   }
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/CliMain.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/CliMain.java
@@ -4,8 +4,11 @@
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.io.InputStream;
 import java.io.PrintStream;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.UUID;
+import java.util.concurrent.TimeUnit;
 import org.limpetdoor.runtime.log.HttpLogService;
 
 /** Entry point of the operator's command line. */
@@ -14,12 +17,16 @@
 
   private final Cli<CliCommand> cli =
       Cli.<CliCommand>builder("limpetdoor")
-          .withDescription("Checks and publishes the configuration of limpetdoor")
+          .withDescription("Publishes the configuration of limpetdoor and shows its instances")
           .withCommand(HelpCommand.class)
           .withCommand(ValidateCommand.class)
           .withCommand(DiffCommand.class)
           .withCommand(PublishCommand.class)
+          .withCommand(RollForwardCommand.class)
           .withCommand(HistoryCommand.class)
+          .withCommand(StatusCommand.class)
+          .withCommand(ExplainCommand.class)
+          .withCommand(DrainCommand.class)
           .withCommand(KeyDigestCommand.class)
           .build();
 
@@ -39,7 +46,14 @@
   /** Runs one command in this process, for programs that contain the command line. */
   public static ExitCode run(InputStream in, PrintStream out, PrintStream err, String... args) {
     CliContext context =
-        new CliContext(in, HttpLogService::new, () -> "cli:" + UUID.randomUUID(), RETRY_DELAY_MS);
+        new CliContext(
+            in,
+            HttpLogService::new,
+            () -> "cli:" + UUID.randomUUID(),
+            HttpOperatorService::new,
+            err::println,
+            () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()),
+            RETRY_DELAY_MS);
     return new CliMain(context, out, err).execute(args);
   }
 
@@ -47,13 +61,29 @@
     CliCommand command;
     try {
       // A default command would take an unknown command for its argument.
-      command = args.length == 0 ? cli.parse("help") : cli.parse(args);
+      command = args.length == 0 ? cli.parse("help") : cli.parse(withoutHelpOption(args));
     } catch (ParseException e) {
       return printer.print(Report.failed(ExitCode.USAGE, e.getMessage()), isJson(args));
     }
     return printer.print(report(command), command.isJson());
   }
 
+  // The parser would report missing arguments before it gave the help of a command.
+  private static String[] withoutHelpOption(String... args) {
+    if (!Arrays.asList(args).contains("--help")) {
+      return args;
+    }
+    List<String> help = new ArrayList<>();
+    help.add("help");
+    if (!args[0].startsWith("-")) {
+      help.add(args[0]);
+    }
+    if (isJson(args)) {
+      help.add("--json");
+    }
+    return help.toArray(String[]::new);
+  }
+
   // The parser does not tell which options it had read when it failed.
   private static boolean isJson(String... args) {
     return Arrays.asList(args).contains("--json");
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/DiffCommand.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/DiffCommand.java
@@ -19,6 +19,12 @@
 
 /** Compares a configuration document with the version in force. */
 @Command(name = "diff", description = "Compares a document with the version in force")
+@Exits({
+  ExitCode.INVALID_INPUT,
+  ExitCode.LOG_UNAVAILABLE,
+  ExitCode.HISTORY_INCOMPLETE,
+  ExitCode.LOG_REFUSED
+})
 public final class DiffCommand extends LogCommand {
   @Arguments(title = "FILE", description = "Configuration document")
   @Required
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/ExitCode.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/ExitCode.java
@@ -20,7 +20,23 @@
   /** The log no longer holds all records, so the version in force cannot be computed from it. */
   HISTORY_INCOMPLETE(7, "use a log that retains the records since the first publication"),
   /** The log service refused the call as wrong; nothing was changed. */
-  LOG_REFUSED(8, "check --stream, and publish a large change in several smaller ones");
+  LOG_REFUSED(8, "check --stream, and publish a large change in several smaller ones"),
+  /** An instance does not answer. */
+  INSTANCE_UNAVAILABLE(
+      9,
+      "check that the instance runs and that --instance names its operator address, then repeat"
+          + " the command, which is safe"),
+  /** An instance gave another answer than its operator interface gives. */
+  INSTANCE_REFUSED(
+      10, "check that --instance names the operator address of an instance of this version"),
+  /** The instance keeps no decision about the request. */
+  UNKNOWN_REQUEST(
+      11, "ask the other instances; each keeps only the decisions of its latest requests"),
+  /** The publication was accepted, but not every named instance has it in force. */
+  NOT_IN_FORCE(
+      12, "run 'limpetdoor status' on the named instances; the publication stays accepted"),
+  /** The version to roll forward to was never in force; nothing was changed. */
+  UNKNOWN_VERSION(13, "run 'limpetdoor history' and choose the offset of an accepted publication");
 
   private final int status;
   private final String nextStep;
--- /dev/null
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/Exits.java
@@ -0,0 +1,14 @@
+package org.limpetdoor.cli;
+
+import java.lang.annotation.ElementType;
+import java.lang.annotation.Retention;
+import java.lang.annotation.RetentionPolicy;
+import java.lang.annotation.Target;
+
+/** Names the exit codes of a command, for its help. */
+@Retention(RetentionPolicy.RUNTIME)
+@Target(ElementType.TYPE)
+@interface Exits {
+  /** Exit codes in addition to {@code ok}, {@code internal} and {@code usage}. */
+  ExitCode[] value() default {};
+}
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/FailureReports.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/FailureReports.java
@@ -20,6 +20,9 @@
     if (failure instanceof CliException known) {
       return Report.failed(known.exitCode(), known.getMessage());
     }
+    if (failure instanceof InstanceException instance) {
+      return new Report(instance.failure().exitCode(), List.of(instance.line()), instance.fields());
+    }
     if (failure instanceof LogServiceException log) {
       String message = log.getMessage() + " (" + ValueTypes.choiceName(log.failure()) + ")";
       boolean refused = log.failure() == LogFailure.REFUSED;
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/HelpCommand.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/HelpCommand.java
@@ -11,8 +11,11 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import org.limpetdoor.format.json.ValueTypes;
 
 /** Describes the commands. */
 @Command(name = "help", description = "Describes the commands")
@@ -31,10 +34,36 @@
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
-    String help = text.toString(StandardCharsets.UTF_8);
+    String help = text.toString(StandardCharsets.UTF_8) + exitCodes();
     return Report.ok(help.lines().toList(), Map.of("help", help));
   }
 
+  private String exitCodes() {
+    StringBuilder text = new StringBuilder();
+    for (CommandMetadata command : global.getDefaultGroupCommands()) {
+      if (names.contains(command.getName())) {
+        text.append("EXIT CODES\n");
+        exitCodes(command.getType()).forEach(code -> text.append(line(code)));
+      }
+    }
+    return text.toString();
+  }
+
+  private static Set<ExitCode> exitCodes(Class<?> command) {
+    Set<ExitCode> codes = EnumSet.of(ExitCode.OK, ExitCode.INTERNAL, ExitCode.USAGE);
+    Exits exits = command.getAnnotation(Exits.class);
+    if (exits != null) {
+      codes.addAll(List.of(exits.value()));
+    }
+    return codes;
+  }
+
+  private static String line(ExitCode code) {
+    String name = ValueTypes.choiceName(code);
+    String nextStep = code.nextStep().isEmpty() ? "" : ": " + code.nextStep();
+    return "        " + code.status() + " " + name + nextStep + "\n";
+  }
+
   private void requireKnown() {
     List<String> known =
         global.getDefaultGroupCommands().stream().map(CommandMetadata::getName).toList();
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/HistoryLog.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/HistoryLog.java
@@ -23,14 +23,28 @@
     return readOn(History.EMPTY);
   }
 
+  /**
+   * Returns the history up to and including an offset, or to the end of the log if it is shorter.
+   */
+  History readThrough(long offset) {
+    return read(History.EMPTY, offset);
+  }
+
   /** Returns the given history extended to the end of the log. */
   History readOn(History known) {
+    return read(known, Long.MAX_VALUE);
+  }
+
+  private History read(History known, long lastOffset) {
     History history = known;
     while (true) {
       long from = history.agreed().nextOffset();
       LogService.Page page = retry.call(() -> log.read(from, PAGE_RECORDS, 0));
       requireRetained(from, page);
       for (LogService.RawRecord raw : page.records()) {
+        if (raw.offset() > lastOffset) {
+          return history;
+        }
         StoredRecord stored = LogRecords.decode(raw);
         history = reducer.reduce(history, stored).state();
       }
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/KeyDigestCommand.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/KeyDigestCommand.java
@@ -16,6 +16,7 @@
 @Command(
     name = "key-digest",
     description = "Reads a caller key from standard input and prints its SHA-256 digest")
+@Exits({ExitCode.INVALID_INPUT})
 public final class KeyDigestCommand extends CliCommand {
   // Longer input is most likely a wrong file.
   private static final int MAX_KEY_BYTES = 4096;
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/LogCommand.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/LogCommand.java
@@ -3,7 +3,6 @@
 import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Pattern;
 import com.github.rvesse.airline.annotations.restrictions.Required;
-import org.limpetdoor.format.json.HostPort;
 import org.limpetdoor.format.settings.InstanceSettings;
 import org.limpetdoor.runtime.log.LogService;
 
@@ -26,10 +25,6 @@
   private String stream = InstanceSettings.DEFAULT_LOG_STREAM;
 
   LogService openLog(CliContext context) {
-    try {
-      return context.logs().apply(HostPort.parse(log).toString(), stream);
-    } catch (HostPort.InvalidAddressException e) {
-      throw new CliException(ExitCode.USAGE, "--log: " + e.getMessage(), e);
-    }
+    return context.logs().apply(Addresses.parse("--log", log), stream);
   }
 }
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/Publication.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/Publication.java
@@ -2,18 +2,27 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /** The result of publishing a configuration. */
 sealed interface Publication {
   /** Returns the result for the operator. */
   Report report();
 
+  /** Returns the version that has the content, or empty if there is none. */
+  OptionalLong contentVersion();
+
   /**
    * The configuration came into force.
    *
    * @param version the new version
    */
   record Accepted(long version) implements Publication {
+    @Override
+    public OptionalLong contentVersion() {
+      return OptionalLong.of(version);
+    }
+
     @Override
     public Report report() {
       return Report.ok(
@@ -27,6 +36,11 @@
    * @param version version in force
    */
   record Unchanged(long version) implements Publication {
+    @Override
+    public OptionalLong contentVersion() {
+      return OptionalLong.of(version);
+    }
+
     @Override
     public Report report() {
       return Report.ok(
@@ -43,6 +57,11 @@
    * @param publisher who published the version in force; empty if nothing was published
    */
   record Conflict(long baseVersion, long versionInForce, String publisher) implements Publication {
+    @Override
+    public OptionalLong contentVersion() {
+      return OptionalLong.empty();
+    }
+
     @Override
     public Report report() {
       String message =
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/ValidateCommand.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/ValidateCommand.java
@@ -10,6 +10,7 @@
 
 /** Checks a configuration document and reports all its problems. */
 @Command(name = "validate", description = "Checks a configuration document")
+@Exits({ExitCode.INVALID_INPUT})
 public final class ValidateCommand extends CliCommand {
   @Arguments(title = "FILE", description = "Configuration document")
   @Required
--- a/limpetdoor-cli/src/test/java/org/limpetdoor/cli/CliMainTest.java
+++ b/limpetdoor-cli/src/test/java/org/limpetdoor/cli/CliMainTest.java
@@ -209,6 +209,9 @@
             new ByteArrayInputStream(input.getBytes(UTF_8)),
             (address, stream) -> opened,
             () -> "cli:" + appenders.incrementAndGet(),
+            HttpOperatorService::new,
+            line -> {},
+            () -> 0,
             0);
     PrintStream outStream = new PrintStream(out, true, UTF_8);
     return new CliMain(context, outStream, new PrintStream(err, true, UTF_8)).execute(args);
--- /dev/null
+++ b/limpetdoor-cli/src/test/java/org/limpetdoor/cli/FakeInstance.java
@@ -0,0 +1,72 @@
+package org.limpetdoor.cli;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** An operator interface on loopback that gives scripted answers. */
+final class FakeInstance implements AutoCloseable {
+  private final HttpServer server;
+  private final Map<String, Answer> answers = new ConcurrentHashMap<>();
+  private final List<String> calls = new CopyOnWriteArrayList<>();
+
+  private record Answer(int status, String body) {}
+
+  FakeInstance() {
+    try {
+      server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    server.createContext("/", this::answer);
+    server.start();
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.getAddress().getPort();
+  }
+
+  /** Returns the calls so far as method and path. */
+  List<String> calls() {
+    return calls;
+  }
+
+  FakeInstance with(String path, int status, String body) {
+    answers.put(path, new Answer(status, body));
+    return this;
+  }
+
+  FakeInstance withVersion(long version) {
+    return with(
+        "/status", 200, "{\"instance\":\"entry-1\",\"configurationVersion\":" + version + "}");
+  }
+
+  /** A path without a scripted answer loses the connection. */
+  private void answer(HttpExchange exchange) throws IOException {
+    try (exchange) {
+      String path = exchange.getRequestURI().getRawPath();
+      calls.add(exchange.getRequestMethod() + " " + path);
+      Answer answer = answers.get(path);
+      if (answer == null) {
+        return;
+      }
+      byte[] body = answer.body().getBytes(UTF_8);
+      exchange.sendResponseHeaders(answer.status(), body.length);
+      exchange.getResponseBody().write(body);
+    }
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestTable.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestTable.java
@@ -1,6 +1,7 @@
 package org.limpetdoor.core.request;
 
 import java.util.Optional;
+import org.limpetdoor.core.config.Contract;
 import org.limpetdoor.core.id.CustomerId;
 import org.limpetdoor.core.id.RequestId;
 import org.pcollections.HashTreePMap;
@@ -23,6 +24,15 @@
     return Optional.ofNullable(byId.get(id));
   }
 
+  /**
+   * Returns how much of its limits a customer uses at the given time, in monotonic milliseconds.
+   */
+  public LimitUse limitUse(Contract contract, long nowMs) {
+    CustomerState known = customers.get(contract.customer());
+    CustomerState state = known == null ? CustomerState.initial(contract.arrival(), nowMs) : known;
+    return LimitUse.of(contract, state, nowMs);
+  }
+
   RequestTable with(RequestState request) {
     return new RequestTable(byId.plus(request.spec().id(), request), customers);
   }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/operator/OperatorView.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/operator/OperatorView.java
@@ -15,6 +15,7 @@
 import org.limpetdoor.core.config.Contract;
 import org.limpetdoor.core.decision.Decision;
 import org.limpetdoor.core.id.CustomerId;
+import org.limpetdoor.core.request.LimitUse;
 import org.limpetdoor.entry.traffic.OpenRequest;
 import org.limpetdoor.entry.traffic.OpenRequests;
 import org.limpetdoor.runtime.MonotonicClock;
@@ -101,6 +102,7 @@
     status.put("openRequests", requests.all().size());
     status.put("backends", backends(now));
     status.put("queues", queueStatus());
+    status.put("limits", limits(now));
     return status;
   }
 
@@ -152,6 +154,24 @@
     return out;
   }
 
+  private Map<String, Object> limits(NodeState now) {
+    Map<String, Object> out = new TreeMap<>();
+    for (Contract contract : now.configuration().contracts().values()) {
+      LimitUse use = now.requests().limitUse(contract, Math.max(now.nowMs(), clock.nowMs()));
+      Map<String, Object> fields = new LinkedHashMap<>();
+      fields.put("queuedRequests", use.queuedRequests());
+      fields.put("maxQueuedRequests", use.maxQueuedRequests());
+      fields.put("queuedTokens", use.queuedTokens());
+      fields.put("maxQueuedTokens", use.maxQueuedTokens());
+      fields.put("availableRequests", use.availableRequests());
+      fields.put("burstRequests", use.burstRequests());
+      fields.put("availableTokens", use.availableTokens());
+      fields.put("burstTokens", use.burstTokens());
+      out.put(contract.customer().value(), fields);
+    }
+    return out;
+  }
+
   private static Map<String, Object> backends(NodeState now) {
     Map<String, Object> out = new TreeMap<>();
     now.configuration()
--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/EntryServerTest.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/EntryServerTest.java
@@ -223,6 +223,9 @@
     assertThat(metrics).contains("limpetdoor_decisions_total{kind=\"route\"");
     assertThat(metrics).contains("limpetdoor_backend_in_flight_requests{backend=\"e1\"}");
     assertThat(status.path("configurationVersion").asInt()).isEqualTo(0);
+    assertThat(status.at("/limits/c/queuedRequests").asInt(-1)).isEqualTo(0);
+    assertThat(status.at("/limits/c/maxQueuedRequests").asInt()).isEqualTo(10);
+    assertThat(status.at("/limits/c/burstTokens").asLong()).isEqualTo(1_000_000);
     assertThat(operator("GET", "/explain/absent").statusCode()).isEqualTo(404);
   }
 
