--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/DiffCommand.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/DiffCommand.java
@@ -23,7 +23,8 @@
   ExitCode.INVALID_INPUT,
   ExitCode.LOG_UNAVAILABLE,
   ExitCode.HISTORY_INCOMPLETE,
-  ExitCode.LOG_REFUSED
+  ExitCode.LOG_REFUSED,
+  ExitCode.LATER_VERSION_NEEDED
 })
 public final class DiffCommand extends LogCommand {
   @Arguments(title = "FILE", description = "Configuration document")
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/ExitCode.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/ExitCode.java
@@ -36,7 +36,9 @@
   NOT_IN_FORCE(
       12, "run 'limpetdoor status' on the named instances; the publication stays accepted"),
   /** The version to roll forward to was never in force; nothing was changed. */
-  UNKNOWN_VERSION(13, "run 'limpetdoor history' and choose the offset of an accepted publication");
+  UNKNOWN_VERSION(13, "run 'limpetdoor history' and choose the offset of an accepted publication"),
+  /** The log holds a record of a later version; nothing was changed. */
+  LATER_VERSION_NEEDED(14, "use the command line of the version that wrote the record");
 
   private final int status;
   private final String nextStep;
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/HistoryCommand.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/HistoryCommand.java
@@ -8,7 +8,12 @@
 
 /** Lists the publications in the log. */
 @Command(name = "history", description = "Lists publications and their results")
-@Exits({ExitCode.LOG_UNAVAILABLE, ExitCode.HISTORY_INCOMPLETE, ExitCode.LOG_REFUSED})
+@Exits({
+  ExitCode.LOG_UNAVAILABLE,
+  ExitCode.HISTORY_INCOMPLETE,
+  ExitCode.LOG_REFUSED,
+  ExitCode.LATER_VERSION_NEEDED
+})
 public final class HistoryCommand extends LogCommand {
   @Override
   Report run(CliContext context) {
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/HistoryLog.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/HistoryLog.java
@@ -48,12 +48,23 @@
         StoredRecord stored = LogRecords.decode(raw);
         history = reducer.reduce(history, stored).state();
       }
+      requireReadable(history);
       if (history.agreed().nextOffset() == from) {
         return history;
       }
     }
   }
 
+  // A publication on the base of a part of the log would undo what this program cannot read.
+  private static void requireReadable(History history) {
+    if (history.agreed().stopped()) {
+      throw new CliException(
+          ExitCode.LATER_VERSION_NEEDED,
+          "the record at offset " + history.agreed().nextOffset() + " needs a later reader",
+          null);
+    }
+  }
+
   private static void requireRetained(long from, LogService.Page page) {
     if (page.firstOffset() > from) {
       throw new CliException(
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/PublishCommand.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/PublishCommand.java
@@ -14,6 +14,7 @@
   ExitCode.OUTCOME_UNKNOWN,
   ExitCode.HISTORY_INCOMPLETE,
   ExitCode.LOG_REFUSED,
+  ExitCode.LATER_VERSION_NEEDED,
   ExitCode.NOT_IN_FORCE
 })
 public final class PublishCommand extends PublishingCommand {
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/RollForwardCommand.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/RollForwardCommand.java
@@ -19,6 +19,7 @@
   ExitCode.OUTCOME_UNKNOWN,
   ExitCode.HISTORY_INCOMPLETE,
   ExitCode.LOG_REFUSED,
+  ExitCode.LATER_VERSION_NEEDED,
   ExitCode.NOT_IN_FORCE,
   ExitCode.UNKNOWN_VERSION
 })
--- a/limpetdoor-cli/src/test/java/org/limpetdoor/cli/CliMainTest.java
+++ b/limpetdoor-cli/src/test/java/org/limpetdoor/cli/CliMainTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -21,6 +22,7 @@
 import org.limpetdoor.core.agreed.LogRecord.ConfigurationPublished;
 import org.limpetdoor.core.config.ConfigurationPatch;
 import org.limpetdoor.format.record.LogRecordCodec;
+import org.limpetdoor.format.record.MessagePackMaps;
 import org.limpetdoor.runtime.log.LogService;
 
 final class CliMainTest {
@@ -158,6 +160,14 @@
     assertThat(publish().path("version").asLong()).isEqualTo(1);
   }
 
+  /** Guards against an old command line that undoes what it cannot read. */
+  @Test
+  void publishRefusesALogWithRecordsOfALaterVersion() {
+    log.add(MessagePackMaps.encode(Map.of("minReaderVersion", 2L)));
+    assertThat(run("publish", EXAMPLE, "--log", ADDRESS)).isEqualTo(ExitCode.LATER_VERSION_NEEDED);
+    assertThat(log.bodies()).hasSize(1);
+  }
+
   @Test
   void diffNamesAddedChangedAndRemovedEntries() throws IOException {
     publish();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/LogRecord.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/LogRecord.java
@@ -23,4 +23,13 @@
    * @param kind name of the kind
    */
   record Unknown(String kind) implements LogRecord {}
+
+  /**
+   * A record that only later versions may fold. Passing over it would let instances of two versions
+   * disagree.
+   *
+   * @param minReaderVersion lowest reader version that may fold the record
+   * @param readerVersion reader version of this instance, which is lower
+   */
+  record LaterReaderNeeded(long minReaderVersion, long readerVersion) implements LogRecord {}
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -7,7 +7,14 @@
   /** A request was queued or refused. */
   ADMISSION("admission", "request"),
   /** A published configuration was accepted or rejected. */
-  CONFIGURATION("configuration", "version");
+  CONFIGURATION("configuration", "version"),
+  /** The instance follows the log no further and must be replaced by a later version. */
+  LOG_STOP("log_stop", "offset") {
+    @Override
+    public boolean needsOperator() {
+      return true;
+    }
+  };
 
   private final String eventName;
   private final String subjectKey;
@@ -17,6 +24,11 @@
     this.subjectKey = subjectKey;
   }
 
+  /** Returns whether an operator has to act; such decisions are logged as errors. */
+  public boolean needsOperator() {
+    return false;
+  }
+
   /** Returns the value of the {@code event} key in log lines. */
   public String eventName() {
     return eventName;
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/operator/OperatorView.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/operator/OperatorView.java
@@ -66,6 +66,7 @@
     this.inFlight = gauge("limpetdoor.backend.in.flight.requests", "Attempts in flight");
     metrics.gauge("limpetdoor.open.requests", requests, open -> open.all().size());
     metrics.gauge("limpetdoor.log.next.offset", this, v -> v.state.get().agreed().nextOffset());
+    metrics.gauge("limpetdoor.log.stopped", this, v -> v.state.get().agreed().stopped() ? 1 : 0);
     metrics.gauge(
         "limpetdoor.configuration.version",
         this,
@@ -75,7 +76,9 @@
   /** Returns whether callers may be sent to this instance. */
   boolean ready() {
     boolean configured = state.get().agreed().configurationVersion() >= 0;
-    return !requests.draining() && (configured || logRead.getAsBoolean());
+    return !state.get().agreed().stopped()
+        && !requests.draining()
+        && (configured || logRead.getAsBoolean());
   }
 
   /** Returns all metrics as Prometheus text. */
@@ -99,6 +102,7 @@
     status.put("draining", requests.draining());
     status.put("configurationVersion", now.agreed().configurationVersion());
     status.put("nextOffset", now.agreed().nextOffset());
+    status.put("logStopped", now.agreed().stopped());
     status.put("openRequests", requests.all().size());
     status.put("backends", backends(now));
     status.put("queues", queueStatus());
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/record/LogRecordCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/record/LogRecordCodec.java
@@ -6,12 +6,23 @@
 import org.limpetdoor.core.agreed.AppendId;
 import org.limpetdoor.core.agreed.Envelope;
 import org.limpetdoor.core.agreed.LogRecord;
+import org.limpetdoor.core.agreed.LogRecord.LaterReaderNeeded;
 
 /**
- * Encodes log records as MessagePack maps with the fields {@code kind}, {@code appender}, {@code
- * sequence} and those of the kind.
+ * Encodes log records as MessagePack maps with the fields {@code kind}, {@code minReaderVersion},
+ * {@code appender}, {@code sequence} and those of the kind.
  */
 public final class LogRecordCodec {
+  /**
+   * Version of this reader. It rises with each change after which an older reader would fold a
+   * record differently: a new kind that changes agreed state, a new field of the configuration, or
+   * a different range.
+   */
+  public static final long READER_VERSION = 1;
+
+  private static final String MIN_READER_VERSION = "minReaderVersion";
+  private static final AppendId NO_ID = new AppendId("", 0);
+
   private LogRecordCodec() {}
 
   /**
@@ -24,6 +35,7 @@
     RecordKind kind = RecordKind.of(envelope.content());
     Map<String, Object> fields = new LinkedHashMap<>();
     fields.put("kind", kind.wireName());
+    fields.put(MIN_READER_VERSION, kind.minReaderVersion());
     fields.put("appender", envelope.id().appender());
     fields.put("sequence", envelope.id().sequence());
     fields.putAll(kind.encode(envelope.content()));
@@ -32,12 +44,17 @@
 
   /**
    * Returns the record that the bytes encode. A kind that this version does not know gives {@link
-   * LogRecord.Unknown}.
+   * LogRecord.Unknown}, and one that needs a later reader gives {@link LaterReaderNeeded}.
    *
    * @throws MalformedRecordException if the bytes are not a record
    */
   public static Envelope decode(byte[] bytes) {
     RecordFields fields = new RecordFields(MessagePackMaps.decode(bytes));
+    long minReaderVersion = fields.number(MIN_READER_VERSION, 1);
+    if (minReaderVersion > READER_VERSION) {
+      // The other fields may have another form, so nothing more of the record is read.
+      return new Envelope(NO_ID, new LaterReaderNeeded(minReaderVersion, READER_VERSION));
+    }
     String kind = fields.text("kind");
     AppendId id = new AppendId(fields.text("appender"), fields.number("sequence"));
     LogRecord content =
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/record/RecordFields.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/record/RecordFields.java
@@ -18,6 +18,10 @@
     return get(name, Long.class);
   }
 
+  long number(String name, long absent) {
+    return values.containsKey(name) ? number(name) : absent;
+  }
+
   List<String> texts(String name) {
     List<?> items = get(name, List.class);
     return items.stream().map(item -> cast(name, item, String.class)).toList();
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/record/RecordKind.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/record/RecordKind.java
@@ -44,6 +44,11 @@
   /** Returns the record of this kind with the given fields. */
   abstract LogRecord decode(RecordFields fields);
 
+  /** Returns the lowest reader version that folds records of this kind as this version does. */
+  long minReaderVersion() {
+    return 1;
+  }
+
   /** Returns the name of the kind in encoded records. */
   String wireName() {
     return wireName;
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/decision/DecisionRecorder.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/decision/DecisionRecorder.java
@@ -26,7 +26,8 @@
 
   /** Records a decision. Called by the control thread only. */
   public void record(Decision decision) {
-    LOG.log(Level.INFO, LogLine.of(decision).toString());
+    Level level = decision.kind().needsOperator() ? Level.ERROR : Level.INFO;
+    LOG.log(level, LogLine.of(decision).toString());
     metrics
         .counter(
             "limpetdoor.decisions", "kind", decision.kind().eventName(), "reason", reason(decision))
