--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/FixedLog.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/FixedLog.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.entry;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.limpetdoor.core.agreed.AgreedState;
@@ -15,16 +16,19 @@
 
 /** A log that holds one publication. Its first read fails, as in an outage at the start. */
 final class FixedLog implements LogService {
-  private final RawRecord record;
+  private final List<RawRecord> records = new ArrayList<>();
   private final CountDownLatch passedOn = new CountDownLatch(1);
   private boolean failed;
 
-  FixedLog(Configuration configuration) {
+  FixedLog(Configuration configuration, byte[]... later) {
     ConfigurationPublished published =
         new ConfigurationPublished(
             AgreedState.NO_VERSION, "test", ConfigurationPatch.of(configuration));
     Envelope envelope = new Envelope(new AppendId("test", 1), published);
-    record = new RawRecord(0, LogRecordCodec.encode(envelope));
+    records.add(new RawRecord(0, LogRecordCodec.encode(envelope)));
+    for (byte[] body : later) {
+      records.add(new RawRecord(records.size(), body));
+    }
   }
 
   /** Waits until the record was handed to the control thread, ahead of all later events. */
@@ -44,7 +48,7 @@
       throw new LogServiceException(LogFailure.UNREACHABLE, "test", "no connection", null);
     }
     if (from == 0) {
-      return new Page(List.of(record), 1, 0);
+      return new Page(records, records.size(), 0);
     }
     passedOn.countDown();
     return waitUntilClosed(from);
