--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/HistoryLog.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/HistoryLog.java
@@ -23,23 +23,48 @@
     return readOn(History.EMPTY);
   }
 
+  /**
+   * Returns the history up to and including an offset, or to the end of the log if it is shorter.
+   */
+  History readThrough(long offset) {
+    return read(History.EMPTY, offset);
+  }
+
   /** Returns the given history extended to the end of the log. */
   History readOn(History known) {
+    return read(known, Long.MAX_VALUE);
+  }
+
+  private History read(History known, long lastOffset) {
     History history = known;
     while (true) {
       long from = history.agreed().nextOffset();
       LogService.Page page = retry.call(() -> log.read(from, PAGE_RECORDS, 0));
       requireRetained(from, page);
       for (LogService.RawRecord raw : page.records()) {
+        if (raw.offset() > lastOffset) {
+          return history;
+        }
         StoredRecord stored = LogRecords.decode(raw);
         history = reducer.reduce(history, stored).state();
       }
+      requireReadable(history);
       if (history.agreed().nextOffset() == from) {
         return history;
       }
     }
   }
 
+  // A publication on the base of a part of the log would undo what this program cannot read.
+  private static void requireReadable(History history) {
+    if (history.agreed().stopped()) {
+      throw new CliException(
+          ExitCode.LATER_VERSION_NEEDED,
+          "the record at offset " + history.agreed().nextOffset() + " needs a later reader",
+          null);
+    }
+  }
+
   private static void requireRetained(long from, LogService.Page page) {
     if (page.firstOffset() > from) {
       throw new CliException(
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/Decision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/Decision.java
@@ -10,6 +10,7 @@
     permits AdmissionDecision,
         ConfigurationDecision,
         DrainDecision,
+        LogStopDecision,
         QueueAgeAlarm,
         RoutingDecision {
   /** Returns the kind, the name of the event in log lines. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -11,7 +11,14 @@
   /** Requests of a customer wait for too long. */
   QUEUE_AGE_ALARM("queue_age_alarm", "customer"),
   /** The instance began its graceful shutdown. */
-  DRAIN("drain", "instance");
+  DRAIN("drain", "instance"),
+  /** The instance follows the log no further and must be replaced by a later version. */
+  LOG_STOP("log_stop", "offset") {
+    @Override
+    public boolean needsOperator() {
+      return true;
+    }
+  };
 
   private final String eventName;
   private final String subjectKey;
@@ -21,6 +28,11 @@
     this.subjectKey = subjectKey;
   }
 
+  /** Returns whether an operator has to act; such decisions are logged as errors. */
+  public boolean needsOperator() {
+    return false;
+  }
+
   /** Returns the value of the {@code event} key in log lines. */
   public String eventName() {
     return eventName;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestTable.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestTable.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.limpetdoor.core.config.ArrivalLimit;
+import org.limpetdoor.core.config.Contract;
+import org.limpetdoor.core.config.QueueLimit;
 import org.limpetdoor.core.id.CustomerId;
 import org.limpetdoor.core.id.RequestId;
 import org.pcollections.HashTreePMap;
@@ -65,6 +67,16 @@
     return known == null ? CustomerState.initial(limit, nowMs) : known.refilled(limit, nowMs);
   }
 
+  /**
+   * Returns how much of its limits on this instance a customer uses at the given time, in monotonic
+   * milliseconds.
+   */
+  public LimitUse limitUse(Contract contract, long nowMs) {
+    ArrivalLimit arrival = learned.share().of(contract.customer(), contract.arrival());
+    QueueLimit queue = learned.share().of(contract.customer(), contract.queue());
+    return LimitUse.of(arrival, queue, customer(contract.customer(), arrival, nowMs));
+  }
+
   RequestTable with(RequestState request) {
     return new RequestTable(
         byId.plus(request.spec().id(), request),
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/operator/OperatorView.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/operator/OperatorView.java
@@ -15,6 +15,7 @@
 import org.limpetdoor.core.config.Contract;
 import org.limpetdoor.core.decision.Decision;
 import org.limpetdoor.core.id.CustomerId;
+import org.limpetdoor.core.request.LimitUse;
 import org.limpetdoor.entry.traffic.OpenRequest;
 import org.limpetdoor.entry.traffic.OpenRequests;
 import org.limpetdoor.runtime.MonotonicClock;
@@ -65,6 +66,7 @@
     this.inFlight = gauge("limpetdoor.backend.in.flight.requests", "Attempts in flight");
     metrics.gauge("limpetdoor.open.requests", requests, open -> open.all().size());
     metrics.gauge("limpetdoor.log.next.offset", this, v -> v.state.get().agreed().nextOffset());
+    metrics.gauge("limpetdoor.log.stopped", this, v -> v.state.get().agreed().stopped() ? 1 : 0);
     metrics.gauge(
         "limpetdoor.configuration.version",
         this,
@@ -74,7 +76,9 @@
   /** Returns whether callers may be sent to this instance. */
   boolean ready() {
     boolean configured = state.get().agreed().configurationVersion() >= 0;
-    return !draining() && (configured || logRead.getAsBoolean());
+    return !draining()
+        && !state.get().agreed().stopped()
+        && (configured || logRead.getAsBoolean());
   }
 
   private boolean draining() {
@@ -102,9 +106,11 @@
     status.put("draining", draining());
     status.put("configurationVersion", now.agreed().configurationVersion());
     status.put("nextOffset", now.agreed().nextOffset());
+    status.put("logStopped", now.agreed().stopped());
     status.put("openRequests", requests.all().size());
     status.put("backends", backends(now));
     status.put("queues", queueStatus());
+    status.put("limits", limits(now));
     return status;
   }
 
@@ -156,6 +162,24 @@
     return out;
   }
 
+  private Map<String, Object> limits(NodeState now) {
+    Map<String, Object> out = new TreeMap<>();
+    for (Contract contract : now.configuration().contracts().values()) {
+      LimitUse use = now.requests().limitUse(contract, Math.max(now.nowMs(), clock.nowMs()));
+      Map<String, Object> fields = new LinkedHashMap<>();
+      fields.put("queuedRequests", use.queuedRequests());
+      fields.put("maxQueuedRequests", use.maxQueuedRequests());
+      fields.put("queuedTokens", use.queuedTokens());
+      fields.put("maxQueuedTokens", use.maxQueuedTokens());
+      fields.put("availableRequests", use.availableRequests());
+      fields.put("burstRequests", use.burstRequests());
+      fields.put("availableTokens", use.availableTokens());
+      fields.put("burstTokens", use.burstTokens());
+      out.put(contract.customer().value(), fields);
+    }
+    return out;
+  }
+
   private static Map<String, Object> backends(NodeState now) {
     Map<String, Object> out = new TreeMap<>();
     now.configuration()
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeInstance.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeInstance.java
@@ -19,6 +19,7 @@
 import org.limpetdoor.core.effect.RaiseQueueAgeAlarm;
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.effect.RefuseRequest;
+import org.limpetdoor.core.effect.StopInstance;
 import org.limpetdoor.core.event.AttemptCompleted;
 import org.limpetdoor.core.event.AttemptFailed;
 import org.limpetdoor.core.event.AttemptStarted;
@@ -148,6 +149,10 @@
     alarms.add(effect.alarm());
   }
 
+  /** Scenarios end by themselves; a drained instance just receives no further requests. */
+  @Override
+  public void stopInstance(StopInstance effect) {}
+
   @Override
   public void started(BackendJob job) {
     time.after(LINK_MS, () -> receiveStart(job));
