--- /dev/null
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/json/UnitSuffix.java
@@ -0,0 +1,47 @@
+package org.limpetdoor.format.json;
+
+/** Recognises unit suffixes of field names, to tell a wrong unit from an unknown field. */
+final class UnitSuffix {
+  // Longer suffixes come first. The capital keeps plurals such as "slots" apart from seconds.
+  private static final String[] SUFFIXES = {
+    "Milliseconds",
+    "Millis",
+    "Seconds",
+    "Minutes",
+    "Hours",
+    "Bytes",
+    "Secs",
+    "Sec",
+    "MiB",
+    "Mib",
+    "GiB",
+    "Gib",
+    "KiB",
+    "Kib",
+    "MB",
+    "Mb",
+    "GB",
+    "Gb",
+    "KB",
+    "Kb",
+    "Ms",
+    "Us",
+    "Ns",
+    "S"
+  };
+
+  private UnitSuffix() {}
+
+  static boolean differsOnlyInUnit(String name, String known) {
+    return !name.equals(known) && stem(name).equals(stem(known));
+  }
+
+  private static String stem(String name) {
+    for (String suffix : SUFFIXES) {
+      if (name.endsWith(suffix) && name.length() > suffix.length()) {
+        return name.substring(0, name.length() - suffix.length());
+      }
+    }
+    return name;
+  }
+}
