Let the harness run other reducers and order jobs by arrival at the back end

Jobs were numbered by each instance. Two jobs of different instances with the same number and priority were equal to the waiting set of a back end, so one of them was lost.

--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/BackendJob.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/BackendJob.java
@@ -13,7 +13,10 @@
   final RequestSpec spec;
   final int outputTokens;
   final int resumeAtToken;
-  final long number;
+
+  /** Order of arrival at the back end, over all instances. */
+  long number;
+
   final AttemptListener listener;
   int priority;
   boolean running;
@@ -31,7 +34,6 @@
       int outputTokens,
       int resumeAtToken,
       int priority,
-      long number,
       AttemptListener listener) {
     this.attempt = attempt;
     this.spec = spec;
@@ -39,7 +41,6 @@
     this.resumeAtToken = resumeAtToken;
     this.doneTokens = resumeAtToken;
     this.priority = priority;
-    this.number = number;
     this.listener = listener;
   }
 
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/CallerRecord.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/CallerRecord.java
@@ -1,6 +1,7 @@
 package org.limpetdoor.scenario;
 
 import java.util.Optional;
+import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.request.Refusal;
 import org.limpetdoor.core.request.RequestSpec;
 
@@ -18,6 +19,8 @@
   int handedOver;
   boolean finished;
   Refusal refusal;
+  BackendId lastBackend;
+  long dispatchedAtMs = NOT_YET;
 
   CallerRecord(RequestSpec spec, String customer, int outputTokens, long sentAtMs) {
     this.spec = spec;
@@ -51,6 +54,16 @@
     return endedAtMs == NOT_YET ? NOT_YET : endedAtMs - sentAtMs;
   }
 
+  /** Returns the time from sending to the last dispatch, or -1 if there was none. */
+  public long timeToDispatchMs() {
+    return dispatchedAtMs == NOT_YET ? NOT_YET : dispatchedAtMs - sentAtMs;
+  }
+
+  /** Returns the back end of the last attempt, if any was dispatched. */
+  public Optional<BackendId> lastBackend() {
+    return Optional.ofNullable(lastBackend);
+  }
+
   /** Returns how many attempts were dispatched. */
   public int attempts() {
     return attempts;
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
@@ -49,6 +49,7 @@
   private int running;
   private int maxRunning;
   private int accepted;
+  private long arrivals;
 
   FakeBackend(Backend config, VirtualTime time, FakeAdapterStore adapterStore) {
     this.config = config;
@@ -146,6 +147,7 @@
   }
 
   void enqueue(BackendJob job) {
+    job.number = arrivals++;
     jobs.put(job.attempt, job);
     waiting.add(job);
     startWaiting();
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeInstance.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeInstance.java
@@ -4,8 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.limpetdoor.core.NodeReducer;
 import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Reducer;
 import org.limpetdoor.core.Timed;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.decision.Decision;
@@ -36,7 +36,7 @@
   /** One-way delay between an instance and a back end. */
   private static final long LINK_MS = 1;
 
-  private final NodeReducer reducer = new NodeReducer();
+  private final Reducer<NodeState, Event, Effect> reducer;
   private final VirtualTime time;
   private final Map<BackendId, FakeBackend> backends;
   private final Map<RequestId, CallerRecord> callers = new HashMap<>();
@@ -46,9 +46,13 @@
   private final List<QueueAgeAlarm> alarms = new ArrayList<>();
   private NodeState state;
   private long wakeAtMs = Timed.NEVER_MS;
-  private long jobs;
 
-  FakeInstance(NodeState.Self self, VirtualTime time, Map<BackendId, FakeBackend> backends) {
+  FakeInstance(
+      Reducer<NodeState, Event, Effect> reducer,
+      NodeState.Self self,
+      VirtualTime time,
+      Map<BackendId, FakeBackend> backends) {
+    this.reducer = reducer;
     this.state = NodeState.initial(self);
     this.time = time;
     this.backends = backends;
@@ -91,6 +95,8 @@
     CallerRecord caller = callers.get(effect.attempt().request());
     FakeBackend backend = backends.get(effect.backend());
     caller.attempts++;
+    caller.dispatchedAtMs = time.nowMs();
+    caller.lastBackend = effect.backend();
     open.put(effect.attempt(), backend);
     BackendJob job =
         new BackendJob(
@@ -99,7 +105,6 @@
             caller.outputTokens,
             effect.resumeAtToken(),
             effect.enginePriority(),
-            jobs++,
             this);
     time.after(LINK_MS, () -> handOver(backend, job));
     time.after(effect.firstByteTimeoutMs(), () -> checkFirstByte(job));
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioWorld.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioWorld.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
+import org.limpetdoor.core.NodeReducer;
 import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Reducer;
 import org.limpetdoor.core.agreed.AgreedState;
 import org.limpetdoor.core.agreed.AppendId;
 import org.limpetdoor.core.agreed.Envelope;
@@ -16,7 +19,9 @@
 import org.limpetdoor.core.config.ConfigurationPatch;
 import org.limpetdoor.core.config.Engine;
 import org.limpetdoor.core.config.PlainService;
+import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.event.BackendReported;
+import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.RecordsRead;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.CustomerId;
@@ -31,6 +36,7 @@
  * request or the first wait needs them; the configuration is published to them at that moment.
  */
 public final class ScenarioWorld {
+  private final Supplier<Reducer<NodeState, Event, Effect>> reducers;
   private final VirtualTime time = new VirtualTime();
   private final FakeAdapterStore adapterStore = new FakeAdapterStore();
   private final Map<BackendId, FakeBackend> backends = new LinkedHashMap<>();
@@ -43,6 +49,16 @@
   private long nextRequest = 1;
   private long reportLagMs = -1;
 
+  /** Creates a system whose instances run the reducer of limpetdoor. */
+  public ScenarioWorld() {
+    this(NodeReducer::new);
+  }
+
+  /** Creates a system whose instances run other reducers, one each. */
+  public ScenarioWorld(Supplier<Reducer<NodeState, Event, Effect>> reducers) {
+    this.reducers = reducers;
+  }
+
   /** Returns the virtual time. */
   public VirtualTime time() {
     return time;
@@ -154,7 +170,7 @@
     for (String zone : instanceZones) {
       InstanceId id = new InstanceId("i" + (instances.size() + 1));
       NodeState.Self self = new NodeState.Self(id, 1, new ZoneId(zone));
-      instances.add(new FakeInstance(self, time, backends));
+      instances.add(new FakeInstance(reducers.get(), self, time, backends));
     }
     publish(ConfigurationPatch.of(configuration));
     if (reportLagMs >= 0) {
