--- a/limpetdoor-bench/src/main/java/org/limpetdoor/bench/BenchMain.java
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/BenchMain.java
@@ -1,6 +1,9 @@
 package org.limpetdoor.bench;
 
+import java.io.IOException;
+import java.nio.file.Path;
 import java.util.Locale;
+import org.limpetdoor.bench.experiment.Experiments;
 import org.openjdk.jmh.profile.GCProfiler;
 import org.openjdk.jmh.runner.Runner;
 import org.openjdk.jmh.runner.RunnerException;
@@ -15,6 +18,10 @@
 
   /** Runs the measurement named by the first argument. */
   public static void main(String[] args) {
+    if (args.length >= 1 && args[0].equals("experiments")) {
+      experiments(args);
+      return;
+    }
     if (args.length != 1) {
       usage();
       return;
@@ -29,8 +36,23 @@
     }
   }
 
+  private static void experiments(String[] args) {
+    String name = args.length > 1 ? args[1] : "all";
+    Path plot = args.length > 2 ? Path.of(args[2]) : null;
+    try {
+      Experiments.run(name, plot);
+    } catch (IllegalArgumentException e) {
+      usage();
+    } catch (IOException e) {
+      System.err.println("cannot write the plot: " + e);
+      System.exit(EXIT_FAILED);
+    }
+  }
+
   private static void usage() {
-    System.err.println("usage: limpetdoor-bench reducer|heap");
+    System.err.println(
+        "usage: limpetdoor-bench reducer|heap|experiments"
+            + " [all|attainment|crest|blocking|tail [PLOT.svg]]");
     System.exit(EXIT_USAGE);
   }
 
--- /dev/null
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/experiment/Arrival.java
@@ -0,0 +1,53 @@
+package org.limpetdoor.bench.experiment;
+
+import java.util.Optional;
+import org.limpetdoor.core.id.AdapterId;
+import org.limpetdoor.core.id.ModelId;
+import org.limpetdoor.core.request.Target;
+import org.limpetdoor.core.request.Target.ModelTarget;
+import org.limpetdoor.scenario.RequestShape;
+
+/**
+ * One request of a workload.
+ *
+ * @param atMs when it is sent
+ * @param customer who sends it
+ * @param model the model
+ * @param adapter the adapter, if any
+ * @param promptTokens length of the prompt, in tokens
+ * @param outputTokens length of the answer, in tokens
+ * @param longWork whether it is one of the jobs that are thirty times longer
+ * @param prefix hash of the start of the prompt, or 0
+ * @param withinGuarantee whether its customer stays within its guaranteed share at that time
+ */
+record Arrival(
+    long atMs,
+    Customer customer,
+    String model,
+    Optional<String> adapter,
+    int promptTokens,
+    int outputTokens,
+    boolean longWork,
+    long prefix,
+    boolean withinGuarantee) {
+  /** Bound that all callers set; it says nothing about the length of one answer. */
+  private static final int MAX_OUTPUT_TOKENS = 2_000;
+
+  Target target() {
+    return new ModelTarget(new ModelId(model), adapter.map(AdapterId::new));
+  }
+
+  RequestShape shape() {
+    return new RequestShape(promptTokens, outputTokens, MAX_OUTPUT_TOKENS, prefix, 0);
+  }
+
+  /** Returns the time on an idle engine without cached prefix, in milliseconds. */
+  double serviceMs() {
+    return Workload.serviceMs(promptTokens, outputTokens);
+  }
+
+  Arrival within(boolean value) {
+    return new Arrival(
+        atMs, customer, model, adapter, promptTokens, outputTokens, longWork, prefix, value);
+  }
+}
--- /dev/null
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/experiment/Customer.java
@@ -0,0 +1,63 @@
+package org.limpetdoor.bench.experiment;
+
+import java.util.List;
+import org.limpetdoor.core.config.ArrivalLimit;
+import org.limpetdoor.core.config.Contract;
+import org.limpetdoor.core.config.QueueLimit;
+import org.limpetdoor.core.config.ShedOrder;
+import org.limpetdoor.core.id.CustomerId;
+import org.limpetdoor.scenario.ScenarioKeys;
+
+/** Customers of both sites, with the terms of their contracts. */
+enum Customer {
+  /** Has a guaranteed share and stays at its rate during a crest. */
+  GUARANTEED_A(0.15, 700, 0.2, 4, ShedOrder.LAST),
+  /** As the first, with a later objective. */
+  GUARANTEED_B(0.15, 1_000, 0.2, 4, ShedOrder.LAST),
+  /** Has no guarantee and surges. */
+  RETAIL(0.5, 1_000, 0, 2, ShedOrder.NORMAL),
+  /** Surges and is refused first. */
+  BATCH(0.2, 1_500, 0, 1, ShedOrder.FIRST);
+
+  /** Far above every arrival rate, so that capacity and not the contract rate decides. */
+  private static final int UNLIMITED = 100_000_000;
+
+  private static final double GUARANTEED_PART = 0.3;
+
+  final double loadPart;
+  final int objectiveMs;
+  final double guaranteedShare;
+  private final int weight;
+  private final ShedOrder shedOrder;
+
+  Customer(
+      double loadPart, int objectiveMs, double guaranteedShare, int weight, ShedOrder shedOrder) {
+    this.loadPart = loadPart;
+    this.objectiveMs = objectiveMs;
+    this.guaranteedShare = guaranteedShare;
+    this.weight = weight;
+    this.shedOrder = shedOrder;
+  }
+
+  /** Returns the factor on its rate that makes all customers together grow by a factor. */
+  double surge(double total) {
+    return guaranteedShare > 0 ? 1 : (total - GUARANTEED_PART) / (1 - GUARANTEED_PART);
+  }
+
+  String id() {
+    return name().toLowerCase(java.util.Locale.ROOT);
+  }
+
+  Contract contract() {
+    CustomerId customer = new CustomerId(id());
+    return new Contract(
+        customer,
+        List.of(ScenarioKeys.digest(customer)),
+        new ArrivalLimit(UNLIMITED, UNLIMITED, UNLIMITED, UNLIMITED),
+        new QueueLimit(10_000, UNLIMITED),
+        objectiveMs,
+        guaranteedShare,
+        weight,
+        shedOrder);
+  }
+}
--- /dev/null
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/experiment/Outcome.java
@@ -0,0 +1,27 @@
+package org.limpetdoor.bench.experiment;
+
+import org.limpetdoor.scenario.CallerRecord;
+
+/** A request and what its caller got. */
+record Outcome(Arrival arrival, CallerRecord caller) {
+  boolean measured() {
+    return arrival.atMs() >= Workload.WARM_UP_MS;
+  }
+
+  boolean inCrest() {
+    return arrival.atMs() >= Workload.CREST_FROM_MS && arrival.atMs() < Workload.CREST_END_MS;
+  }
+
+  boolean startedInTime() {
+    long startMs = caller.timeToStartMs();
+    return startMs >= 0 && startMs <= arrival.customer().objectiveMs;
+  }
+
+  boolean refused() {
+    return caller.refusal().isPresent();
+  }
+
+  String engine() {
+    return caller.lastBackend().map(Object::toString).orElse("none");
+  }
+}
--- /dev/null
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/experiment/Plot.java
@@ -0,0 +1,57 @@
+package org.limpetdoor.bench.experiment;
+
+import java.util.Locale;
+import java.util.Map;
+
+/** Bar charts of the first figure of each experiment as SVG, one row for each chart. */
+final class Plot {
+  private static final int WIDTH = 720;
+  private static final int LEFT = 160;
+  private static final int BAR = 18;
+  private static final int GAP = 34;
+  private static final int ROOM = 460;
+
+  private final StringBuilder body = new StringBuilder();
+  private int y = 20;
+
+  void add(Experiment experiment, Site site, Map<Policy, Map<String, Sample>> results) {
+    text(10, y, experiment.title() + ", " + site.label());
+    y += 8;
+    double most =
+        results.values().stream()
+            .map(f -> f.get(experiment.title()))
+            .mapToDouble(s -> s.mean() + s.deviation())
+            .max()
+            .orElse(1);
+    results.forEach((policy, f) -> bar(policy.label(), f.get(experiment.title()), most));
+    y += GAP;
+  }
+
+  private void bar(String label, Sample sample, double most) {
+    double width = ROOM * sample.mean() / most;
+    double spread = ROOM * sample.deviation() / most;
+    int middle = y + BAR / 2;
+    text(10, y + 13, label);
+    put("<rect x='%d' y='%d' width='%.1f' height='%d' fill='#4a7ba6'/>", LEFT, y, width, BAR - 4);
+    put(
+        "<line x1='%.1f' y1='%d' x2='%.1f' y2='%d' stroke='black'/>",
+        LEFT + width - spread, middle - 2, LEFT + width + spread, middle - 2);
+    text(LEFT + ROOM + 10, y + 13, sample.toString());
+    y += BAR;
+  }
+
+  private void text(int x, int atY, String value) {
+    put("<text x='%d' y='%d'>%s</text>", x, atY, value);
+  }
+
+  private void put(String form, Object... values) {
+    body.append(String.format(Locale.ROOT, form, values)).append('\n');
+  }
+
+  String text() {
+    return String.format(
+        "<svg xmlns='http://www.w3.org/2000/svg' width='%d' height='%d' font-family='sans-serif'"
+            + " font-size='12'>%n<rect width='100%%' height='100%%' fill='white'/>%n%s</svg>%n",
+        WIDTH, y, body);
+  }
+}
--- /dev/null
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/experiment/Run.java
@@ -0,0 +1,55 @@
+package org.limpetdoor.bench.experiment;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.limpetdoor.scenario.FakeBackend;
+import org.limpetdoor.scenario.ScenarioWorld;
+
+/** One run of a workload on a site under a policy. */
+record Run(Site site, Policy policy, long seed) {
+  private static final long REPORT_LAG_MS = 2_000;
+
+  /** Long enough for every answer that can still start in time, and for the longest answers. */
+  private static final long DRAIN_MS = 30_000;
+
+  private static final int SLOWED = 2;
+  private static final double SLOW_FACTOR = 5;
+  private static final long SLOW_MS = 10_000;
+
+  List<Outcome> execute(Workload workload, boolean slowEngines) {
+    ScenarioWorld world = new ScenarioWorld(policy.reducers(Site.INSTANCES));
+    for (int i = 0; i < Site.INSTANCES; i++) {
+      world.addInstance("zone-" + i % site.zones);
+    }
+    world.reportLoadAfterMs(REPORT_LAG_MS);
+    world.configure(site.configuration());
+    world.instances();
+    if (slowEngines) {
+      slow(world);
+    }
+    List<Outcome> outcomes = new ArrayList<>();
+    for (Arrival arrival : workload.arrivals(site, seed)) {
+      world.time().at(arrival.atMs(), () -> outcomes.add(send(world, arrival)));
+    }
+    world.pass(Workload.END_MS + DRAIN_MS);
+    return outcomes.stream().filter(Outcome::measured).toList();
+  }
+
+  private static Outcome send(ScenarioWorld world, Arrival arrival) {
+    return new Outcome(
+        arrival, world.send(arrival.customer().id(), arrival.target(), arrival.shape()));
+  }
+
+  private void slow(ScenarioWorld world) {
+    // Another constant than the arrivals use, so that the times do not follow from them.
+    SplittableRandom random = new SplittableRandom(~seed);
+    List<FakeBackend> engines = new ArrayList<>(world.backends());
+    for (int i = 0; i < SLOWED; i++) {
+      FakeBackend engine = engines.remove(random.nextInt(engines.size()));
+      long fromMs = random.nextLong(Workload.WARM_UP_MS, Workload.END_MS - SLOW_MS);
+      world.time().at(fromMs, () -> engine.setSlowFactor(SLOW_FACTOR));
+      world.time().at(fromMs + SLOW_MS, () -> engine.setSlowFactor(1));
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/experiment/Workload.java
@@ -0,0 +1,142 @@
+package org.limpetdoor.bench.experiment;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/**
+ * Poisson arrivals of one run.
+ *
+ * @param load part of the capacity that is used before a swing
+ * @param longPart part of the requests that are thirty times longer
+ * @param crestFactor factor on the arrival rate at the crest, 1 for none
+ */
+record Workload(double load, double longPart, double crestFactor) {
+  /** Requests sent before this time are not measured: instances learn answer lengths first. */
+  static final long WARM_UP_MS = 20_000;
+
+  static final long END_MS = 80_000;
+  static final long CREST_FROM_MS = 40_000;
+  static final long RAMP_MS = 2_000;
+  static final long CREST_END_MS = CREST_FROM_MS + RAMP_MS + 20_000;
+  private static final int LONG_FACTOR = 30;
+  private static final int MIN_PROMPT = 100;
+  private static final int MAX_PROMPT = 500;
+  private static final int MIN_OUTPUT = 20;
+  private static final int MAX_OUTPUT = 60;
+  private static final int PREFIXES = 6;
+  private static final double PREFIX_PART = 0.7;
+  private static final double ADAPTER_PART = 0.5;
+  private static final long GUARANTEE_WINDOW_MS = 5_000;
+
+  static double serviceMs(int promptTokens, int outputTokens) {
+    return 5 + promptTokens * 0.1 + outputTokens * 10.0;
+  }
+
+  /** Returns the arrivals in order; the same seed gives the same ones for each policy. */
+  List<Arrival> arrivals(Site site, long seed) {
+    SplittableRandom root = new SplittableRandom(seed);
+    List<Arrival> all = new ArrayList<>();
+    for (EngineGroup group : site.groups) {
+      for (Customer customer : Customer.values()) {
+        stream(site, group, customer, root.split(), all);
+      }
+    }
+    all.sort(Comparator.comparingLong(Arrival::atMs));
+    return markGuaranteed(site, all);
+  }
+
+  private void stream(
+      Site site, EngineGroup group, Customer customer, SplittableRandom random, List<Arrival> all) {
+    double meanMs = serviceMs((MIN_PROMPT + MAX_PROMPT) / 2, (MIN_OUTPUT + MAX_OUTPUT) / 2);
+    double perMs = customer.loadPart * load * group.slots() / meanMs;
+    double surge = customer.surge(crestFactor);
+    double atMs = 0;
+    while (true) {
+      atMs -= Math.log(1 - random.nextDouble()) / (perMs * surge);
+      if (atMs >= END_MS) {
+        return;
+      }
+      // Thinning of a process at the highest rate gives the rate that varies over time.
+      if (random.nextDouble() * surge < factorAt(atMs, surge)) {
+        all.add(arrival(site, group, customer, (long) atMs, random));
+      }
+    }
+  }
+
+  private static double factorAt(double atMs, double surge) {
+    if (atMs < CREST_FROM_MS || atMs >= CREST_END_MS) {
+      return 1;
+    }
+    return 1 + (surge - 1) * Math.min(1, (atMs - CREST_FROM_MS) / RAMP_MS);
+  }
+
+  private Arrival arrival(
+      Site site, EngineGroup group, Customer customer, long atMs, SplittableRandom random) {
+    int number = model(group, random);
+    String model = group.model(number);
+    List<String> adapters = site.adapters(model);
+    String adapter = adapters.get(random.nextInt(adapters.size()));
+    boolean adapted = random.nextDouble() < ADAPTER_PART;
+    int prompt = random.nextInt(MIN_PROMPT, MAX_PROMPT + 1);
+    int output = random.nextInt(MIN_OUTPUT, MAX_OUTPUT + 1);
+    boolean longWork = random.nextDouble() < longPart;
+    long shared = 1 + model.hashCode() * 31L * PREFIXES + random.nextInt(PREFIXES);
+    return new Arrival(
+        atMs,
+        customer,
+        model,
+        adapted ? Optional.of(adapter) : Optional.empty(),
+        prompt,
+        longWork ? output * LONG_FACTOR : output,
+        longWork,
+        random.nextDouble() < PREFIX_PART ? shared : 0,
+        false);
+  }
+
+  private static int model(EngineGroup group, SplittableRandom random) {
+    int sum = 0;
+    for (int i = 0; i < group.models(); i++) {
+      sum += group.popularity(i);
+    }
+    int left = random.nextInt(sum);
+    int model = 0;
+    while (left >= group.popularity(model)) {
+      left -= group.popularity(model++);
+    }
+    return model;
+  }
+
+  /** The unloaded work of the last seconds on a model must fit into the guaranteed slots. */
+  private static List<Arrival> markGuaranteed(Site site, List<Arrival> all) {
+    Map<String, Deque<Arrival>> windows = new HashMap<>();
+    Map<String, Double> work = new HashMap<>();
+    List<Arrival> marked = new ArrayList<>();
+    for (Arrival arrival : all) {
+      String key = arrival.customer() + " " + arrival.model();
+      Deque<Arrival> window = windows.computeIfAbsent(key, k -> new ArrayDeque<>());
+      window.add(arrival);
+      work.merge(key, arrival.serviceMs(), Double::sum);
+      while (window.peek().atMs() <= arrival.atMs() - GUARANTEE_WINDOW_MS) {
+        work.merge(key, -window.poll().serviceMs(), Double::sum);
+      }
+      double owed = arrival.customer().guaranteedShare * slots(site, arrival.model());
+      marked.add(arrival.within(work.get(key) <= owed * GUARANTEE_WINDOW_MS));
+    }
+    return marked;
+  }
+
+  private static int slots(Site site, String model) {
+    return site.groups.stream()
+        .filter(g -> model.startsWith(g.name()))
+        .findFirst()
+        .orElseThrow()
+        .slotsOfModel();
+  }
+}
--- /dev/null
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/experiment/package-info.java
@@ -0,0 +1,2 @@
+/** The measures of the design page on virtual time, against two baselines. */
+package org.limpetdoor.bench.experiment;
