--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/operator/OperatorView.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/operator/OperatorView.java
@@ -76,9 +76,7 @@
   /** Returns whether callers may be sent to this instance. */
   boolean ready() {
     boolean configured = state.get().agreed().configurationVersion() >= 0;
-    return !draining()
-        && !state.get().agreed().stopped()
-        && (configured || logRead.getAsBoolean());
+    return !draining() && !state.get().agreed().stopped() && (configured || logRead.getAsBoolean());
   }
 
   private boolean draining() {
