--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/request/SupersededAttemptTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/request/SupersededAttemptTest.java
@@ -84,7 +84,7 @@
             .withEngines(List.of(engine("e1"), engine("e2")));
     AgreedState initial = AgreedState.INITIAL;
     return NodeState.initial(new NodeState.Self(new InstanceId("i1"), 1, new ZoneId("a")))
-        .withAgreed(new AgreedState(1, 0, configuration, initial.lastSequences()));
+        .withAgreed(new AgreedState(1, 0, configuration, initial.lastSequences(), false));
   }
 
   private static Engine engine(String id) {
