Limit each instance to its part of the slots of an engine

Cause: Router.full compared the requests of one instance with all slots of an engine, so seven instances could send 56 requests to 8 slots. The work then queued in the engines, where neither contracts nor work classes count. Ruled out: queueing at the instance (p99 queue time at the instance was 0 ms in blocking and tail). The crest loses because a part of the slots cannot be lent between instances; the loss is smaller than what queueing cost.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Router.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Router.java
@@ -45,7 +45,7 @@
   static Choice choose(NodeState state, RequestState request) {
     List<PassedOver> passedOver = new ArrayList<>();
     List<Candidate> free = new ArrayList<>();
-    for (Candidate candidate : candidates(state, request)) {
+    for (Candidate candidate : candidates(state, request).backends()) {
       PassOverReason obstacle = obstacle(state, request, candidate.backend());
       if (obstacle == null) {
         free.add(candidate);
@@ -90,13 +90,8 @@
         reportAgeMs);
   }
 
-  private static List<Candidate> candidates(NodeState state, RequestState request) {
-    return state
-        .requests()
-        .learned()
-        .index()
-        .candidates(request.plan().pool().upstream())
-        .backends();
+  private static RoutingIndex.Candidates candidates(NodeState state, RequestState request) {
+    return state.requests().learned().index().candidates(request.plan().pool().upstream());
   }
 
   private static PassOverReason obstacle(NodeState state, RequestState request, Backend backend) {
@@ -110,7 +105,8 @@
     if (known.unreachableUntilMs() > state.nowMs()) {
       return PassOverReason.UNREACHABLE;
     }
-    PassOverReason full = full(request.plan().pool().workClass(), known, backend.slots());
+    int slots = candidates(state, request).slots(backend);
+    PassOverReason full = full(request.plan().pool().workClass(), known, slots);
     if (full != null) {
       return full;
     }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RoutingIndex.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RoutingIndex.java
@@ -34,9 +34,29 @@
   static final RoutingIndex EMPTY =
       new RoutingIndex(HashTreePMap.empty(), HashTreePMap.empty(), 1, Map.of(), Map.of());
 
-  /** Back ends that are used for one upstream, and the slots of all back ends of the fleet. */
-  record Candidates(List<Candidate> backends, int fleetSlots) {
-    static final Candidates NONE = new Candidates(List.of(), 0);
+  /**
+   * Back ends that are used for one upstream.
+   *
+   * @param backends the back ends
+   * @param fleetSlots slots of all back ends of the fleet
+   * @param slotPart part of the slots of each back end that this instance may fill, from 0 to 1
+   */
+  record Candidates(List<Candidate> backends, int fleetSlots, double slotPart) {
+    static final Candidates NONE = new Candidates(List.of(), 0, 1);
+
+    static Candidates of(List<Candidate> backends, int fleetSlots, double fleetPart) {
+      int used = backends.stream().mapToInt(c -> c.backend().slots()).sum();
+      return new Candidates(backends, fleetSlots, Math.min(1, fleetPart * fleetSlots / used));
+    }
+
+    /**
+     * Returns how many slots of a back end this instance may fill, at least 1. Instances see each
+     * other's requests only in late reports; if each filled all slots, work would queue in the
+     * engines, where neither contracts nor objectives count.
+     */
+    int slots(Backend backend) {
+      return Math.max(1, (int) Math.ceil(backend.slots() * slotPart));
+    }
   }
 
   Candidates candidates(UpstreamId upstream) {
@@ -72,7 +92,7 @@
         (upstream, backends) -> {
           List<Candidate> subset = Subset.choose(self, backends, part);
           int slots = backends.stream().mapToInt(Backend::slots).sum();
-          chosen.put(upstream, new Candidates(subset, slots));
+          chosen.put(upstream, Candidates.of(subset, slots, part));
           for (Candidate candidate : subset) {
             reverse
                 .computeIfAbsent(candidate.backend().id(), key -> new ArrayList<>())
