Send no new work to back ends that are leaving

A back end that answers NOT_STARTED gets no new work for 5 s; afterwards single requests try it, at doubling intervals up to 40 s, and the first answer ends the departure. BackendLeaving does the same for 30 s after the instance list, the back end or a peer announced it. Slots that requests leave on a removed engine are no longer filled from the queue with the old routing index.

With answers that never end the departure, 'An engine that answers again is used again' fails. All five pass with the mechanism.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -6,6 +6,7 @@
 import org.limpetdoor.core.event.AttemptCompleted;
 import org.limpetdoor.core.event.AttemptFailed;
 import org.limpetdoor.core.event.AttemptStarted;
+import org.limpetdoor.core.event.BackendLeaving;
 import org.limpetdoor.core.event.BackendReported;
 import org.limpetdoor.core.event.CallerDisconnected;
 import org.limpetdoor.core.event.Event;
@@ -28,6 +29,8 @@
   CALLER_DISCONNECTED(CallerDisconnected.class, RequestEvents::callerDisconnected),
   /** {@link BackendReported}. */
   BACKEND_REPORTED(BackendReported.class, BackendEvents::reported),
+  /** {@link BackendLeaving}. */
+  BACKEND_LEAVING(BackendLeaving.class, BackendEvents::leaving),
   /** {@link RecordsRead}. */
   RECORDS_READ(RecordsRead.class, AgreedEvents::recordsRead),
   /** {@link TimerFired}. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/BackendState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/BackendState.java
@@ -9,7 +9,7 @@
  * @param inFlight attempts of this instance that have been dispatched and not ended
  * @param longInFlight those of them that are long work
  * @param report last load report, if any
- * @param leaving whether a sign was seen that the back end is leaving
+ * @param departure signs that the back end is leaving
  * @param unreachableUntilMs time until which no new work is sent after failures, in monotonic
  *     milliseconds
  * @param adapters adapters that it probably holds
@@ -18,12 +18,17 @@
     int inFlight,
     int longInFlight,
     Optional<LoadReport> report,
-    boolean leaving,
+    Departure departure,
     long unreachableUntilMs,
     HeldAdapters adapters) {
   /** A back end about which nothing is known. */
   public static final BackendState UNKNOWN =
-      new BackendState(0, 0, Optional.empty(), false, 0, HeldAdapters.NONE);
+      new BackendState(0, 0, Optional.empty(), Departure.NONE, 0, HeldAdapters.NONE);
+
+  /** Returns whether a sign was seen that the back end is leaving. */
+  public boolean leaving() {
+    return departure.pending();
+  }
 
   /** Returns a copy with one more attempt in flight. */
   public BackendState withAttemptStarted(boolean longWork) {
@@ -44,32 +49,32 @@
   /** Returns a copy with a new load report. */
   public BackendState withReport(LoadReport value) {
     return new BackendState(
-        inFlight, longInFlight, Optional.of(value), leaving, unreachableUntilMs, adapters);
+        inFlight, longInFlight, Optional.of(value), departure, unreachableUntilMs, adapters);
   }
 
   /** Returns a copy that gets no new work until the given time. */
   public BackendState withUnreachableUntilMs(long value) {
-    return new BackendState(inFlight, longInFlight, report, leaving, value, adapters);
+    return new BackendState(inFlight, longInFlight, report, departure, value, adapters);
   }
 
-  /** Returns a copy that is leaving or not. */
-  public BackendState withLeaving(boolean value) {
+  /** Returns a copy with other signs that the back end is leaving. */
+  public BackendState withDeparture(Departure value) {
     return new BackendState(inFlight, longInFlight, report, value, unreachableUntilMs, adapters);
   }
 
   /** Returns a copy after the use of an adapter. */
   public BackendState withAdapterUsed(AdapterId adapter) {
     return new BackendState(
-        inFlight, longInFlight, report, leaving, unreachableUntilMs, adapters.withUsed(adapter));
+        inFlight, longInFlight, report, departure, unreachableUntilMs, adapters.withUsed(adapter));
   }
 
   /** Returns a copy that holds no adapters, as after a restart. */
   public BackendState withoutAdapters() {
     return new BackendState(
-        inFlight, longInFlight, report, leaving, unreachableUntilMs, HeldAdapters.NONE);
+        inFlight, longInFlight, report, departure, unreachableUntilMs, HeldAdapters.NONE);
   }
 
   private BackendState withInFlight(int all, int ofLong) {
-    return new BackendState(all, ofLong, report, leaving, unreachableUntilMs, adapters);
+    return new BackendState(all, ofLong, report, departure, unreachableUntilMs, adapters);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -7,6 +7,7 @@
     permits AttemptCompleted,
         AttemptFailed,
         AttemptStarted,
+        BackendLeaving,
         BackendReported,
         CallerDisconnected,
         RecordsRead,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.backend.BackendEvents;
 import org.limpetdoor.core.config.Backend;
 import org.limpetdoor.core.effect.DispatchAttempt;
 import org.limpetdoor.core.effect.Effect;
@@ -43,7 +44,8 @@
             FIRST_BYTE_TIMEOUT_MS);
     RecordDecision decision =
         new RecordDecision(Router.decision(state, sent, backend.id(), choice));
-    NodeState noted = noteAdapter(next, sent, backend, choice.loadsAdapter());
+    NodeState tried = BackendEvents.sent(next, backend.id());
+    NodeState noted = noteAdapter(tried, sent, backend, choice.loadsAdapter());
     NodeState timed = Demotion.schedule(noted, sent);
     return Transition.<NodeState, Effect>of(timed, decision).with(dispatch);
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -5,6 +5,7 @@
 import org.limpetdoor.core.Timer;
 import org.limpetdoor.core.TimerKind;
 import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.backend.BackendEvents;
 import org.limpetdoor.core.config.Contract;
 import org.limpetdoor.core.effect.CancelAttempt;
 import org.limpetdoor.core.effect.Effect;
@@ -49,7 +50,9 @@
       return Transition.of(state);
     }
     RequestState request = found.get().request().withStarted(found.get().attempt());
-    NodeState next = state.withRequests(state.requests().with(request));
+    ActiveAttempt attempt = found.get().attempt();
+    NodeState answered = BackendEvents.answered(state, attempt.backend(), attempt.sentAtMs());
+    NodeState next = answered.withRequests(answered.requests().with(request));
     return Attempts.adapterLoadEnded(next, event.attempt());
   }
 
@@ -62,7 +65,8 @@
     RequestState request = found.get().request();
     ActiveAttempt attempt = found.get().attempt();
     RequestId id = event.attempt().request();
-    NodeState released = Attempts.release(state, request, attempt);
+    NodeState answered = BackendEvents.answered(state, attempt.backend(), attempt.sentAtMs());
+    NodeState released = Attempts.release(Learned.refresh(answered), request, attempt);
     NodeState measured = Attempts.measure(released, request, attempt, event.outputTokens());
     NodeState without = measured.withRequests(measured.requests().without(id));
     return Transition.<NodeState, Effect>of(without, new FinishRequest(id))
@@ -80,8 +84,8 @@
     BackendId backend = attempt.backend();
     RequestState ended =
         found.get().request().withAttemptEnded(attempt, event.failure(), event.deliveredTokens());
-    NodeState released = Attempts.release(state, ended, attempt);
-    NodeState noted = event.failure().backendSuspect() ? avoid(released, backend) : released;
+    NodeState released = Attempts.release(Learned.refresh(state), ended, attempt);
+    NodeState noted = noteFailure(released, backend, event.failure());
     return Retries.retryOrRefuse(noted, ended, event.failure())
         .then(next -> Attempts.adapterLoadEnded(next, event.attempt()))
         .then(next -> Queues.drain(next, backend));
@@ -95,7 +99,8 @@
       return Transition.of(state);
     }
     RequestState request = found.get();
-    NodeState without = state.withRequests(state.requests().without(event.request()));
+    NodeState fresh = Learned.refresh(state);
+    NodeState without = fresh.withRequests(fresh.requests().without(event.request()));
     if (!request.running()) {
       return Transition.of(Queues.remove(without, request));
     }
@@ -132,7 +137,7 @@
 
   /** Dispatches waiting requests to a back end that may have become reachable again. */
   public static Transition<NodeState, Effect> backendRetry(NodeState state, BackendId backend) {
-    return Queues.drain(state, backend);
+    return Queues.drain(Learned.refresh(state), backend);
   }
 
   /** Treats an attempt that has run for as long as long work as such. */
@@ -149,6 +154,13 @@
         .then(next -> Queues.drain(next, attempt.backend()));
   }
 
+  private static NodeState noteFailure(NodeState state, BackendId backend, AttemptFailure failure) {
+    if (failure == AttemptFailure.NOT_STARTED) {
+      return BackendEvents.refused(state, backend);
+    }
+    return failure.backendSuspect() ? avoid(state, backend) : state;
+  }
+
   private static NodeState avoid(NodeState state, BackendId backend) {
     long untilMs = state.nowMs() + UNREACHABLE_MS;
     Timer retry = new Timer(untilMs, TimerKind.BACKEND_RETRY, backend.value());
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Router.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Router.java
@@ -104,7 +104,7 @@
     if (request.tried().contains(backend.id())) {
       return PassOverReason.ALREADY_TRIED;
     }
-    if (known.leaving()) {
+    if (known.departure().holdsAt(state.nowMs())) {
       return PassOverReason.LEAVING;
     }
     if (known.unreachableUntilMs() > state.nowMs()) {
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
@@ -49,6 +49,7 @@
   private int running;
   private int maxRunning;
   private int accepted;
+  private int refused;
 
   FakeBackend(Backend config, VirtualTime time, FakeAdapterStore adapterStore) {
     this.config = config;
@@ -66,6 +67,16 @@
     draining = true;
   }
 
+  /** Accepts new requests again. */
+  public void stopDraining() {
+    draining = false;
+  }
+
+  /** Returns how many attempts were refused as not started. */
+  public int refused() {
+    return refused;
+  }
+
   /** Applies a fault to the next attempts. */
   public void arm(BackendFault fault, int attempts) {
     faults.put(fault, attempts);
@@ -130,6 +141,7 @@
       return;
     }
     if (draining) {
+      refused++;
       fail(job, AttemptFailure.NOT_STARTED);
       return;
     }
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioWorld.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioWorld.java
@@ -16,6 +16,7 @@
 import org.limpetdoor.core.config.ConfigurationPatch;
 import org.limpetdoor.core.config.Engine;
 import org.limpetdoor.core.config.PlainService;
+import org.limpetdoor.core.event.BackendLeaving;
 import org.limpetdoor.core.event.BackendReported;
 import org.limpetdoor.core.event.RecordsRead;
 import org.limpetdoor.core.id.BackendId;
@@ -147,6 +148,12 @@
     instances().forEach(instance -> instance.disconnect(id));
   }
 
+  /** Tells all instances that a back end is leaving, as the instance list does. */
+  public void announceLeaving(String backend) {
+    BackendId id = backend(backend).config().id();
+    instances().forEach(instance -> instance.handle(new BackendLeaving(time.nowMs(), id)));
+  }
+
   private void start() {
     if (instanceZones.isEmpty()) {
       addInstance("a");
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/CheckSteps.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/CheckSteps.java
@@ -138,6 +138,12 @@
     check(accepted <= maximum, accepted + " attempts");
   }
 
+  @Then("back end {string} refused at most {int} attempt(s)")
+  public void refusedAtMost(String backend, int maximum) {
+    int refused = world.backend(backend).refused();
+    check(refused <= maximum, refused + " attempts");
+  }
+
   @Then("at least {int} in 100 requests find their prefix cached")
   public void prefixHits(int percent) {
     long hits = world.backends().stream().mapToLong(FakeBackend::prefixHits).sum();
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/SystemSteps.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/SystemSteps.java
@@ -1,6 +1,7 @@
 package org.limpetdoor.scenario.steps;
 
 import io.cucumber.java.en.Given;
+import io.cucumber.java.en.When;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -111,6 +112,13 @@
     world.configure(configuration().withEngines(engines));
   }
 
+  @When("back end {string} is removed from the configuration")
+  public void removeEngine(String name) {
+    List<Engine> engines = new ArrayList<>(configuration().engines().values());
+    engines.removeIf(engine -> engine.id().value().equals(name));
+    world.configure(configuration().withEngines(engines));
+  }
+
   @Given("a plain service {string} with {int} endpoint(s) of {int} slot(s)")
   public void service(String name, int count, int slots) {
     List<ServiceEndpoint> endpoints = new ArrayList<>();
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/TrafficSteps.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/TrafficSteps.java
@@ -143,6 +143,16 @@
     world.backend(backend).drain();
   }
 
+  @When("back end {string} stops draining")
+  public void stopDraining(String backend) {
+    world.backend(backend).stopDraining();
+  }
+
+  @When("back end {string} is announced as leaving")
+  public void announceLeaving(String backend) {
+    world.announceLeaving(backend);
+  }
+
   @When("the open connections of back end {string} go silent")
   public void silence(String backend) {
     world.backend(backend).silenceOpenConnections();
