Find requests that crash engines, run them alone and refuse them

A connection to an engine that breaks after handing over is charged as one crash of the engine, in equal parts to all requests of this instance in flight there. Suspects (half a crash, or two crashes) wait in a pool of their own and run alone on an engine that is kept free of other new work; a crash while alone bans the fingerprint for ten minutes. Charges halve in five minutes, a completed request is cleared, the table has at most 1000 entries, and suspects can be exchanged with peers. Calls of plain services are not charged.

A retry of a request whose model was removed no longer fails in the reducer.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/BackendTable.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/BackendTable.java
@@ -9,10 +9,12 @@
  * State of the back ends that this instance has dealt with.
  *
  * @param states state by back end; a back end without an entry is unknown
+ * @param suspects requests that may crash engines
  */
-public record BackendTable(PMap<BackendId, BackendState> states) {
+public record BackendTable(PMap<BackendId, BackendState> states, CrashSuspects suspects) {
   /** A table without entries. */
-  public static final BackendTable EMPTY = new BackendTable(HashTreePMap.empty());
+  public static final BackendTable EMPTY =
+      new BackendTable(HashTreePMap.empty(), CrashSuspects.NONE);
 
   /** Returns the state of a back end. */
   public BackendState get(BackendId id) {
@@ -21,6 +23,11 @@
 
   /** Returns a copy in which the state of one back end is changed. */
   public BackendTable update(BackendId id, UnaryOperator<BackendState> change) {
-    return new BackendTable(states.plus(id, change.apply(get(id))));
+    return new BackendTable(states.plus(id, change.apply(get(id))), suspects);
+  }
+
+  /** Returns a copy with other crash suspects. */
+  public BackendTable withSuspects(CrashSuspects value) {
+    return new BackendTable(states, value);
   }
 }
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/CrashSuspect.java
@@ -0,0 +1,72 @@
+package org.limpetdoor.core.backend;
+
+/**
+ * What speaks against the requests with one fingerprint.
+ *
+ * @param charge sum of its parts of crashes at the time of the last change
+ * @param crashes crashes that it was involved in
+ * @param changedAtMs time of the last change, in monotonic milliseconds
+ * @param bannedUntilMs time until which it is refused, in monotonic milliseconds
+ */
+record CrashSuspect(double charge, int crashes, long changedAtMs, long bannedUntilMs) {
+  static final CrashSuspect NONE = new CrashSuspect(0, 0, 0, 0);
+
+  /** Half of a crash: one other request at most shares the suspicion. */
+  private static final double SUSPECT_CHARGE = 0.5;
+
+  /**
+   * On a full engine each part is far below the charge limit, but few requests are involved in two
+   * crashes by chance.
+   */
+  private static final int SUSPECT_CRASHES = 2;
+
+  private static final double HALF_LIFE_MS = 300_000;
+
+  /** Two half-lives, after which a charge of one crash is below the limit. */
+  private static final long FORGET_MS = 600_000;
+
+  private static final long BAN_MS = 600_000;
+
+  /** Shorter rests of bans are not taken over, or two peers could renew them without end. */
+  private static final long MIN_SHARED_BAN_MS = 1_000;
+
+  double chargeAt(long nowMs) {
+    return charge * Math.pow(0.5, (nowMs - changedAtMs) / HALF_LIFE_MS);
+  }
+
+  boolean runsAlone(long nowMs) {
+    return nowMs - changedAtMs < FORGET_MS
+        && (chargeAt(nowMs) >= SUSPECT_CHARGE || crashes >= SUSPECT_CRASHES);
+  }
+
+  boolean banned(long nowMs) {
+    return nowMs < bannedUntilMs;
+  }
+
+  CrashSuspect withCrash(double part, long nowMs) {
+    int earlier = nowMs - changedAtMs < FORGET_MS ? crashes : 0;
+    return new CrashSuspect(chargeAt(nowMs) + part, earlier + 1, nowMs, bannedUntilMs);
+  }
+
+  CrashSuspect withBan(long nowMs) {
+    return new CrashSuspect(charge, crashes, changedAtMs, nowMs + BAN_MS);
+  }
+
+  CrashSuspect withShared(CrashSuspects.Shared other, long nowMs) {
+    boolean takesBan = !banned(nowMs) && other.bannedForMs() >= MIN_SHARED_BAN_MS;
+    long untilMs = takesBan ? nowMs + Math.min(BAN_MS, other.bannedForMs()) : bannedUntilMs;
+    boolean worse = other.charge() > chargeAt(nowMs) || other.crashes() > crashes;
+    return worse
+        ? new CrashSuspect(
+            Math.max(chargeAt(nowMs), other.charge()),
+            Math.max(crashes, other.crashes()),
+            nowMs,
+            untilMs)
+        : new CrashSuspect(charge, crashes, changedAtMs, untilMs);
+  }
+
+  CrashSuspects.Shared shared(long fingerprint, long nowMs) {
+    long leftMs = Math.max(0, bannedUntilMs - nowMs);
+    return new CrashSuspects.Shared(fingerprint, chargeAt(nowMs), crashes, leftMs);
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/CrashSuspects.java
@@ -0,0 +1,113 @@
+package org.limpetdoor.core.backend;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * Requests that were in flight on engines when these crashed, by fingerprint.
+ *
+ * @param entries suspects by fingerprint
+ */
+public record CrashSuspects(PMap<Long, CrashSuspect> entries) {
+  /** No suspects. */
+  public static final CrashSuspects NONE = new CrashSuspects(HashTreePMap.empty());
+
+  /** Bounds the memory; an engine has tens of requests in flight when it crashes. */
+  private static final int MAX_ENTRIES = 1_000;
+
+  /** Bounds the size of a message between peers. */
+  private static final int MAX_SHARED = 100;
+
+  /**
+   * A suspect as one instance tells it to another. Times are relative, because instances don't
+   * compare clocks.
+   *
+   * @param fingerprint fingerprint of the request
+   * @param charge charge at the time of the message
+   * @param crashes crashes that the request was involved in
+   * @param bannedForMs time for which it is still refused, in milliseconds, or 0
+   */
+  public record Shared(long fingerprint, double charge, int crashes, long bannedForMs) {}
+
+  /** Returns whether requests with this fingerprint run alone. */
+  public boolean suspects(long fingerprint, long nowMs) {
+    CrashSuspect entry = entries.get(fingerprint);
+    return entry != null && entry.runsAlone(nowMs);
+  }
+
+  /** Returns whether requests with this fingerprint are refused. */
+  public boolean bans(long fingerprint, long nowMs) {
+    CrashSuspect entry = entries.get(fingerprint);
+    return entry != null && entry.banned(nowMs);
+  }
+
+  /** Returns a copy in which one crash is charged in equal parts to the requests in flight. */
+  public CrashSuspects withCrash(Collection<Long> fingerprints, long nowMs) {
+    double part = 1.0 / Math.max(1, fingerprints.size());
+    PMap<Long, CrashSuspect> next = entries;
+    for (long fingerprint : fingerprints) {
+      CrashSuspect known = next.getOrDefault(fingerprint, CrashSuspect.NONE);
+      next = next.plus(fingerprint, known.withCrash(part, nowMs));
+    }
+    return new CrashSuspects(next).bounded(nowMs);
+  }
+
+  /** Returns a copy after an engine crashed while it ran nothing but this suspect. */
+  public CrashSuspects withCrashAlone(long fingerprint, long nowMs) {
+    CrashSuspect known = entries.getOrDefault(fingerprint, CrashSuspect.NONE);
+    CrashSuspect next = known.withCrash(1, nowMs).withBan(nowMs);
+    return new CrashSuspects(entries.plus(fingerprint, next)).bounded(nowMs);
+  }
+
+  /** Returns a copy after a request with this fingerprint ran to its end. */
+  public CrashSuspects withCompleted(long fingerprint, long nowMs) {
+    return !entries.containsKey(fingerprint) || bans(fingerprint, nowMs)
+        ? this
+        : new CrashSuspects(entries.minus(fingerprint));
+  }
+
+  /** Returns the worst suspects, worst first, for peers. */
+  public List<Shared> toShare(long nowMs) {
+    return entries.entrySet().stream()
+        .filter(entry -> entry.getValue().runsAlone(nowMs) || entry.getValue().banned(nowMs))
+        .sorted(worstFirst(nowMs))
+        .limit(MAX_SHARED)
+        .map(entry -> entry.getValue().shared(entry.getKey(), nowMs))
+        .toList();
+  }
+
+  /** Returns a copy with the suspects of a peer; the more severe view of each one counts. */
+  public CrashSuspects withShared(List<Shared> others, long nowMs) {
+    PMap<Long, CrashSuspect> next = entries;
+    for (Shared other : others) {
+      CrashSuspect known = next.getOrDefault(other.fingerprint(), CrashSuspect.NONE);
+      next = next.plus(other.fingerprint(), known.withShared(other, nowMs));
+    }
+    return new CrashSuspects(next).bounded(nowMs);
+  }
+
+  /** Keeps the worst suspects; the cost arises only at crashes and messages of peers. */
+  private CrashSuspects bounded(long nowMs) {
+    if (entries.size() <= MAX_ENTRIES) {
+      return this;
+    }
+    List<Long> dropped =
+        entries.entrySet().stream()
+            .sorted(worstFirst(nowMs))
+            .skip(MAX_ENTRIES)
+            .map(Map.Entry::getKey)
+            .toList();
+    return new CrashSuspects(entries.minusAll(dropped));
+  }
+
+  private static Comparator<Map.Entry<Long, CrashSuspect>> worstFirst(long nowMs) {
+    return Comparator.<Map.Entry<Long, CrashSuspect>>comparingLong(
+            entry -> -entry.getValue().bannedUntilMs())
+        .thenComparingDouble(entry -> -entry.getValue().chargeAt(nowMs))
+        .thenComparingLong(Map.Entry::getKey);
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/PassOverReason.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/PassOverReason.java
@@ -14,6 +14,10 @@
   LEAVING("leaving", false),
   /** An earlier attempt of the same request went there. */
   ALREADY_TRIED("already_tried", false),
+  /** The request may crash engines, and other requests are in flight there. */
+  NOT_IDLE("not_idle", true),
+  /** A request that may crash the engine runs or is to run alone there. */
+  RESERVED_FOR_SUSPECT("reserved_for_suspect", true),
   /** The engine would have to load the adapter, and as many loads run as the platform allows. */
   ADAPTER_LOADS_AT_LIMIT("adapter_loads_at_limit", true);
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Admission.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Admission.java
@@ -19,6 +19,13 @@
 
   /** Routes, queues or refuses a request of a known customer for a known target. */
   static Transition<NodeState, Effect> admit(NodeState state, RequestSpec spec, Contract contract) {
+    if (Quarantine.bans(state, spec)) {
+      return Refusals.refuseArrival(
+          state,
+          spec,
+          Optional.of(contract.customer()),
+          Refusal.notRun(RefusalReason.CRASH_SUSPECT));
+    }
     LimitShare share = state.requests().learned().share();
     ArrivalLimit limit = share.of(contract.customer(), contract.arrival());
     CustomerState customer = state.requests().customer(contract.customer(), limit, state.nowMs());
@@ -27,7 +34,7 @@
       long retryAfterMs = customer.retryAfterMs(limit, plan.work());
       return refuse(state, spec, contract, RefusalReason.RATE_EXCEEDED, retryAfterMs);
     }
-    RequestState request =
+    RequestState arrived =
         RequestState.arrived(
             spec,
             contract.customer(),
@@ -42,7 +49,7 @@
                 .requests()
                 .withNextSequence()
                 .withCustomer(contract.customer(), customer.withArrival(plan.work())));
-    return routeOrQueue(state, charged, request, contract);
+    return routeOrQueue(state, charged, Quarantine.classify(state, arrived), contract);
   }
 
   private static Transition<NodeState, Effect> routeOrQueue(
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
@@ -33,7 +33,16 @@
         state
             .withRequests(state.requests().with(sent).withPool(plan.pool(), pool))
             .withBackends(
-                state.backends().update(backend.id(), b -> b.withAttemptStarted(isLong(plan))));
+                state
+                    .backends()
+                    .update(
+                        backend.id(),
+                        b ->
+                            b.withAttempt(
+                                sent.lastAttempt(),
+                                sent.spec().fingerprint(),
+                                isLong(plan),
+                                plan.pool().workClass() == WorkClass.SUSPECT)));
     DispatchAttempt dispatch =
         new DispatchAttempt(
             sent.lastAttempt(),
@@ -99,7 +108,12 @@
         .withBackends(
             state
                 .backends()
-                .update(attempt.backend(), b -> b.withAttemptEnded(isLong(request.plan()))));
+                .update(
+                    attempt.backend(),
+                    b ->
+                        b.withoutAttempt(
+                            new AttemptId(request.spec().id(), attempt.number()),
+                            isLong(request.plan()))));
   }
 
   /** Notes how long a completed attempt took. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Demotion.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Demotion.java
@@ -6,6 +6,7 @@
 import org.limpetdoor.core.TimerKind;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.backend.BackendState;
+import org.limpetdoor.core.config.Model;
 import org.limpetdoor.core.effect.ChangePriority;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.id.AttemptId;
@@ -22,15 +23,16 @@
   static NodeState schedule(NodeState state, RequestState request) {
     WorkPlan plan = request.plan();
     RequestSpec spec = request.spec();
-    if (plan.pool().workClass() == WorkClass.LONG || !(spec.target() instanceof ModelTarget call)) {
+    if (plan.pool().workClass() != WorkClass.SHORT
+        || !(spec.target() instanceof ModelTarget call)) {
       return state;
     }
-    int longWorkTokens = state.configuration().models().get(call.model()).longWorkTokens();
-    if (spec.maxOutputTokens() < longWorkTokens) {
+    Model model = state.configuration().models().get(call.model());
+    if (model == null || spec.maxOutputTokens() < model.longWorkTokens()) {
       return state;
     }
     double msPerWork = state.requests().pool(plan.pool()).rate().msPerWork();
-    long afterMs = Math.round((spec.promptTokens() + longWorkTokens) * msPerWork);
+    long afterMs = Math.round(((double) spec.promptTokens() + model.longWorkTokens()) * msPerWork);
     AttemptId attempt = request.lastAttempt();
     String key = attempt.request().value() + SEPARATOR + attempt.number();
     Timer timer = new Timer(state.nowMs() + afterMs, TimerKind.WORK_OUTRUN, key);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Queues.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Queues.java
@@ -97,6 +97,11 @@
   }
 
   private static Transition<NodeState, Effect> dispatchOne(NodeState state, UpstreamId upstream) {
+    Transition<NodeState, Effect> suspect =
+        tryDispatch(state, next(state, new PoolId(upstream, WorkClass.SUSPECT)));
+    if (!suspect.effects().isEmpty()) {
+      return suspect;
+    }
     Optional<RequestState> shortWork = next(state, new PoolId(upstream, WorkClass.SHORT));
     Optional<RequestState> longWork = next(state, new PoolId(upstream, WorkClass.LONG));
     boolean longFirst =
@@ -115,6 +120,15 @@
       return Transition.of(state);
     }
     RequestState request = waiting.get();
+    if (Quarantine.bans(state, request.spec())) {
+      return Refusals.refuseAccepted(
+          remove(state, request), request, request.refusal(RefusalReason.CRASH_SUSPECT));
+    }
+    RequestState classified = Quarantine.classify(state, request);
+    Contract contract = state.configuration().contracts().get(request.customer());
+    if (!classified.equals(request) && contract != null) {
+      return enqueue(remove(state, request), classified, contract);
+    }
     Router.Choice choice = Router.choose(state, request);
     if (choice.backend().isEmpty() && choice.waitsForAdapter()) {
       return Transition.of(Attempts.blockedByAdapter(state, request));
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -66,7 +66,8 @@
     ActiveAttempt attempt = found.get().attempt();
     RequestId id = event.attempt().request();
     NodeState answered = BackendEvents.answered(state, attempt.backend(), attempt.sentAtMs());
-    NodeState released = Attempts.release(Learned.refresh(answered), request, attempt);
+    NodeState cleared = Quarantine.completed(answered, request);
+    NodeState released = Attempts.release(Learned.refresh(cleared), request, attempt);
     NodeState measured = Attempts.measure(released, request, attempt, event.outputTokens());
     NodeState without = measured.withRequests(measured.requests().without(id));
     return Transition.<NodeState, Effect>of(without, new FinishRequest(id))
@@ -84,7 +85,11 @@
     BackendId backend = attempt.backend();
     RequestState ended =
         found.get().request().withAttemptEnded(attempt, event.failure(), event.deliveredTokens());
-    NodeState released = Attempts.release(Learned.refresh(state), ended, attempt);
+    NodeState charged =
+        event.failure() == AttemptFailure.CONNECTION_LOST
+            ? Quarantine.connectionLost(state, ended, attempt)
+            : state;
+    NodeState released = Attempts.release(Learned.refresh(charged), ended, attempt);
     NodeState noted = noteFailure(released, backend, event.failure());
     return Retries.retryOrRefuse(noted, ended, event.failure())
         .then(next -> Attempts.adapterLoadEnded(next, event.attempt()))
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Retries.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Retries.java
@@ -11,7 +11,11 @@
 
   /** Sends the request elsewhere, lets it wait for another back end, or refuses it. */
   static Transition<NodeState, Effect> retryOrRefuse(
-      NodeState state, RequestState request, AttemptFailure failure) {
+      NodeState state, RequestState failed, AttemptFailure failure) {
+    if (Quarantine.bans(state, failed.spec())) {
+      return Refusals.refuseAccepted(state, failed, failed.refusal(RefusalReason.CRASH_SUSPECT));
+    }
+    RequestState request = Quarantine.classify(state, failed);
     if (!mayRetry(state, request, failure)) {
       return refuse(state, request, failure);
     }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Router.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Router.java
@@ -110,6 +110,10 @@
     if (known.unreachableUntilMs() > state.nowMs()) {
       return PassOverReason.UNREACHABLE;
     }
+    Optional<PassOverReason> quarantine = Quarantine.obstacle(state, request, known, backend.id());
+    if (quarantine.isPresent()) {
+      return quarantine.get();
+    }
     PassOverReason full = full(request.plan().pool().workClass(), known, backend.slots());
     if (full != null) {
       return full;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/WorkClass.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/WorkClass.java
@@ -5,7 +5,9 @@
   /** Work that is expected to end soon. */
   SHORT(0, 1.0),
   /** Work that is expected to hold its slot for long; at most half of the slots of an engine. */
-  LONG(1, 0.5);
+  LONG(1, 0.5),
+  /** Work that may crash engines; it waits apart, because it needs an engine of its own. */
+  SUSPECT(0, 1.0);
 
   private final int enginePriority;
   private final double maxSlotShare;
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
@@ -50,6 +50,7 @@
   private int maxRunning;
   private int accepted;
   private int refused;
+  private int crashes;
 
   FakeBackend(Backend config, VirtualTime time, FakeAdapterStore adapterStore) {
     this.config = config;
@@ -72,6 +73,11 @@
     draining = false;
   }
 
+  /** Returns how often it crashed. */
+  public int crashes() {
+    return crashes;
+  }
+
   /** Returns how many attempts were refused as not started. */
   public int refused() {
     return refused;
@@ -95,6 +101,7 @@
   /** Breaks all connections and refuses new ones until {@link #restart()}. */
   public void crash() {
     down = true;
+    crashes++;
     prefixes.clear();
     adapters.clear();
     for (BackendJob job : new ArrayList<>(jobs.values())) {
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/CheckSteps.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/CheckSteps.java
@@ -169,6 +169,12 @@
     check(sum <= maximum, sum + " attempts");
   }
 
+  @Then("all back ends together crashed at most {int} time(s)")
+  public void crashedAtMostTogether(int maximum) {
+    int sum = world.backends().stream().mapToInt(FakeBackend::crashes).sum();
+    check(sum <= maximum, sum + " times");
+  }
+
   @Then("no back end was handed more than {int} attempts")
   public void handedAtMostEach(int maximum) {
     int most = world.backends().stream().mapToInt(FakeBackend::accepted).max().orElse(0);
