Give engines that are slower than their peers less work

Time to first token, for each unit of prompt, and time between tokens are kept as moving averages by engine and model. An engine above 1.5 times the lower median of the model counts in routing as one with proportionally fewer slots, up to a factor of ten. Without samples the excess halves every 3 s, so that a slow engine is still tried and comes back. Requests with a prefix hash, with an adapter to load or of long work are not compared.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/ActiveAttempt.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/ActiveAttempt.java
@@ -8,10 +8,14 @@
  * @param number number of the attempt, from 1
  * @param backend the back end
  * @param sentAtMs when it was dispatched, in monotonic milliseconds
- * @param started whether the first byte has arrived
+ * @param startedAtMs when the first byte arrived, in monotonic milliseconds, or -1
  */
-record ActiveAttempt(int number, BackendId backend, long sentAtMs, boolean started) {
-  ActiveAttempt withStarted() {
-    return new ActiveAttempt(number, backend, sentAtMs, true);
+record ActiveAttempt(int number, BackendId backend, long sentAtMs, long startedAtMs) {
+  boolean started() {
+    return startedAtMs >= 0;
+  }
+
+  ActiveAttempt withStarted(long nowMs) {
+    return new ActiveAttempt(number, backend, sentAtMs, nowMs);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
@@ -124,6 +124,7 @@
     long work = (long) request.spec().promptTokens() + outputTokens;
     Pool pool = state.requests().pool(id).measured(tookMs, work);
     NodeState measured = state.withRequests(state.requests().withPool(id, pool));
-    return Prediction.learn(measured, request, outputTokens);
+    NodeState paced = Paces.completed(measured, request, attempt, outputTokens);
+    return Prediction.learn(paced, request, outputTokens);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Learned.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Learned.java
@@ -10,16 +10,23 @@
  * @param adapterLoads adapter loads in flight
  * @param lengths output lengths of completed requests
  * @param retryBudget retries that may be sent
+ * @param paces how fast engines answer
  */
 record Learned(
     LimitShare share,
     RoutingIndex index,
     AdapterLoads adapterLoads,
     Lengths lengths,
-    RetryBudget retryBudget) {
+    RetryBudget retryBudget,
+    Paces paces) {
   static final Learned INITIAL =
       new Learned(
-          LimitShare.WHOLE, RoutingIndex.EMPTY, AdapterLoads.NONE, Lengths.NONE, RetryBudget.FULL);
+          LimitShare.WHOLE,
+          RoutingIndex.EMPTY,
+          AdapterLoads.NONE,
+          Lengths.NONE,
+          RetryBudget.FULL,
+          Paces.NONE);
 
   /** Returns the state with an index that fits the configuration in force. */
   static NodeState refresh(NodeState state) {
@@ -38,22 +45,26 @@
   }
 
   Learned withShare(LimitShare value) {
-    return new Learned(value, index, adapterLoads, lengths, retryBudget);
+    return new Learned(value, index, adapterLoads, lengths, retryBudget, paces);
   }
 
   Learned withIndex(RoutingIndex value) {
-    return new Learned(share, value, adapterLoads, lengths, retryBudget);
+    return new Learned(share, value, adapterLoads, lengths, retryBudget, paces);
   }
 
   Learned withAdapterLoads(AdapterLoads value) {
-    return new Learned(share, index, value, lengths, retryBudget);
+    return new Learned(share, index, value, lengths, retryBudget, paces);
   }
 
   Learned withLengths(Lengths value) {
-    return new Learned(share, index, adapterLoads, value, retryBudget);
+    return new Learned(share, index, adapterLoads, value, retryBudget, paces);
   }
 
   Learned withRetryBudget(RetryBudget value) {
-    return new Learned(share, index, adapterLoads, lengths, value);
+    return new Learned(share, index, adapterLoads, lengths, value, paces);
+  }
+
+  Learned withPaces(Paces value) {
+    return new Learned(share, index, adapterLoads, lengths, retryBudget, value);
   }
 }
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Pace.java
@@ -0,0 +1,73 @@
+package org.limpetdoor.core.request;
+
+/**
+ * How fast one engine answers requests for one model, as moving averages.
+ *
+ * @param firstToken time to first token, for each unit of prompt
+ * @param betweenTokens time between tokens
+ */
+record Pace(Average firstToken, Average betweenTokens) {
+  static final Pace UNMEASURED = new Pace(Average.NONE, Average.NONE);
+
+  /** Below this ratio differences are noise. */
+  private static final double MIN_SLOW_RATIO = 1.5;
+
+  /** Bounds the effect of one extreme sample, so that an engine always keeps some weight. */
+  private static final double MAX_SLOW_RATIO = 10;
+
+  /**
+   * A moving average with the time of its last sample.
+   *
+   * @param valueMs the average, in milliseconds
+   * @param atMs time of the last sample, in monotonic milliseconds, or -1 without a sample
+   */
+  record Average(double valueMs, long atMs) {
+    static final Average NONE = new Average(0, -1);
+
+    /** Neighbours slow an engine down for seconds, so few samples must suffice. */
+    private static final double SAMPLE_WEIGHT = 0.5;
+
+    /**
+     * An engine that gets no work gives no samples, so the suspicion halves in this time and the
+     * engine is tried again.
+     */
+    private static final double HALF_LIFE_MS = 3_000;
+
+    boolean measured() {
+      return atMs >= 0;
+    }
+
+    Average with(double sampleMs, long nowMs) {
+      double next = measured() ? valueMs + SAMPLE_WEIGHT * (sampleMs - valueMs) : sampleMs;
+      return new Average(next, nowMs);
+    }
+
+    double ratio(double medianMs, long nowMs) {
+      if (!measured() || medianMs <= 0) {
+        return 1;
+      }
+      double excess = Math.min(MAX_SLOW_RATIO, valueMs / medianMs) - 1;
+      return 1 + excess * Math.pow(0.5, (nowMs - atMs) / HALF_LIFE_MS);
+    }
+  }
+
+  long lastSampleMs() {
+    return Math.max(firstToken.atMs(), betweenTokens.atMs());
+  }
+
+  Pace withFirstToken(double sampleMs, long nowMs) {
+    return new Pace(firstToken.with(sampleMs, nowMs), betweenTokens);
+  }
+
+  Pace withBetweenTokens(double sampleMs, long nowMs) {
+    return new Pace(firstToken, betweenTokens.with(sampleMs, nowMs));
+  }
+
+  /** Returns how many times slower the engine is than the medians, at least 1. */
+  double slowRatio(double medianFirstMs, double medianBetweenMs, long nowMs) {
+    double ratio =
+        Math.max(
+            firstToken.ratio(medianFirstMs, nowMs), betweenTokens.ratio(medianBetweenMs, nowMs));
+    return ratio < MIN_SLOW_RATIO ? 1 : ratio;
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Paces.java
@@ -0,0 +1,67 @@
+package org.limpetdoor.core.request;
+
+import java.util.function.UnaryOperator;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.id.AttemptId;
+import org.limpetdoor.core.request.Target.ModelTarget;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * Paces of engines by model.
+ *
+ * @param byModel paces by upstream
+ */
+record Paces(PMap<UpstreamId, ModelPace> byModel) {
+  static final Paces NONE = new Paces(HashTreePMap.empty());
+
+  /** Stands for the part of the time to first token that does not depend on the prompt. */
+  private static final int BASE_TOKENS = 50;
+
+  ModelPace of(UpstreamId upstream) {
+    return byModel.getOrDefault(upstream, ModelPace.UNMEASURED);
+  }
+
+  /**
+   * Measures the time to first token. A cached prefix or the load of an adapter changes it more
+   * than a slow engine does, so such requests are left out.
+   */
+  static NodeState started(NodeState state, RequestState request, ActiveAttempt attempt) {
+    AttemptId id = new AttemptId(request.spec().id(), attempt.number());
+    boolean comparable =
+        request.spec().prefixHash() == 0
+            && !state.requests().learned().adapterLoads().inFlight().containsKey(id);
+    if (!comparable) {
+      return state;
+    }
+    double units = (double) BASE_TOKENS + request.spec().promptTokens();
+    double sampleMs = (state.nowMs() - attempt.sentAtMs()) / units;
+    return update(state, request, attempt, p -> p.withFirstToken(sampleMs, state.nowMs()));
+  }
+
+  /** Measures the time between tokens. */
+  static NodeState completed(
+      NodeState state, RequestState request, ActiveAttempt attempt, int outputTokens) {
+    int gaps = outputTokens - request.deliveredTokens() - 1;
+    if (gaps < 1 || !attempt.started()) {
+      return state;
+    }
+    double sampleMs = (double) (state.nowMs() - attempt.startedAtMs()) / gaps;
+    return update(state, request, attempt, p -> p.withBetweenTokens(sampleMs, state.nowMs()));
+  }
+
+  /** Engines interrupt long work for short work, so its times say little about the engine. */
+  private static NodeState update(
+      NodeState state, RequestState request, ActiveAttempt attempt, UnaryOperator<Pace> change) {
+    boolean usable =
+        request.spec().target() instanceof ModelTarget
+            && request.plan().pool().workClass() != WorkClass.LONG;
+    if (!usable) {
+      return state;
+    }
+    Learned learned = state.requests().learned();
+    UpstreamId upstream = request.plan().pool().upstream();
+    ModelPace pace = learned.paces().of(upstream).update(attempt.backend(), change, state.nowMs());
+    return learned.withPaces(new Paces(learned.paces().byModel.plus(upstream, pace))).in(state);
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -49,9 +49,13 @@
     if (found.isEmpty()) {
       return Transition.of(state);
     }
-    RequestState request = found.get().request().withStarted(found.get().attempt());
     ActiveAttempt attempt = found.get().attempt();
-    NodeState answered = BackendEvents.answered(state, attempt.backend(), attempt.sentAtMs());
+    if (attempt.started()) {
+      return Transition.of(state);
+    }
+    NodeState paced = Paces.started(state, found.get().request(), attempt);
+    RequestState request = found.get().request().withStarted(attempt, state.nowMs());
+    NodeState answered = BackendEvents.answered(paced, attempt.backend(), attempt.sentAtMs());
     NodeState next = answered.withRequests(answered.requests().with(request));
     return Attempts.adapterLoadEnded(next, event.attempt());
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestState.java
@@ -67,12 +67,12 @@
   }
 
   RequestState withAttempt(BackendId backend, long nowMs) {
-    ActiveAttempt attempt = new ActiveAttempt(tried.size() + 1, backend, nowMs, false);
+    ActiveAttempt attempt = new ActiveAttempt(tried.size() + 1, backend, nowMs, -1);
     return with(tried.plus(backend), active.plus(attempt));
   }
 
-  RequestState withStarted(ActiveAttempt attempt) {
-    return with(tried, active.minus(attempt).plus(attempt.withStarted()));
+  RequestState withStarted(ActiveAttempt attempt, long nowMs) {
+    return with(tried, active.minus(attempt).plus(attempt.withStarted(nowMs)));
   }
 
   RequestState withAttemptEnded(ActiveAttempt attempt, AttemptFailure failure, int delivered) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Scorer.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Scorer.java
@@ -14,9 +14,11 @@
  *
  * @param state the state
  * @param adapter the adapter of the request, if any
+ * @param pace how fast the engines of the model answer
  * @param prefixOwner the candidate that keeps the prefix of the request in its cache, if any
  */
-record Scorer(NodeState state, Optional<AdapterId> adapter, Optional<Candidate> prefixOwner) {
+record Scorer(
+    NodeState state, Optional<AdapterId> adapter, ModelPace pace, Optional<Candidate> prefixOwner) {
   /** Load difference that is accepted to stay in the zone; links between zones cost more. */
   private static final double REMOTE_COST = 0.15;
 
@@ -33,11 +35,12 @@
   private static final long REPORT_USABLE_MS = 5_000;
 
   static Scorer of(NodeState state, RequestState request, List<Candidate> free) {
+    ModelPace pace = state.requests().learned().paces().of(request.plan().pool().upstream());
     Optional<Candidate> owner = Optional.empty();
     if (request.spec().prefixHash() != 0) {
-      owner = withinBound(state, owner(request.spec().prefixHash(), free), free);
+      owner = withinBound(state, pace, owner(request.spec().prefixHash(), free), free);
     }
-    return new Scorer(state, Router.adapter(request), owner);
+    return new Scorer(state, Router.adapter(request), pace, owner);
   }
 
   Candidate best(List<Candidate> free) {
@@ -69,7 +72,7 @@
   }
 
   private double score(Candidate candidate) {
-    double score = load(state, candidate);
+    double score = load(state, pace, candidate);
     score += candidate.remote() ? REMOTE_COST : 0;
     score -= prefixOwner.filter(candidate::equals).isPresent() ? PREFIX_BONUS : 0;
     return score - (holdsAdapter(candidate) ? ADAPTER_BONUS : 0);
@@ -80,8 +83,11 @@
     return adapter.filter(known.adapters()::holds).isPresent();
   }
 
-  /** Own requests count at once; what others ran is known only from the last report. */
-  private static double load(NodeState state, Candidate candidate) {
+  /**
+   * Own requests count at once; what others ran is known only from the last report. An engine that
+   * is slower than its peers counts as one with fewer slots.
+   */
+  private static double load(NodeState state, ModelPace pace, Candidate candidate) {
     BackendState known = state.backends().get(candidate.backend().id());
     int others =
         known
@@ -89,7 +95,8 @@
             .filter(report -> state.nowMs() - report.reportedAtMs() < REPORT_USABLE_MS)
             .map(LoadReport::ofOthers)
             .orElse(0);
-    return (known.inFlight() + others + 1.0) / candidate.backend().slots();
+    double slow = pace.slowRatio(candidate.backend().id(), state.nowMs());
+    return slow * (known.inFlight() + others + 1.0) / candidate.backend().slots();
   }
 
   private static Candidate owner(long prefixHash, List<Candidate> free) {
@@ -106,13 +113,13 @@
   }
 
   private static Optional<Candidate> withinBound(
-      NodeState state, Candidate owner, List<Candidate> free) {
+      NodeState state, ModelPace pace, Candidate owner, List<Candidate> free) {
     double sum = 0;
     for (Candidate candidate : free) {
-      sum += load(state, candidate);
+      sum += load(state, pace, candidate);
     }
     double slack = 1.0 / owner.backend().slots();
     double bound = LOAD_BOUND * sum / free.size() + slack;
-    return load(state, owner) <= bound ? Optional.of(owner) : Optional.empty();
+    return load(state, pace, owner) <= bound ? Optional.of(owner) : Optional.empty();
   }
 }
