Report lines of a scenario that are not steps

Gherkin takes unknown lines between a scenario's name and its first step as a description. A scenario whose only line was mistyped passed; it now ends with exit status 2, with file and line.

--- /dev/null
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FeatureCheck.java
@@ -0,0 +1,59 @@
+package org.limpetdoor.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/**
+ * Finds scenarios that would pass without checking anything. Gherkin takes unknown lines between a
+ * scenario's name and its first step as a description, so a mistyped keyword there goes unnoticed.
+ */
+public final class FeatureCheck {
+  private static final Pattern BLOCK =
+      Pattern.compile("(Scenario|Scenario Outline|Scenario Template|Example|Background)\\s*:.*");
+
+  private static final Pattern OTHER_BLOCK =
+      Pattern.compile("(Feature|Rule|Examples|Scenarios)\\s*:.*");
+  private static final Pattern STEP = Pattern.compile("(Given|When|Then|And|But|\\*)\\s.*");
+  private static final Pattern IGNORED = Pattern.compile("(#.*|@.*|)");
+
+  private final String file;
+  private final List<String> problems = new ArrayList<>();
+  private int openBlockLine;
+
+  private FeatureCheck(String file) {
+    this.file = file;
+  }
+
+  /** Returns one line as {@code file:line: problem} for each problem. */
+  public static List<String> problems(String file, List<String> lines) {
+    FeatureCheck check = new FeatureCheck(file);
+    for (int i = 0; i < lines.size(); i++) {
+      check.read(i + 1, lines.get(i).strip());
+    }
+    check.closeBlock();
+    return check.problems;
+  }
+
+  private void read(int number, String line) {
+    if (BLOCK.matcher(line).matches()) {
+      closeBlock();
+      openBlockLine = number;
+    } else if (OTHER_BLOCK.matcher(line).matches()) {
+      closeBlock();
+    } else if (STEP.matcher(line).matches()) {
+      openBlockLine = 0;
+    } else if (openBlockLine > 0 && !IGNORED.matcher(line).matches()) {
+      problems.add(
+          "%s:%d: '%s' is not a step; expected Given, When, Then, And or But"
+              .formatted(file, number, line));
+    }
+  }
+
+  private void closeBlock() {
+    if (openBlockLine > 0) {
+      problems.add("%s:%d: no steps follow".formatted(file, openBlockLine));
+    }
+    openBlockLine = 0;
+  }
+}
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioMain.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioMain.java
@@ -1,6 +1,7 @@
 package org.limpetdoor.scenario;
 
 import io.cucumber.core.cli.Main;
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -34,6 +35,11 @@
         System.err.println(file + ": cannot be read; expected a feature file");
         return USAGE_EXIT;
       }
+      List<String> problems = problems(file);
+      if (!problems.isEmpty()) {
+        problems.forEach(System.err::println);
+        return USAGE_EXIT;
+      }
       arguments.add(Path.of(file).toAbsolutePath().toString());
     }
     try {
@@ -44,4 +50,12 @@
       return USAGE_EXIT;
     }
   }
+
+  private static List<String> problems(String file) {
+    try {
+      return FeatureCheck.problems(file, Files.readAllLines(Path.of(file)));
+    } catch (IOException e) {
+      return List.of(file + ": cannot be read as text in UTF-8; expected a feature file");
+    }
+  }
 }
