Derive the first byte timeout from the measured time to first token

The timeout is 20 times the median time to first token of the model for the length of the prompt, between 2 s and 10 s; without a measurement, and for long work, which can wait for short work, it stays 10 s.

silence.feature, on a scratch copy with the constant timeout: both scenarios fail (r1 ends after 10117 and 10119 ms instead of at most 2500). Both pass with the measured one. Probing of silent connections is not part of this change.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
@@ -13,8 +13,8 @@
 
 /** Starts and ends attempts. */
 final class Attempts {
-  /** Silence before the first byte after which an attempt has failed. */
-  static final long FIRST_BYTE_TIMEOUT_MS = 10_000;
+  /** Silence before the first byte after which an attempt has failed, if nothing is measured. */
+  static final long MAX_FIRST_BYTE_TIMEOUT_MS = 10_000;
 
   private Attempts() {}
 
@@ -50,7 +50,7 @@
             backend.address(),
             plan.pool().workClass().enginePriority(),
             sent.deliveredTokens(),
-            FIRST_BYTE_TIMEOUT_MS);
+            Paces.firstByteTimeoutMs(state, request));
     RecordDecision decision =
         new RecordDecision(Router.decision(state, sent, backend.id(), choice));
     NodeState tried = BackendEvents.sent(next, backend.id());
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Paces.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Paces.java
@@ -18,6 +18,12 @@
   /** Stands for the part of the time to first token that does not depend on the prompt. */
   private static final int BASE_TOKENS = 50;
 
+  /** Times out attempts far beyond the slowest normal answer, because a timeout costs a retry. */
+  private static final double TIMEOUT_MEDIANS = 20;
+
+  /** Covers the load of an adapter and a queue in the engine at the crest of a swing. */
+  private static final long MIN_FIRST_BYTE_TIMEOUT_MS = 2_000;
+
   ModelPace of(UpstreamId upstream) {
     return byModel.getOrDefault(upstream, ModelPace.UNMEASURED);
   }
@@ -39,6 +45,22 @@
     return update(state, request, attempt, p -> p.withFirstToken(sampleMs, state.nowMs()));
   }
 
+  /**
+   * Returns the silence before the first byte after which an attempt has failed, in milliseconds.
+   * Long work can wait for short work before its first byte, so it gets the longest time.
+   */
+  static long firstByteTimeoutMs(NodeState state, RequestState request) {
+    PoolId pool = request.plan().pool();
+    double medianMs = state.requests().learned().paces().of(pool.upstream()).medianFirstMs();
+    if (medianMs <= 0 || pool.workClass() == WorkClass.LONG) {
+      return Attempts.MAX_FIRST_BYTE_TIMEOUT_MS;
+    }
+    double units = (double) BASE_TOKENS + request.spec().promptTokens();
+    long expectedMs = Math.round(TIMEOUT_MEDIANS * medianMs * units);
+    return Math.min(
+        Attempts.MAX_FIRST_BYTE_TIMEOUT_MS, Math.max(MIN_FIRST_BYTE_TIMEOUT_MS, expectedMs));
+  }
+
   /** Measures the time between tokens. */
   static NodeState completed(
       NodeState state, RequestState request, ActiveAttempt attempt, int outputTokens) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Retries.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Retries.java
@@ -37,7 +37,7 @@
    * fit, or silent connections could never be retried.
    */
   private static long retryDeadlineMs(RequestState request) {
-    return request.startDeadlineMs() + Attempts.FIRST_BYTE_TIMEOUT_MS;
+    return request.startDeadlineMs() + Attempts.MAX_FIRST_BYTE_TIMEOUT_MS;
   }
 
   private static long waitDeadlineMs(RequestState request) {
