--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Attempts.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.backend.BackendEvents;
 import org.limpetdoor.core.config.Backend;
 import org.limpetdoor.core.effect.DispatchAttempt;
 import org.limpetdoor.core.effect.Effect;
@@ -12,8 +13,8 @@
 
 /** Starts and ends attempts. */
 final class Attempts {
-  /** Silence before the first byte after which an attempt has failed. */
-  static final long FIRST_BYTE_TIMEOUT_MS = 10_000;
+  /** Silence before the first byte after which an attempt has failed, if nothing is measured. */
+  static final long MAX_FIRST_BYTE_TIMEOUT_MS = 10_000;
 
   private Attempts() {}
 
@@ -32,7 +33,16 @@
         state
             .withRequests(state.requests().with(sent).withPool(plan.pool(), pool))
             .withBackends(
-                state.backends().update(backend.id(), b -> b.withAttemptStarted(isLong(plan))));
+                state
+                    .backends()
+                    .update(
+                        backend.id(),
+                        b ->
+                            b.withAttempt(
+                                sent.lastAttempt(),
+                                sent.spec().fingerprint(),
+                                isLong(plan),
+                                plan.pool().workClass() == WorkClass.SUSPECT)));
     DispatchAttempt dispatch =
         new DispatchAttempt(
             sent.lastAttempt(),
@@ -40,10 +50,11 @@
             backend.address(),
             plan.pool().workClass().enginePriority(),
             sent.deliveredTokens(),
-            FIRST_BYTE_TIMEOUT_MS);
+            Paces.firstByteTimeoutMs(state, request));
     RecordDecision decision =
         new RecordDecision(Router.decision(state, sent, backend.id(), choice));
-    NodeState noted = noteAdapter(next, sent, backend, choice.loadsAdapter());
+    NodeState tried = BackendEvents.sent(next, backend.id());
+    NodeState noted = noteAdapter(tried, sent, backend, choice.loadsAdapter());
     NodeState timed = Demotion.schedule(noted, sent);
     return Transition.<NodeState, Effect>of(timed, decision).with(dispatch);
   }
@@ -97,7 +108,12 @@
         .withBackends(
             state
                 .backends()
-                .update(attempt.backend(), b -> b.withAttemptEnded(isLong(request.plan()))));
+                .update(
+                    attempt.backend(),
+                    b ->
+                        b.withoutAttempt(
+                            new AttemptId(request.spec().id(), attempt.number()),
+                            isLong(request.plan()))));
   }
 
   /** Notes how long a completed attempt took. */
@@ -108,6 +124,7 @@
     long work = (long) request.spec().promptTokens() + outputTokens;
     Pool pool = state.requests().pool(id).measured(tookMs, work);
     NodeState measured = state.withRequests(state.requests().withPool(id, pool));
-    return Prediction.learn(measured, request, outputTokens);
+    NodeState paced = Paces.completed(measured, request, attempt, outputTokens);
+    return Prediction.learn(paced, request, outputTokens);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -5,6 +5,7 @@
 import org.limpetdoor.core.Timer;
 import org.limpetdoor.core.TimerKind;
 import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.backend.BackendEvents;
 import org.limpetdoor.core.config.Contract;
 import org.limpetdoor.core.effect.CancelAttempt;
 import org.limpetdoor.core.effect.Effect;
@@ -52,8 +53,14 @@
     if (found.isEmpty()) {
       return Transition.of(state);
     }
-    RequestState request = found.get().request().withStarted(found.get().attempt());
-    NodeState next = state.withRequests(state.requests().with(request));
+    ActiveAttempt attempt = found.get().attempt();
+    if (attempt.started()) {
+      return Transition.of(state);
+    }
+    NodeState paced = Paces.started(state, found.get().request(), attempt);
+    RequestState request = found.get().request().withStarted(attempt, state.nowMs());
+    NodeState answered = BackendEvents.answered(paced, attempt.backend(), attempt.sentAtMs());
+    NodeState next = answered.withRequests(answered.requests().with(request));
     return Attempts.adapterLoadEnded(next, event.attempt());
   }
 
@@ -66,7 +73,9 @@
     RequestState request = found.get().request();
     ActiveAttempt attempt = found.get().attempt();
     RequestId id = event.attempt().request();
-    NodeState released = Attempts.release(state, request, attempt);
+    NodeState answered = BackendEvents.answered(state, attempt.backend(), attempt.sentAtMs());
+    NodeState cleared = Quarantine.completed(answered, request);
+    NodeState released = Attempts.release(Learned.refresh(cleared), request, attempt);
     NodeState measured = Attempts.measure(released, request, attempt, event.outputTokens());
     NodeState without = measured.withRequests(measured.requests().without(id));
     return Transition.<NodeState, Effect>of(without, new FinishRequest(id))
@@ -84,8 +93,12 @@
     BackendId backend = attempt.backend();
     RequestState ended =
         found.get().request().withAttemptEnded(attempt, event.failure(), event.deliveredTokens());
-    NodeState released = Attempts.release(state, ended, attempt);
-    NodeState noted = event.failure().backendSuspect() ? avoid(released, backend) : released;
+    NodeState charged =
+        event.failure() == AttemptFailure.CONNECTION_LOST
+            ? Quarantine.connectionLost(state, ended, attempt)
+            : state;
+    NodeState released = Attempts.release(Learned.refresh(charged), ended, attempt);
+    NodeState noted = noteFailure(released, backend, event.failure());
     return Retries.retryOrRefuse(noted, ended, event.failure())
         .then(next -> Attempts.adapterLoadEnded(next, event.attempt()))
         .then(next -> Queues.drain(next, backend));
@@ -99,7 +112,8 @@
       return Transition.of(state);
     }
     RequestState request = found.get();
-    NodeState without = state.withRequests(state.requests().without(event.request()));
+    NodeState fresh = Learned.refresh(state);
+    NodeState without = fresh.withRequests(fresh.requests().without(event.request()));
     if (!request.running()) {
       return Transition.of(Queues.remove(without, request));
     }
@@ -136,7 +150,7 @@
 
   /** Dispatches waiting requests to a back end that may have become reachable again. */
   public static Transition<NodeState, Effect> backendRetry(NodeState state, BackendId backend) {
-    return Queues.drain(state, backend);
+    return Queues.drain(Learned.refresh(state), backend);
   }
 
   /** Treats an attempt that has run for as long as long work as such. */
@@ -153,6 +167,13 @@
         .then(next -> Queues.drain(next, attempt.backend()));
   }
 
+  private static NodeState noteFailure(NodeState state, BackendId backend, AttemptFailure failure) {
+    if (failure == AttemptFailure.NOT_STARTED) {
+      return BackendEvents.refused(state, backend);
+    }
+    return failure.backendSuspect() ? avoid(state, backend) : state;
+  }
+
   private static NodeState avoid(NodeState state, BackendId backend) {
     long untilMs = state.nowMs() + UNREACHABLE_MS;
     Timer retry = new Timer(untilMs, TimerKind.BACKEND_RETRY, backend.value());
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Router.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Router.java
@@ -99,12 +99,16 @@
     if (request.tried().contains(backend.id())) {
       return PassOverReason.ALREADY_TRIED;
     }
-    if (known.leaving()) {
+    if (known.departure().holdsAt(state.nowMs())) {
       return PassOverReason.LEAVING;
     }
     if (known.unreachableUntilMs() > state.nowMs()) {
       return PassOverReason.UNREACHABLE;
     }
+    Optional<PassOverReason> quarantine = Quarantine.obstacle(state, request, known, backend.id());
+    if (quarantine.isPresent()) {
+      return quarantine.get();
+    }
     int slots = candidates(state, request).slots(backend);
     PassOverReason full = full(request.plan().pool().workClass(), known, slots);
     if (full != null) {
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
@@ -50,6 +50,8 @@
   private int maxRunning;
   private int accepted;
   private long arrivals;
+  private int refused;
+  private int crashes;
 
   FakeBackend(Backend config, VirtualTime time, FakeAdapterStore adapterStore) {
     this.config = config;
@@ -67,6 +69,21 @@
     draining = true;
   }
 
+  /** Accepts new requests again. */
+  public void stopDraining() {
+    draining = false;
+  }
+
+  /** Returns how often it crashed. */
+  public int crashes() {
+    return crashes;
+  }
+
+  /** Returns how many attempts were refused as not started. */
+  public int refused() {
+    return refused;
+  }
+
   /** Applies a fault to the next attempts. */
   public void arm(BackendFault fault, int attempts) {
     faults.put(fault, attempts);
@@ -85,6 +102,7 @@
   /** Breaks all connections and refuses new ones until {@link #restart()}. */
   public void crash() {
     down = true;
+    crashes++;
     prefixes.clear();
     adapters.clear();
     for (BackendJob job : new ArrayList<>(jobs.values())) {
@@ -131,6 +149,7 @@
       return;
     }
     if (draining) {
+      refused++;
       fail(job, AttemptFailure.NOT_STARTED);
       return;
     }
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioWorld.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioWorld.java
@@ -20,6 +20,7 @@
 import org.limpetdoor.core.config.Engine;
 import org.limpetdoor.core.config.PlainService;
 import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.event.BackendLeaving;
 import org.limpetdoor.core.event.BackendReported;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.RecordsRead;
@@ -163,6 +164,12 @@
     instances().forEach(instance -> instance.disconnect(id));
   }
 
+  /** Tells all instances that a back end is leaving, as the instance list does. */
+  public void announceLeaving(String backend) {
+    BackendId id = backend(backend).config().id();
+    instances().forEach(instance -> instance.handle(new BackendLeaving(time.nowMs(), id)));
+  }
+
   private void start() {
     if (instanceZones.isEmpty()) {
       addInstance("a");
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/CheckSteps.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/CheckSteps.java
@@ -138,6 +138,12 @@
     check(accepted <= maximum, accepted + " attempts");
   }
 
+  @Then("back end {string} refused at most {int} attempt(s)")
+  public void refusedAtMost(String backend, int maximum) {
+    int refused = world.backend(backend).refused();
+    check(refused <= maximum, refused + " attempts");
+  }
+
   @Then("at least {int} in 100 requests find their prefix cached")
   public void prefixHits(int percent) {
     long hits = world.backends().stream().mapToLong(FakeBackend::prefixHits).sum();
@@ -163,6 +169,12 @@
     check(sum <= maximum, sum + " attempts");
   }
 
+  @Then("all back ends together crashed at most {int} time(s)")
+  public void crashedAtMostTogether(int maximum) {
+    int sum = world.backends().stream().mapToInt(FakeBackend::crashes).sum();
+    check(sum <= maximum, sum + " times");
+  }
+
   @Then("no back end was handed more than {int} attempts")
   public void handedAtMostEach(int maximum) {
     int most = world.backends().stream().mapToInt(FakeBackend::accepted).max().orElse(0);
