--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/ControlTick.java
@@ -0,0 +1,28 @@
+package org.limpetdoor.core;
+
+import org.limpetdoor.core.agreed.AgreedEvents;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.event.InstanceStarted;
+import org.limpetdoor.core.placement.LeaseEvents;
+import org.limpetdoor.core.placement.OrderEvents;
+
+/** Reduces the regular look at leases, orders and placement. */
+final class ControlTick {
+  /** Interval of the look, in milliseconds. It bounds how late a lease or an order is acted on. */
+  static final long INTERVAL_MS = 1_000;
+
+  private ControlTick() {}
+
+  static Transition<NodeState, Effect> started(NodeState state, InstanceStarted event) {
+    NodeState noted = OrderEvents.started(LeaseEvents.started(state));
+    return tick(noted);
+  }
+
+  static Transition<NodeState, Effect> tick(NodeState state) {
+    Timer next = new Timer(state.nowMs() + INTERVAL_MS, TimerKind.CONTROL_TICK, "");
+    return Transition.<NodeState, Effect>of(state.withTimers(state.timers().plus(next)))
+        .then(LeaseEvents::tick)
+        .then(OrderEvents::tick)
+        .then(AgreedEvents::snapshotIfDue);
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -1,17 +1,26 @@
 package org.limpetdoor.core;
 
 import org.limpetdoor.core.agreed.AgreedEvents;
+import org.limpetdoor.core.agreed.OutboxEvents;
 import org.limpetdoor.core.backend.BackendEvents;
 import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.event.AppendAnswered;
+import org.limpetdoor.core.event.AppendFailed;
 import org.limpetdoor.core.event.AttemptCompleted;
 import org.limpetdoor.core.event.AttemptFailed;
 import org.limpetdoor.core.event.AttemptStarted;
 import org.limpetdoor.core.event.BackendReported;
 import org.limpetdoor.core.event.CallerDisconnected;
 import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.InstanceStarted;
+import org.limpetdoor.core.event.InstancesListed;
+import org.limpetdoor.core.event.InventoryReported;
+import org.limpetdoor.core.event.OrderAnswered;
 import org.limpetdoor.core.event.RecordsRead;
 import org.limpetdoor.core.event.RequestArrived;
 import org.limpetdoor.core.event.TimerFired;
+import org.limpetdoor.core.membership.MembershipEvents;
+import org.limpetdoor.core.placement.OrderEvents;
 import org.limpetdoor.core.request.RequestEvents;
 
 /** Kinds of events, each bound to the function that reduces it. */
@@ -30,6 +39,18 @@
   BACKEND_REPORTED(BackendReported.class, BackendEvents::reported),
   /** {@link RecordsRead}. */
   RECORDS_READ(RecordsRead.class, AgreedEvents::recordsRead),
+  /** {@link InstanceStarted}. */
+  INSTANCE_STARTED(InstanceStarted.class, ControlTick::started),
+  /** {@link AppendAnswered}. */
+  APPEND_ANSWERED(AppendAnswered.class, OutboxEvents::answered),
+  /** {@link AppendFailed}. */
+  APPEND_FAILED(AppendFailed.class, OutboxEvents::failed),
+  /** {@link InstancesListed}. */
+  INSTANCES_LISTED(InstancesListed.class, MembershipEvents::listed),
+  /** {@link OrderAnswered}. */
+  ORDER_ANSWERED(OrderAnswered.class, OrderEvents::answered),
+  /** {@link InventoryReported}. */
+  INVENTORY_REPORTED(InventoryReported.class, OrderEvents::inventoryReported),
   /** {@link TimerFired}. */
   TIMER_FIRED(TimerFired.class, TimerEvents::fired);
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/NodeState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/NodeState.java
@@ -1,10 +1,12 @@
 package org.limpetdoor.core;
 
 import org.limpetdoor.core.agreed.AgreedState;
+import org.limpetdoor.core.agreed.Coordination;
 import org.limpetdoor.core.backend.BackendTable;
 import org.limpetdoor.core.config.Configuration;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.membership.Membership;
 import org.limpetdoor.core.request.RequestTable;
 
 /**
@@ -16,6 +18,8 @@
  * @param backends what this instance knows about back ends
  * @param requests requests that this instance has accepted and not finished
  * @param timers pending timers
+ * @param coordination what this instance keeps to take part in the agreement
+ * @param membership what this instance knows of the others
  */
 public record NodeState(
     Self self,
@@ -23,7 +27,9 @@
     AgreedState agreed,
     BackendTable backends,
     RequestTable requests,
-    Timers timers)
+    Timers timers,
+    Coordination coordination,
+    Membership membership)
     implements Timed {
 
   /**
@@ -33,12 +39,24 @@
    * @param incarnation number that differs between two starts of the same instance
    * @param zone zone that it runs in
    */
-  public record Self(InstanceId id, long incarnation, ZoneId zone) {}
+  public record Self(InstanceId id, long incarnation, ZoneId zone) {
+    /** Returns the name under which this process appends to the log. */
+    public String appender() {
+      return id + ":" + incarnation;
+    }
+  }
 
   /** Returns the state of an instance that has just started. */
   public static NodeState initial(Self self) {
     return new NodeState(
-        self, 0, AgreedState.INITIAL, BackendTable.EMPTY, RequestTable.EMPTY, Timers.NONE);
+        self,
+        0,
+        AgreedState.INITIAL,
+        BackendTable.EMPTY,
+        RequestTable.EMPTY,
+        Timers.NONE,
+        Coordination.START,
+        Membership.EMPTY);
   }
 
   /** Returns the configuration in force. */
@@ -53,26 +71,37 @@
 
   /** Returns a copy at a later time; time never goes back. */
   public NodeState withNowMs(long value) {
-    return new NodeState(self, Math.max(nowMs, value), agreed, backends, requests, timers);
+    return new NodeState(
+        self, Math.max(nowMs, value), agreed, backends, requests, timers, coordination, membership);
   }
 
   /** Returns a copy with other agreed state. */
   public NodeState withAgreed(AgreedState value) {
-    return new NodeState(self, nowMs, value, backends, requests, timers);
+    return new NodeState(self, nowMs, value, backends, requests, timers, coordination, membership);
   }
 
   /** Returns a copy with another back-end table. */
   public NodeState withBackends(BackendTable value) {
-    return new NodeState(self, nowMs, agreed, value, requests, timers);
+    return new NodeState(self, nowMs, agreed, value, requests, timers, coordination, membership);
   }
 
   /** Returns a copy with another request table. */
   public NodeState withRequests(RequestTable value) {
-    return new NodeState(self, nowMs, agreed, backends, value, timers);
+    return new NodeState(self, nowMs, agreed, backends, value, timers, coordination, membership);
   }
 
   /** Returns a copy with other timers. */
   public NodeState withTimers(Timers value) {
-    return new NodeState(self, nowMs, agreed, backends, requests, value);
+    return new NodeState(self, nowMs, agreed, backends, requests, value, coordination, membership);
+  }
+
+  /** Returns a copy with other coordination state. */
+  public NodeState withCoordination(Coordination value) {
+    return new NodeState(self, nowMs, agreed, backends, requests, timers, value, membership);
+  }
+
+  /** Returns a copy with another membership. */
+  public NodeState withMembership(Membership value) {
+    return new NodeState(self, nowMs, agreed, backends, requests, timers, coordination, value);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/AgreedEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/AgreedEvents.java
@@ -1,29 +1,143 @@
 package org.limpetdoor.core.agreed;
 
+import java.util.Optional;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.agreed.LogRecord.SnapshotTaken;
 import org.limpetdoor.core.decision.Decision;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.event.RecordsRead;
+import org.limpetdoor.core.placement.LeaseEvents;
+import org.limpetdoor.core.placement.OrderEvents;
+import org.pcollections.TreePVector;
 
 /** Reduces events of the platform log. */
 public final class AgreedEvents {
+  /**
+   * Interval of snapshots in milliseconds. It must be well below the retention of the log; an hour
+   * is the shortest retention assumed.
+   */
+  static final long SNAPSHOT_INTERVAL_MS = 600_000;
+
+  /** Records after which a snapshot is taken early, to bound what a new instance has to fold. */
+  static final long SNAPSHOT_RECORDS = 20_000;
+
+  /** The holder of this shard takes the snapshots. */
+  static final int SNAPSHOT_SHARD = 0;
+
   private AgreedEvents() {}
 
   /** Folds the records that were read. */
   public static Transition<NodeState, Effect> recordsRead(NodeState state, RecordsRead event) {
-    Transition<NodeState, Effect> result = Transition.of(state);
+    NodeState noted = LeaseEvents.logRead(state);
+    Transition<NodeState, Effect> result =
+        Transition.of(withReader(noted, reader(noted).readAt(noted.nowMs())));
     for (StoredRecord stored : event.records()) {
-      result = result.then(current -> foldOne(current, stored));
+      result = result.then(current -> read(current, stored));
+    }
+    return result;
+  }
+
+  /** Takes a snapshot if this instance is the one to do so and it is time. */
+  public static Transition<NodeState, Effect> snapshotIfDue(NodeState state) {
+    LogReader reader = reader(state);
+    AgreedState agreed = state.agreed();
+    boolean news = agreed.nextOffset() > reader.lastSnapshotOffset() + 1;
+    boolean old = state.nowMs() - reader.lastSnapshotMs() >= SNAPSHOT_INTERVAL_MS;
+    boolean many = agreed.nextOffset() - reader.lastSnapshotOffset() > SNAPSHOT_RECORDS;
+    boolean pending = state.coordination().outbox().hasSnapshot();
+    if (!news || !(old || many) || pending || !LeaseEvents.holds(state, SNAPSHOT_SHARD)) {
+      return Transition.of(state);
+    }
+    return OutboxEvents.submit(state, new SnapshotTaken(agreed));
+  }
+
+  /**
+   * Adopts a snapshot that a peer sent, if it is ahead of the own fold. Records that were held
+   * behind it are folded.
+   */
+  public static Transition<NodeState, Effect> adopt(NodeState state, AgreedState snapshot) {
+    if (snapshot.nextOffset() <= state.agreed().nextOffset()) {
+      return Transition.of(state);
+    }
+    NodeState adopted = OrderEvents.started(LeaseEvents.adopted(state.withAgreed(snapshot)));
+    return confirmIfContained(adopted).then(AgreedEvents::foldHeld);
+  }
+
+  private static Transition<NodeState, Effect> read(NodeState state, StoredRecord stored) {
+    if (stored.offset() > state.agreed().nextOffset()) {
+      NodeState holding = withReader(state, reader(state).hold(stored));
+      Optional<AgreedState> snapshot = reader(holding).closing(stored);
+      return snapshot.isPresent() ? adopt(holding, snapshot.get()) : Transition.of(holding);
+    }
+    return foldOne(state, stored).then(AgreedEvents::foldHeld);
+  }
+
+  private static Transition<NodeState, Effect> foldHeld(NodeState state) {
+    Transition<NodeState, Effect> result = Transition.of(state);
+    while (reader(result.state()).hasGap()) {
+      StoredRecord first = reader(result.state()).held().get(0);
+      if (first.offset() > result.state().agreed().nextOffset()) {
+        return result;
+      }
+      result = result.then(current -> foldOne(withoutFirstHeld(current), first));
     }
     return result;
   }
 
   private static Transition<NodeState, Effect> foldOne(NodeState state, StoredRecord stored) {
+    if (stored.offset() < state.agreed().nextOffset()) {
+      return Transition.of(state);
+    }
+    boolean repeated = state.agreed().sequences().contains(stored.envelope().id());
     Transition<AgreedState, Decision> folded = state.agreed().fold(stored);
     NodeState next = state.withAgreed(folded.state());
-    return new Transition<>(
-        next, folded.effects().stream().<Effect>map(RecordDecision::new).toList());
+    Transition<NodeState, Effect> result =
+        new Transition<>(next, folded.effects().stream().<Effect>map(RecordDecision::new).toList());
+    return repeated ? result : result.then(current -> followUp(current, stored));
+  }
+
+  private static Transition<NodeState, Effect> followUp(NodeState state, StoredRecord stored) {
+    Transition<NodeState, Effect> result = OutboxEvents.confirm(state, stored.envelope().id());
+    for (LogRecord content : Outbox.records(stored.envelope().content())) {
+      result = result.then(current -> followUp(current, stored, content));
+    }
+    return result;
+  }
+
+  private static Transition<NodeState, Effect> followUp(
+      NodeState state, StoredRecord stored, LogRecord content) {
+    NodeState next = state;
+    if (content instanceof SnapshotTaken) {
+      next = withReader(next, reader(next).withSnapshot(next.nowMs(), stored.offset()));
+    }
+    return LeaseEvents.folded(next, stored, content)
+        .then(current -> OrderEvents.folded(current, stored, content));
+  }
+
+  private static Transition<NodeState, Effect> confirmIfContained(NodeState state) {
+    return state
+        .coordination()
+        .outbox()
+        .inFlight()
+        .map(sent -> sent.envelope().id())
+        .filter(state.agreed().sequences()::contains)
+        .map(id -> OutboxEvents.confirm(state, id))
+        .orElse(Transition.of(state));
+  }
+
+  private static NodeState withoutFirstHeld(NodeState state) {
+    LogReader reader = reader(state);
+    boolean last = reader.held().size() == 1;
+    return withReader(state, reader.withHeld(last ? TreePVector.empty() : reader.held().minus(0)));
+  }
+
+  private static LogReader reader(NodeState state) {
+    return state.coordination().reader();
+  }
+
+  private static NodeState withReader(NodeState state, LogReader value) {
+    return state.withCoordination(state.coordination().withReader(value));
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/AgreedState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/AgreedState.java
@@ -1,34 +1,52 @@
 package org.limpetdoor.core.agreed;
 
 import org.limpetdoor.core.Transition;
-import org.limpetdoor.core.agreed.LogRecord.ConfigurationPublished;
 import org.limpetdoor.core.config.Configuration;
-import org.limpetdoor.core.decision.ConfigurationDecision;
 import org.limpetdoor.core.decision.Decision;
-import org.pcollections.HashTreePMap;
-import org.pcollections.PMap;
 
 /**
  * The state that all instances share: the same on each instance that has folded the log up to the
  * same offset.
  *
  * @param nextOffset offset of the next record to fold
- * @param configurationVersion offset of the accepted publication in force, or -1 before the first
- * @param configuration the content in force
- * @param lastSequences highest sequence number seen from each appender, to drop repeated appends
+ * @param head the configuration in force
+ * @param sequences appends seen, to drop repeated ones
+ * @param leases leases of the shards
+ * @param ledger accelerator memory
+ * @param claims claims of calls with an idempotency key
+ * @param limitEpoch division of the contract limits
  */
 public record AgreedState(
     long nextOffset,
-    long configurationVersion,
-    Configuration configuration,
-    PMap<String, Long> lastSequences) {
-
+    ConfigurationHead head,
+    Sequences sequences,
+    Leases leases,
+    MemoryLedger ledger,
+    Claims claims,
+    LimitEpoch limitEpoch) {
   /** Version before anything was published; the first publication names it as its base. */
   public static final long NO_VERSION = -1;
 
   /** The state before the first record. */
   public static final AgreedState INITIAL =
-      new AgreedState(0, NO_VERSION, Configuration.EMPTY, HashTreePMap.empty());
+      new AgreedState(
+          0,
+          new ConfigurationHead(NO_VERSION, Configuration.EMPTY),
+          Sequences.EMPTY,
+          Leases.NONE,
+          MemoryLedger.EMPTY,
+          Claims.NONE,
+          LimitEpoch.NONE);
+
+  /** Returns the configuration in force. */
+  public Configuration configuration() {
+    return head.content();
+  }
+
+  /** Returns the offset of the publication in force, or {@link #NO_VERSION}. */
+  public long configurationVersion() {
+    return head.version();
+  }
 
   /** Folds one record. Records before {@link #nextOffset()} and repeated appends change nothing. */
   public Transition<AgreedState, Decision> fold(StoredRecord stored) {
@@ -36,41 +54,39 @@
       return Transition.of(this);
     }
     AgreedState advanced = withNextOffset(stored.offset() + 1);
-    if (isRepeated(stored.envelope().id())) {
+    if (sequences.contains(stored.envelope().id())) {
       return Transition.of(advanced);
     }
-    AgreedState noted = advanced.withSequence(stored.envelope().id());
-    if (stored.envelope().content() instanceof ConfigurationPublished published) {
-      return noted.publish(stored.offset(), published);
-    }
-    return Transition.of(noted);
+    AgreedState noted =
+        advanced.withSequences(sequences.plus(stored.envelope().id(), stored.offset()));
+    return FoldRule.fold(noted, stored.offset(), stored.envelope().content());
   }
 
-  private Transition<AgreedState, Decision> publish(long offset, ConfigurationPublished record) {
-    boolean accepted = record.baseVersion() == configurationVersion;
-    ConfigurationDecision decision =
-        new ConfigurationDecision(
-            offset, record.baseVersion(), configurationVersion, accepted, record.publisher());
-    if (!accepted) {
-      return Transition.of(this, decision);
-    }
-    Configuration content = record.patch().applyTo(configuration);
-    return Transition.of(new AgreedState(nextOffset, offset, content, lastSequences), decision);
+  AgreedState withHead(ConfigurationHead value) {
+    return new AgreedState(nextOffset, value, sequences, leases, ledger, claims, limitEpoch);
+  }
+
+  AgreedState withLeases(Leases value) {
+    return new AgreedState(nextOffset, head, sequences, value, ledger, claims, limitEpoch);
+  }
+
+  AgreedState withLedger(MemoryLedger value) {
+    return new AgreedState(nextOffset, head, sequences, leases, value, claims, limitEpoch);
+  }
+
+  AgreedState withClaims(Claims value) {
+    return new AgreedState(nextOffset, head, sequences, leases, ledger, value, limitEpoch);
   }
 
-  private boolean isRepeated(AppendId id) {
-    return lastSequences.getOrDefault(id.appender(), 0L) >= id.sequence();
+  AgreedState withLimitEpoch(LimitEpoch value) {
+    return new AgreedState(nextOffset, head, sequences, leases, ledger, claims, value);
   }
 
   private AgreedState withNextOffset(long value) {
-    return new AgreedState(value, configurationVersion, configuration, lastSequences);
+    return new AgreedState(value, head, sequences, leases, ledger, claims, limitEpoch);
   }
 
-  private AgreedState withSequence(AppendId id) {
-    return new AgreedState(
-        nextOffset,
-        configurationVersion,
-        configuration,
-        lastSequences.plus(id.appender(), id.sequence()));
+  private AgreedState withSequences(Sequences value) {
+    return new AgreedState(nextOffset, head, value, leases, ledger, claims, limitEpoch);
   }
 }
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/Coordination.java
@@ -0,0 +1,38 @@
+package org.limpetdoor.core.agreed;
+
+import org.limpetdoor.core.placement.LeaseKeeper;
+import org.limpetdoor.core.placement.OrderBook;
+
+/**
+ * What this instance keeps for itself to take part in the agreement. Nothing of it is shared.
+ *
+ * @param outbox records to append
+ * @param reader how far the log is read
+ * @param leases own view of the silence of leases
+ * @param orders orders to engines of own shards
+ */
+public record Coordination(Outbox outbox, LogReader reader, LeaseKeeper leases, OrderBook orders) {
+  /** The state of an instance that has just started. */
+  public static final Coordination START =
+      new Coordination(Outbox.EMPTY, LogReader.START, LeaseKeeper.START, OrderBook.EMPTY);
+
+  /** Returns a copy with another outbox. */
+  public Coordination withOutbox(Outbox value) {
+    return new Coordination(value, reader, leases, orders);
+  }
+
+  /** Returns a copy with another reader. */
+  public Coordination withReader(LogReader value) {
+    return new Coordination(outbox, value, leases, orders);
+  }
+
+  /** Returns a copy with another view of the leases. */
+  public Coordination withLeases(LeaseKeeper value) {
+    return new Coordination(outbox, reader, value, orders);
+  }
+
+  /** Returns a copy with other orders. */
+  public Coordination withOrders(OrderBook value) {
+    return new Coordination(outbox, reader, leases, value);
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/EngineAccount.java
@@ -0,0 +1,72 @@
+package org.limpetdoor.core.agreed;
+
+import java.util.Optional;
+import org.limpetdoor.core.id.ModelId;
+import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PMap;
+import org.pcollections.PSet;
+
+/**
+ * Memory of one engine as the log knows it.
+ *
+ * @param bookings memory of each model that the engine holds, in MiB
+ * @param unpriced initial models whose memory is not known yet; no load is accepted meanwhile
+ * @param pending the intent that is not settled, if any
+ * @param changedOffset offset of the last record that changed the account
+ */
+public record EngineAccount(
+    PMap<ModelId, Integer> bookings,
+    PSet<ModelId> unpriced,
+    Optional<Intent> pending,
+    long changedOffset) {
+  /** An account without models. */
+  static final EngineAccount EMPTY =
+      new EngineAccount(HashTreePMap.empty(), HashTreePSet.empty(), Optional.empty(), -1);
+
+  /**
+   * An intent that is not settled.
+   *
+   * @param id name of the intent and of its order
+   * @param offset offset of the intent, the fencing number of its order
+   * @param model the model
+   * @param memoryMib memory that a load needs, in MiB
+   * @param action what is ordered
+   */
+  public record Intent(
+      String id, long offset, ModelId model, int memoryMib, PlacementAction action) {
+    /** Returns whether the intent is a load. */
+    public boolean load() {
+      return action.heldAfter();
+    }
+  }
+
+  /** Returns the memory that is in use or promised, in MiB. */
+  public long reservedMib() {
+    long booked = bookings.values().stream().mapToLong(Integer::longValue).sum();
+    return booked + pending.filter(Intent::load).map(Intent::memoryMib).orElse(0);
+  }
+
+  /** Returns whether requests may be sent to the engine for a model. */
+  public boolean serves(ModelId model) {
+    boolean leaving = pending.filter(i -> !i.load() && i.model().equals(model)).isPresent();
+    return bookings.containsKey(model) && !leaving;
+  }
+
+  EngineAccount withBooking(ModelId model, int memoryMib, long offset) {
+    return new EngineAccount(
+        bookings.plus(model, memoryMib), unpriced.minus(model), pending, offset);
+  }
+
+  EngineAccount withoutBooking(ModelId model, long offset) {
+    return new EngineAccount(bookings.minus(model), unpriced.minus(model), pending, offset);
+  }
+
+  EngineAccount withUnpriced(ModelId model, long offset) {
+    return new EngineAccount(bookings, unpriced.plus(model), pending, offset);
+  }
+
+  EngineAccount withPending(Optional<Intent> value, long offset) {
+    return new EngineAccount(bookings, unpriced, value, offset);
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/LedgerRules.java
@@ -0,0 +1,200 @@
+package org.limpetdoor.core.agreed;
+
+import java.util.Optional;
+import org.limpetdoor.core.agreed.EngineAccount.Intent;
+import org.limpetdoor.core.agreed.LogRecord.BookedModel;
+import org.limpetdoor.core.agreed.LogRecord.InventoryBooked;
+import org.limpetdoor.core.agreed.LogRecord.PlacementAbandoned;
+import org.limpetdoor.core.agreed.LogRecord.PlacementConfirmed;
+import org.limpetdoor.core.agreed.LogRecord.PlacementIntended;
+import org.limpetdoor.core.config.Configuration;
+import org.limpetdoor.core.config.ConfigurationPatch;
+import org.limpetdoor.core.config.Engine;
+import org.limpetdoor.core.config.Model;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.ModelId;
+import org.pcollections.TreePSet;
+
+/** Folds records into the memory ledger. */
+final class LedgerRules {
+  private LedgerRules() {}
+
+  static Folded<MemoryLedger> intend(AgreedState state, long offset, PlacementIntended record) {
+    MemoryLedger ledger = state.ledger();
+    Optional<FoldResult> obstacle = obstacle(state, record);
+    if (obstacle.isPresent()) {
+      return new Folded<>(ledger, obstacle.get());
+    }
+    Intent intent =
+        new Intent(record.intentId(), offset, record.model(), record.memoryMib(), record.action());
+    EngineAccount account = ledger.account(record.engine());
+    return Folded.accepted(
+        ledger.withAccount(record.engine(), account.withPending(Optional.of(intent), offset)));
+  }
+
+  static Folded<MemoryLedger> confirm(MemoryLedger ledger, long offset, PlacementConfirmed record) {
+    return settle(ledger, offset, record.intentId(), true);
+  }
+
+  static Folded<MemoryLedger> abandon(MemoryLedger ledger, long offset, PlacementAbandoned record) {
+    return settle(ledger, offset, record.intentId(), false);
+  }
+
+  static Folded<MemoryLedger> book(AgreedState state, long offset, InventoryBooked record) {
+    MemoryLedger ledger = state.ledger();
+    EngineAccount account = ledger.account(record.engine());
+    Optional<FoldResult> unauthorized =
+        unauthorized(state, record.shard(), record.epoch(), record.engine());
+    if (unauthorized.isPresent()) {
+      return new Folded<>(ledger, unauthorized.get());
+    }
+    if (account.changedOffset() >= record.asOfOffset()) {
+      return new Folded<>(ledger, FoldResult.INVENTORY_OUTDATED);
+    }
+    EngineAccount next = account;
+    for (BookedModel booked : record.models()) {
+      next = book(next, offset, booked);
+    }
+    int capacityMib = state.configuration().engines().get(record.engine()).memoryMib();
+    return new Folded<>(
+        ledger.withAccount(record.engine(), next),
+        next.reservedMib() > capacityMib ? FoldResult.OVER_CAPACITY : FoldResult.ACCEPTED);
+  }
+
+  /** A model of an unsettled order is left alone: the settlement of the order decides about it. */
+  private static EngineAccount book(EngineAccount account, long offset, BookedModel booked) {
+    if (account.pending().filter(i -> i.model().equals(booked.model())).isPresent()) {
+      return account;
+    }
+    return booked.memoryMib() == 0
+        ? account.withoutBooking(booked.model(), offset)
+        : account.withBooking(booked.model(), booked.memoryMib(), offset);
+  }
+
+  /**
+   * Follows a publication. Initial models are booked when their engine first appears; a model whose
+   * memory is not published yet is booked when it is.
+   */
+  static MemoryLedger configure(
+      MemoryLedger ledger, long offset, ConfigurationPatch patch, Configuration content) {
+    MemoryLedger next = ledger;
+    for (BackendId removed : patch.removals().engines()) {
+      next = content.engines().containsKey(removed) ? next : next.withoutEngine(removed);
+    }
+    for (Engine engine : patch.engines()) {
+      boolean known = next.accounts().containsKey(engine.id());
+      next = next.withEngine(engine.id());
+      next = known ? next : next.withAccount(engine.id(), initial(engine, content, offset));
+    }
+    for (Model model : patch.models()) {
+      next = priced(next, offset, model);
+    }
+    return next;
+  }
+
+  private static EngineAccount initial(Engine engine, Configuration content, long offset) {
+    EngineAccount account = EngineAccount.EMPTY;
+    for (ModelId id : engine.initialModels()) {
+      Model model = content.models().get(id);
+      account =
+          model == null
+              ? account.withUnpriced(id, offset)
+              : account.withBooking(id, model.memoryMib(), offset);
+    }
+    return account;
+  }
+
+  private static MemoryLedger priced(MemoryLedger ledger, long offset, Model model) {
+    MemoryLedger next = ledger;
+    for (BackendId engine : ledger.accounts().keySet()) {
+      EngineAccount account = ledger.account(engine);
+      if (account.unpriced().contains(model.id())) {
+        next = next.withAccount(engine, account.withBooking(model.id(), model.memoryMib(), offset));
+      }
+    }
+    return next;
+  }
+
+  private static Folded<MemoryLedger> settle(
+      MemoryLedger ledger, long offset, String intentId, boolean carriedOut) {
+    Optional<Intent> found = ledger.intent(intentId);
+    if (found.isEmpty()) {
+      return new Folded<>(ledger, FoldResult.UNKNOWN_INTENT);
+    }
+    Intent intent = found.get();
+    BackendId engine = ledger.intents().get(intentId);
+    EngineAccount account = ledger.account(engine).withPending(Optional.empty(), offset);
+    if (carriedOut) {
+      account =
+          intent.load()
+              ? account.withBooking(intent.model(), intent.memoryMib(), offset)
+              : account.withoutBooking(intent.model(), offset);
+    }
+    return Folded.accepted(ledger.withAccount(engine, account));
+  }
+
+  private static Optional<FoldResult> obstacle(AgreedState state, PlacementIntended record) {
+    Optional<FoldResult> unauthorized =
+        unauthorized(state, record.shard(), record.epoch(), record.engine());
+    if (unauthorized.isPresent()) {
+      return unauthorized;
+    }
+    EngineAccount account = state.ledger().account(record.engine());
+    if (account.pending().isPresent()) {
+      return Optional.of(FoldResult.ENGINE_BUSY);
+    }
+    boolean held = account.bookings().containsKey(record.model());
+    if (!record.action().intended() || held == record.action().heldAfter()) {
+      return Optional.of(FoldResult.NOTHING_TO_DO);
+    }
+    return record.action().heldAfter()
+        ? loadObstacle(state, account, record)
+        : unloadObstacle(state, record);
+  }
+
+  private static Optional<FoldResult> loadObstacle(
+      AgreedState state, EngineAccount account, PlacementIntended record) {
+    long capacityMib = state.configuration().engines().get(record.engine()).memoryMib();
+    boolean fits = account.reservedMib() + record.memoryMib() <= capacityMib;
+    return fits && record.memoryMib() > 0 && account.unpriced().isEmpty()
+        ? Optional.empty()
+        : Optional.of(FoldResult.NO_CAPACITY);
+  }
+
+  /**
+   * Checked here and not by the planner alone, because holders of two shards may unload replicas of
+   * the same model at the same time.
+   */
+  private static Optional<FoldResult> unloadObstacle(AgreedState state, PlacementIntended record) {
+    Model model = state.configuration().models().get(record.model());
+    if (model == null) {
+      return Optional.empty();
+    }
+    TreePSet<BackendId> serving = state.ledger().servingOf(record.model());
+    TreePSet<BackendId> left = serving.minus(record.engine());
+    boolean losesZone = zones(state, serving) > 1 && zones(state, left) < 2;
+    return left.size() < model.minReplicas() || losesZone
+        ? Optional.of(FoldResult.BELOW_MINIMUM)
+        : Optional.empty();
+  }
+
+  private static long zones(AgreedState state, TreePSet<BackendId> engines) {
+    return engines.stream()
+        .map(id -> state.configuration().engines().get(id).zone())
+        .distinct()
+        .limit(2)
+        .count();
+  }
+
+  private static Optional<FoldResult> unauthorized(
+      AgreedState state, int shard, long epoch, BackendId engine) {
+    if (!state.ledger().isConfigured(engine)) {
+      return Optional.of(FoldResult.UNKNOWN_ENGINE);
+    }
+    if (Shards.of(engine) != shard) {
+      return Optional.of(FoldResult.WRONG_SHARD);
+    }
+    boolean current = state.leases().isCurrent(shard, epoch);
+    return current ? Optional.empty() : Optional.of(FoldResult.EPOCH_SUPERSEDED);
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/Outbox.java
@@ -0,0 +1,113 @@
+package org.limpetdoor.core.agreed;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/**
+ * Records that this instance wants in the log. At most one append is in flight; what waits
+ * meanwhile goes into the next one together, because the log takes only several hundred appends a
+ * second from the whole fleet.
+ *
+ * @param lastSequence sequence number of the last append, 0 before the first
+ * @param inFlight the append that is not confirmed
+ * @param waiting records for the next appends
+ */
+public record Outbox(long lastSequence, Optional<InFlight> inFlight, PVector<LogRecord> waiting) {
+  /** An empty outbox. */
+  public static final Outbox EMPTY = new Outbox(0, Optional.empty(), TreePVector.empty());
+
+  /** Records in one append. 64 renewals of all shards fit into one. */
+  static final int MAX_BATCH_RECORDS = 64;
+
+  /** Records that may wait; an outage of the log must not fill the memory. */
+  static final int MAX_WAITING_RECORDS = 4096;
+
+  /**
+   * An append that is not confirmed.
+   *
+   * @param envelope what is appended; a repeat carries the same identifier
+   * @param attempts how often it was sent, from 1
+   */
+  public record InFlight(Envelope envelope, int attempts) {}
+
+  /** Returns whether another record may wait. */
+  public boolean hasRoom() {
+    return waiting.size() < MAX_WAITING_RECORDS;
+  }
+
+  /** Returns a copy with one more record; an equal record that waits already is not added twice. */
+  public Outbox plus(LogRecord content) {
+    if (!hasRoom() || waiting.contains(content)) {
+      return this;
+    }
+    return new Outbox(lastSequence, inFlight, waiting.plus(content));
+  }
+
+  /** Returns whether a record waits or is in flight. */
+  public boolean contains(LogRecord content) {
+    return waiting.contains(content)
+        || inFlight
+            .filter(sent -> records(sent.envelope().content()).contains(content))
+            .isPresent();
+  }
+
+  /** Returns whether a snapshot waits or is in flight. */
+  public boolean hasSnapshot() {
+    return waiting.stream().anyMatch(LogRecord.SnapshotTaken.class::isInstance)
+        || inFlight
+            .filter(sent -> sent.envelope().content() instanceof LogRecord.SnapshotTaken)
+            .isPresent();
+  }
+
+  /** Returns the records of an append. */
+  public static List<LogRecord> records(LogRecord content) {
+    return content instanceof LogRecord.Batch batch ? batch.records() : List.of(content);
+  }
+
+  /** Returns a copy in which the next records are in flight, if there are any and none are now. */
+  Outbox started(String appender) {
+    if (inFlight.isPresent() || waiting.isEmpty()) {
+      return this;
+    }
+    List<LogRecord> batch = nextBatch();
+    LogRecord content = batch.size() == 1 ? batch.get(0) : new LogRecord.Batch(batch);
+    Envelope envelope = new Envelope(new AppendId(appender, lastSequence + 1), content);
+    PVector<LogRecord> left = waiting;
+    for (int i = 0; i < batch.size(); i++) {
+      left = left.minus(0);
+    }
+    return new Outbox(lastSequence + 1, Optional.of(new InFlight(envelope, 1)), left);
+  }
+
+  Outbox repeated() {
+    Optional<InFlight> again = inFlight.map(f -> new InFlight(f.envelope(), f.attempts() + 1));
+    return new Outbox(lastSequence, again, waiting);
+  }
+
+  Outbox confirmed() {
+    return new Outbox(lastSequence, Optional.empty(), waiting);
+  }
+
+  boolean isInFlight(AppendId id) {
+    return inFlight.filter(sent -> sent.envelope().id().equals(id)).isPresent();
+  }
+
+  /** A snapshot goes alone: it is as large as all else together. */
+  private List<LogRecord> nextBatch() {
+    List<LogRecord> batch = new ArrayList<>();
+    for (LogRecord content : waiting) {
+      boolean alone = content instanceof LogRecord.SnapshotTaken;
+      if (batch.size() == MAX_BATCH_RECORDS || (alone && !batch.isEmpty())) {
+        return batch;
+      }
+      batch.add(content);
+      if (alone) {
+        return batch;
+      }
+    }
+    return batch;
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/ReplicaIndex.java
@@ -0,0 +1,71 @@
+package org.limpetdoor.core.agreed;
+
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.ModelId;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+import org.pcollections.TreePSet;
+
+/**
+ * Engines of each model. An update costs the logarithm of the number of engines, so that a routing
+ * decision need not look at the fleet.
+ *
+ * @param serving engines that hold a model and are not asked to unload it
+ * @param loading engines that are asked to load a model and have not confirmed
+ */
+public record ReplicaIndex(
+    PMap<ModelId, TreePSet<BackendId>> serving, PMap<ModelId, TreePSet<BackendId>> loading) {
+  /** No replicas. */
+  public static final ReplicaIndex EMPTY =
+      new ReplicaIndex(HashTreePMap.empty(), HashTreePMap.empty());
+
+  /** Returns the engines that serve a model, in the order of their names. */
+  public TreePSet<BackendId> servingOf(ModelId model) {
+    return serving.getOrDefault(model, TreePSet.empty());
+  }
+
+  /** Returns the engines that are loading a model, in the order of their names. */
+  public TreePSet<BackendId> loadingOf(ModelId model) {
+    return loading.getOrDefault(model, TreePSet.empty());
+  }
+
+  /** Returns a copy in which the entries of one engine follow its new account. */
+  ReplicaIndex moved(BackendId engine, EngineAccount before, EngineAccount after) {
+    PMap<ModelId, TreePSet<BackendId>> nextServing = serving;
+    for (ModelId model : before.bookings().keySet()) {
+      if (!after.serves(model)) {
+        nextServing = minus(nextServing, model, engine);
+      }
+    }
+    for (ModelId model : after.bookings().keySet()) {
+      if (after.serves(model)) {
+        nextServing = plus(nextServing, model, engine);
+      }
+    }
+    return new ReplicaIndex(nextServing, movedLoading(engine, before, after));
+  }
+
+  private PMap<ModelId, TreePSet<BackendId>> movedLoading(
+      BackendId engine, EngineAccount before, EngineAccount after) {
+    PMap<ModelId, TreePSet<BackendId>> next = loading;
+    if (before.pending().isPresent()) {
+      next = minus(next, before.pending().get().model(), engine);
+    }
+    if (after.pending().filter(EngineAccount.Intent::load).isPresent()) {
+      next = plus(next, after.pending().get().model(), engine);
+    }
+    return next;
+  }
+
+  private static PMap<ModelId, TreePSet<BackendId>> plus(
+      PMap<ModelId, TreePSet<BackendId>> map, ModelId model, BackendId engine) {
+    TreePSet<BackendId> engines = map.getOrDefault(model, TreePSet.empty());
+    return engines.contains(engine) ? map : map.plus(model, engines.plus(engine));
+  }
+
+  private static PMap<ModelId, TreePSet<BackendId>> minus(
+      PMap<ModelId, TreePSet<BackendId>> map, ModelId model, BackendId engine) {
+    TreePSet<BackendId> engines = map.getOrDefault(model, TreePSet.empty()).minus(engine);
+    return engines.isEmpty() ? map.minus(model) : map.plus(model, engines);
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/Decision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/Decision.java
@@ -6,7 +6,12 @@
  * The typed reason of one decision. The log line, the metric and the operator's explanation are all
  * made from it, so that they cannot disagree.
  */
-public sealed interface Decision permits AdmissionDecision, ConfigurationDecision, RoutingDecision {
+public sealed interface Decision
+    permits AdmissionDecision,
+        AgreementDecision,
+        ConfigurationDecision,
+        PlacementDecision,
+        RoutingDecision {
   /** Returns the kind, the name of the event in log lines. */
   DecisionKind kind();
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -7,7 +7,11 @@
   /** A request was queued or refused. */
   ADMISSION("admission", "request"),
   /** A published configuration was accepted or rejected. */
-  CONFIGURATION("configuration", "version");
+  CONFIGURATION("configuration", "version"),
+  /** A record of the log was accepted or rejected. */
+  AGREEMENT("agreement", "offset"),
+  /** A lease holder gave an order or settled one, or found an engine over its capacity. */
+  PLACEMENT("placement", "engine");
 
   private final String eventName;
   private final String subjectKey;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
@@ -5,7 +5,14 @@
  * not decided here.
  */
 public sealed interface Effect
-    permits CancelAttempt, DispatchAttempt, FinishRequest, RecordDecision, RefuseRequest {
+    permits AppendRecord,
+        CancelAttempt,
+        DispatchAttempt,
+        FinishRequest,
+        RecordDecision,
+        RefuseRequest,
+        RequestInventory,
+        SendOrder {
   /** Hands this effect to the matching method of a handler. */
   void applyTo(EffectHandler handler);
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
@@ -16,4 +16,13 @@
 
   /** Writes the log line and the metrics of a decision, and keeps it for explanations. */
   void recordDecision(RecordDecision effect);
+
+  /** Appends to the log. */
+  void appendRecord(AppendRecord effect);
+
+  /** Sends an order to an engine, once. */
+  void sendOrder(SendOrder effect);
+
+  /** Asks an engine for its inventory. */
+  void requestInventory(RequestInventory effect);
 }
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/AppendFailed.java
@@ -0,0 +1,19 @@
+package org.limpetdoor.core.event;
+
+import org.limpetdoor.core.EventKind;
+import org.limpetdoor.core.agreed.AppendFailure;
+import org.limpetdoor.core.agreed.AppendId;
+
+/**
+ * An append was not answered with an offset.
+ *
+ * @param atMs when, in monotonic milliseconds
+ * @param id identifier of the append
+ * @param failure what is known of it
+ */
+public record AppendFailed(long atMs, AppendId id, AppendFailure failure) implements Event {
+  @Override
+  public EventKind kind() {
+    return EventKind.APPEND_FAILED;
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -4,11 +4,17 @@
 
 /** Something that the traffic side saw, or a time that has come. */
 public sealed interface Event
-    permits AttemptCompleted,
+    permits AppendAnswered,
+        AppendFailed,
+        AttemptCompleted,
         AttemptFailed,
         AttemptStarted,
         BackendReported,
         CallerDisconnected,
+        InstanceStarted,
+        InstancesListed,
+        InventoryReported,
+        OrderAnswered,
         RecordsRead,
         RequestArrived,
         TimerFired {
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/InventoryReported.java
@@ -0,0 +1,28 @@
+package org.limpetdoor.core.event;
+
+import java.util.List;
+import org.limpetdoor.core.EventKind;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.placement.HeldModel;
+import org.limpetdoor.core.placement.InventoryQuery;
+
+/**
+ * An engine told which models take its memory, those that it is loading included.
+ *
+ * @param atMs when, in monotonic milliseconds
+ * @param engine the engine
+ * @param query the query of the effect that asked for it
+ * @param held the models
+ */
+public record InventoryReported(
+    long atMs, BackendId engine, InventoryQuery query, List<HeldModel> held) implements Event {
+  /** Copies the list. */
+  public InventoryReported {
+    held = List.copyOf(held);
+  }
+
+  @Override
+  public EventKind kind() {
+    return EventKind.INVENTORY_REPORTED;
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/placement/LeaseEvents.java
@@ -0,0 +1,243 @@
+package org.limpetdoor.core.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.agreed.Lease;
+import org.limpetdoor.core.agreed.LogReader;
+import org.limpetdoor.core.agreed.LogRecord;
+import org.limpetdoor.core.agreed.LogRecord.LeaseClaimed;
+import org.limpetdoor.core.agreed.LogRecord.LeaseReleased;
+import org.limpetdoor.core.agreed.LogRecord.LeaseRenewed;
+import org.limpetdoor.core.agreed.OutboxEvents;
+import org.limpetdoor.core.agreed.StoredRecord;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.membership.Membership.Member;
+
+/** Claims, renews and releases the leases of shards. */
+public final class LeaseEvents {
+  /** Interval of renewals, in milliseconds. */
+  static final long RENEW_INTERVAL_MS = 5_000;
+
+  /**
+   * Silence after which a lease is taken over, in milliseconds: two lost renewals are tolerated.
+   */
+  static final long TTL_MS = 15_000;
+
+  /**
+   * Time that each lower rank waits longer, in milliseconds. The list of instances lags, so the
+   * first rank may be down; an append and its reading fit into this time.
+   */
+  static final long RANK_DELAY_MS = 3_000;
+
+  /** Time without any read after which silence of leases says nothing, in milliseconds. */
+  static final long LOG_SILENT_MS = 5_000;
+
+  /**
+   * Time that an instance must have been listed before leases are handed to it, in milliseconds.
+   */
+  static final long SETTLED_MS = 30_000;
+
+  /** Leases released at once for the benefit of others, so that placement pauses for few shards. */
+  static final int MAX_HANDED_OVER = 4;
+
+  private LeaseEvents() {}
+
+  /** Returns whether this process holds the lease of a shard, as far as it has read the log. */
+  public static boolean holds(NodeState state, int shard) {
+    Lease lease = state.agreed().leases().get(shard);
+    return lease.holder().isPresent()
+        && keeper(state).ownEpoch(shard).filter(epoch -> epoch == lease.epoch()).isPresent();
+  }
+
+  /** Returns the shards whose lease this process holds, in ascending order. */
+  public static List<Integer> heldShards(NodeState state) {
+    return keeper(state).ownEpochs().keySet().stream()
+        .filter(shard -> holds(state, shard))
+        .sorted()
+        .toList();
+  }
+
+  /** Returns whether the log was read a short time ago and without a gap. */
+  public static boolean followsLog(NodeState state) {
+    LogReader reader = state.coordination().reader();
+    return !reader.hasGap()
+        && reader.lastReadMs() != LogReader.NEVER
+        && state.nowMs() - reader.lastReadMs() <= LOG_SILENT_MS;
+  }
+
+  /** Notes the start of the instance. */
+  public static NodeState started(NodeState state) {
+    LogReader reader = state.coordination().reader();
+    NodeState noted =
+        state.withCoordination(
+            state
+                .coordination()
+                .withReader(reader.withSnapshot(state.nowMs(), reader.lastSnapshotOffset())));
+    return withKeeper(noted, keeper(noted).restartedAt(noted.nowMs()));
+  }
+
+  /**
+   * Notes that the log was read. After an outage the silence of all leases counts from now, because
+   * their holders could not renew them.
+   */
+  public static NodeState logRead(NodeState state) {
+    boolean outage = !state.coordination().reader().hasGap() && !followsLog(state);
+    return outage ? adopted(state) : state;
+  }
+
+  /** Notes that the agreed state was replaced: the silence of all leases counts from now. */
+  public static NodeState adopted(NodeState state) {
+    return withKeeper(state, keeper(state).restartedAt(state.nowMs()));
+  }
+
+  /** Follows a record that was folded. */
+  public static Transition<NodeState, Effect> folded(
+      NodeState state, StoredRecord stored, LogRecord content) {
+    if (content instanceof LeaseClaimed claim) {
+      return Transition.of(claimed(state, stored, claim));
+    }
+    if (content instanceof LeaseRenewed renewal) {
+      return Transition.of(heard(state, stored, renewal.shard()));
+    }
+    if (content instanceof LeaseReleased release) {
+      return Transition.of(heard(state, stored, release.shard()));
+    }
+    return Transition.of(state);
+  }
+
+  /** Renews own leases and claims silent ones. */
+  public static Transition<NodeState, Effect> tick(NodeState state) {
+    if (!followsLog(state)) {
+      return Transition.of(state);
+    }
+    return renewIfDue(state).then(LeaseEvents::claimSilent);
+  }
+
+  /** Gives up all own leases, for a graceful shutdown. */
+  public static Transition<NodeState, Effect> releaseAll(NodeState state) {
+    return release(state, heldShards(state));
+  }
+
+  private static Transition<NodeState, Effect> renewIfDue(NodeState state) {
+    if (state.nowMs() - keeper(state).renewedMs() < RENEW_INTERVAL_MS) {
+      return Transition.of(state);
+    }
+    List<Integer> handedOver = betterPlaced(state);
+    Transition<NodeState, Effect> result =
+        Transition.of(withKeeper(state, keeper(state).renewedAt(state.nowMs())));
+    for (int shard : heldShards(state)) {
+      long epoch = keeper(state).ownEpochs().get(shard);
+      if (!handedOver.contains(shard)) {
+        result = result.then(s -> OutboxEvents.submit(s, new LeaseRenewed(shard, epoch)));
+      }
+    }
+    return result.then(s -> release(s, handedOver));
+  }
+
+  /** Own shards that another settled member ranks first for, without an unsettled order. */
+  private static List<Integer> betterPlaced(NodeState state) {
+    List<Integer> shards = new ArrayList<>();
+    for (int shard : heldShards(state)) {
+      InstanceId first = ranked(state, shard).get(0);
+      Member member = state.membership().members().get(first);
+      boolean settled = member != null && state.nowMs() - member.sinceMs() >= SETTLED_MS;
+      boolean other = !first.equals(state.self().id());
+      if (other && settled && idle(state, shard) && shards.size() < MAX_HANDED_OVER) {
+        shards.add(shard);
+      }
+    }
+    return shards;
+  }
+
+  private static boolean idle(NodeState state, int shard) {
+    return state.agreed().ledger().enginesOf(shard).stream()
+        .allMatch(engine -> state.agreed().ledger().account(engine).pending().isEmpty());
+  }
+
+  private static Transition<NodeState, Effect> release(NodeState state, List<Integer> shards) {
+    Transition<NodeState, Effect> result = Transition.of(state);
+    for (int shard : shards) {
+      long epoch = keeper(state).ownEpochs().get(shard);
+      result =
+          result
+              .then(s -> Transition.of(withKeeper(s, keeper(s).withoutOwn(shard))))
+              .then(s -> OutboxEvents.submit(s, new LeaseReleased(shard, epoch)));
+    }
+    return result;
+  }
+
+  private static Transition<NodeState, Effect> claimSilent(NodeState state) {
+    Transition<NodeState, Effect> result = Transition.of(state);
+    for (Map.Entry<Integer, Lease> wanted : wanted(state).entrySet()) {
+      int shard = wanted.getKey();
+      LeaseClaimed claim =
+          new LeaseClaimed(shard, state.self().id(), wanted.getValue().epoch(), TTL_MS);
+      if (isDue(state, shard, wanted.getValue())
+          && !state.coordination().outbox().contains(claim)) {
+        result = result.then(s -> OutboxEvents.submit(s, claim));
+      }
+    }
+    return result;
+  }
+
+  /** Shards with engines, and the first shard, whose holder takes the snapshots. */
+  private static Map<Integer, Lease> wanted(NodeState state) {
+    Map<Integer, Lease> wanted = new TreeMap<>();
+    wanted.put(0, state.agreed().leases().get(0));
+    for (int shard : state.agreed().ledger().engines().keySet()) {
+      wanted.put(shard, state.agreed().leases().get(shard));
+    }
+    return wanted;
+  }
+
+  private static boolean isDue(NodeState state, int shard, Lease lease) {
+    if (holds(state, shard)) {
+      return false;
+    }
+    boolean ownName = lease.holder().filter(state.self().id()::equals).isPresent();
+    if (ownName && keeper(state).ownEpoch(shard).isEmpty() && !isReleasing(state, shard, lease)) {
+      return true;
+    }
+    long silentMs = keeper(state).silentMs(shard, state.nowMs());
+    long ttlMs = lease.holder().isPresent() ? lease.ttlMs() : 0;
+    return silentMs >= ttlMs
+        && silentMs >= ttlMs + RANK_DELAY_MS * ranked(state, shard).indexOf(state.self().id());
+  }
+
+  private static boolean isReleasing(NodeState state, int shard, Lease lease) {
+    return state.coordination().outbox().contains(new LeaseReleased(shard, lease.epoch()));
+  }
+
+  private static List<InstanceId> ranked(NodeState state, int shard) {
+    return state.membership().ranked(state.self().id(), "shard-" + shard);
+  }
+
+  private static NodeState claimed(NodeState state, StoredRecord stored, LeaseClaimed claim) {
+    Lease lease = state.agreed().leases().get(claim.shard());
+    if (lease.epoch() != stored.offset()) {
+      return state;
+    }
+    boolean own = stored.envelope().id().appender().equals(state.self().appender());
+    LeaseKeeper next = keeper(state).heard(claim.shard(), state.nowMs());
+    return withKeeper(
+        state, own ? next.withOwn(claim.shard(), stored.offset()) : next.withoutOwn(claim.shard()));
+  }
+
+  private static NodeState heard(NodeState state, StoredRecord stored, int shard) {
+    boolean accepted = state.agreed().leases().get(shard).heardOffset() == stored.offset();
+    return accepted ? withKeeper(state, keeper(state).heard(shard, state.nowMs())) : state;
+  }
+
+  private static LeaseKeeper keeper(NodeState state) {
+    return state.coordination().leases();
+  }
+
+  private static NodeState withKeeper(NodeState state, LeaseKeeper value) {
+    return state.withCoordination(state.coordination().withLeases(value));
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/placement/OrderAnswer.java
@@ -0,0 +1,11 @@
+package org.limpetdoor.core.placement;
+
+/** What is known of an order that was sent to an engine. */
+public enum OrderAnswer {
+  /** The engine has carried it out. */
+  DONE,
+  /** The engine has refused it. An earlier copy may still have been carried out. */
+  REFUSED,
+  /** The order or its answer was lost. */
+  UNKNOWN
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/placement/OrderEvents.java
@@ -0,0 +1,240 @@
+package org.limpetdoor.core.placement;
+
+import java.util.Optional;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.agreed.AbandonProof;
+import org.limpetdoor.core.agreed.EngineAccount.Intent;
+import org.limpetdoor.core.agreed.LogRecord;
+import org.limpetdoor.core.agreed.LogRecord.PlacementIntended;
+import org.limpetdoor.core.agreed.OutboxEvents;
+import org.limpetdoor.core.agreed.PlacementAction;
+import org.limpetdoor.core.agreed.Shards;
+import org.limpetdoor.core.agreed.StoredRecord;
+import org.limpetdoor.core.config.Engine;
+import org.limpetdoor.core.decision.PlacementDecision;
+import org.limpetdoor.core.decision.PlacementReason;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.RecordDecision;
+import org.limpetdoor.core.event.InventoryReported;
+import org.limpetdoor.core.event.OrderAnswered;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.ModelId;
+import org.limpetdoor.core.placement.OrderBook.PendingOrder;
+
+/** Reduces what happens to orders to engines. */
+public final class OrderEvents {
+  /** Interval of inventories of an engine without orders, in milliseconds. */
+  static final long INVENTORY_INTERVAL_MS = 60_000;
+
+  /** Inventories asked for at one look; a new holder has many engines to ask. */
+  static final int MAX_QUESTIONS = 8;
+
+  private OrderEvents() {}
+
+  /** Notes that intents before now are known to the log only, not when they were read. */
+  public static NodeState started(NodeState state) {
+    return OrderSteps.withBook(state, OrderSteps.book(state).withStart(state.nowMs()));
+  }
+
+  /**
+   * Submits an intent for an engine of a shard whose lease this process holds. The order is sent
+   * when the intent is read back.
+   */
+  public static Transition<NodeState, Effect> intend(
+      NodeState state,
+      BackendId engine,
+      ModelId model,
+      int memoryMib,
+      PlacementAction action,
+      PlacementReason reason) {
+    int shard = Shards.of(engine);
+    long epoch = state.coordination().leases().ownEpoch(shard).orElseThrow();
+    OrderBook book = OrderSteps.book(state);
+    String intentId = state.self().appender() + "/" + (book.lastIntent() + 1);
+    NodeState noted = OrderSteps.withBook(state, book.withSubmitted(intentId, state.nowMs()));
+    PlacementDecision decision = new PlacementDecision(engine, model, intentId, reason);
+    return Transition.<NodeState, Effect>of(noted, new RecordDecision(decision))
+        .then(
+            s ->
+                OutboxEvents.submit(
+                    s,
+                    new PlacementIntended(
+                        intentId, shard, epoch, engine, model, memoryMib, action)));
+  }
+
+  /** Follows a record that was folded. */
+  public static Transition<NodeState, Effect> folded(
+      NodeState state, StoredRecord stored, LogRecord content) {
+    if (!(content instanceof PlacementIntended intended)) {
+      return Transition.of(state);
+    }
+    Long submittedMs = OrderSteps.book(state).submittedMs().get(intended.intentId());
+    NodeState noted =
+        OrderSteps.withBook(state, OrderSteps.book(state).withoutSubmitted(intended.intentId()));
+    Optional<Intent> accepted =
+        state
+            .agreed()
+            .ledger()
+            .intent(intended.intentId())
+            .filter(intent -> intent.offset() == stored.offset());
+    if (accepted.isEmpty()) {
+      return Transition.of(noted);
+    }
+    long quietAtMs = state.nowMs() + OrderSteps.longestOrderMs(state);
+    NodeState waiting =
+        OrderSteps.withBook(
+            noted, OrderSteps.book(noted).withQuietAt(intended.engine(), quietAtMs));
+    return submittedMs == null
+        ? Transition.of(waiting)
+        : readBack(waiting, intended.engine(), accepted.get(), state.nowMs() - submittedMs);
+  }
+
+  /** An order ended. */
+  public static Transition<NodeState, Effect> answered(NodeState state, OrderAnswered event) {
+    boolean fence = event.orderId().endsWith(OrderSteps.FENCE_SUFFIX);
+    int length = event.orderId().length() - (fence ? OrderSteps.FENCE_SUFFIX.length() : 0);
+    String intentId = event.orderId().substring(0, length);
+    BackendId engine = state.agreed().ledger().intents().get(intentId);
+    if (engine == null) {
+      return Transition.of(state);
+    }
+    return unsettled(state, engine)
+        .map(order -> answered(state, order, event.answer(), fence))
+        .orElse(Transition.of(state));
+  }
+
+  /** An engine told what it holds. */
+  public static Transition<NodeState, Effect> inventoryReported(
+      NodeState state, InventoryReported event) {
+    if (!LeaseEvents.holds(state, Shards.of(event.engine()))) {
+      return Transition.of(state);
+    }
+    Optional<UnsettledOrder> order = unsettled(state, event.engine());
+    Transition<NodeState, Effect> decided =
+        order.map(o -> decide(state, o, event)).orElse(Transition.of(state));
+    return decided.then(s -> Reconciliation.book(s, event));
+  }
+
+  /** Continues unsettled orders of own shards and asks for inventories. */
+  public static Transition<NodeState, Effect> tick(NodeState state) {
+    if (!LeaseEvents.followsLog(state)) {
+      return Transition.of(state);
+    }
+    Transition<NodeState, Effect> result = Transition.of(withoutForeign(state));
+    for (int shard : LeaseEvents.heldShards(state)) {
+      for (BackendId engine : state.agreed().ledger().enginesOf(shard)) {
+        result = result.then(s -> tick(s, engine));
+      }
+    }
+    return result.then(OrderEvents::askOverdue);
+  }
+
+  private static Transition<NodeState, Effect> tick(NodeState state, BackendId engine) {
+    Optional<Intent> intent = state.agreed().ledger().account(engine).pending();
+    if (intent.isEmpty()) {
+      NodeState idle = OrderSteps.withBook(state, OrderSteps.book(state).withoutPending(engine));
+      return Transition.of(idle);
+    }
+    return unsettled(state, engine)
+        .map(order -> order.pending().phase().tick(state, order))
+        .orElseGet(() -> takeOver(state, engine, intent.get()));
+  }
+
+  /** Finds out what became of an order that an earlier holder may have sent. */
+  private static Transition<NodeState, Effect> takeOver(
+      NodeState state, BackendId engine, Intent intent) {
+    PendingOrder pending = new PendingOrder(intent.id(), OrderPhase.WAITING, state.nowMs());
+    return OrderSteps.resolve(
+        state, new UnsettledOrder(configured(state, engine), intent, pending));
+  }
+
+  private static Transition<NodeState, Effect> readBack(
+      NodeState state, BackendId engine, Intent intent, long ageMs) {
+    PendingOrder pending = new PendingOrder(intent.id(), OrderPhase.SENT, state.nowMs());
+    UnsettledOrder order = new UnsettledOrder(configured(state, engine), intent, pending);
+    boolean inTime = ageMs < OrderSteps.SEND_WINDOW_MS;
+    if (inTime && LeaseEvents.holds(state, Shards.of(engine))) {
+      return OrderSteps.send(state, order, ageMs);
+    }
+    return OrderSteps.abandon(
+        state, order, AbandonProof.NEVER_SENT, PlacementReason.SEND_WINDOW_PASSED);
+  }
+
+  private static Transition<NodeState, Effect> answered(
+      NodeState state, UnsettledOrder order, OrderAnswer answer, boolean fence) {
+    OrderPhase phase = order.pending().phase();
+    if (fence) {
+      boolean reached = phase == OrderPhase.FENCING && answer != OrderAnswer.UNKNOWN;
+      return reached ? OrderSteps.ask(state, order) : Transition.of(state);
+    }
+    boolean lateLoadRuns = order.engine().fencing().lateOrdersRun() && !order.intent().load();
+    if (answer == OrderAnswer.DONE && !lateLoadRuns && phase != OrderPhase.SETTLING) {
+      return OrderSteps.confirm(state, order, PlacementReason.ANSWERED);
+    }
+    return phase == OrderPhase.SENT ? OrderSteps.resolve(state, order) : Transition.of(state);
+  }
+
+  private static Transition<NodeState, Effect> decide(
+      NodeState state, UnsettledOrder order, InventoryReported event) {
+    boolean conclusive =
+        order.pending().phase() == OrderPhase.ASKING
+            && event.query().askedMs() >= order.pending().sinceMs();
+    if (!conclusive) {
+      return Transition.of(state);
+    }
+    Optional<HeldModel> held =
+        event.held().stream().filter(h -> h.model().equals(order.intent().model())).findFirst();
+    if (held.filter(h -> !h.ready()).isPresent()) {
+      return Transition.of(state);
+    }
+    if (held.isPresent() == order.intent().load()) {
+      return OrderSteps.confirm(state, order, PlacementReason.INVENTORY_SHOWS_EFFECT);
+    }
+    AbandonProof proof =
+        order.engine().fencing().lateOrdersRun()
+            ? AbandonProof.INVENTORY_AFTER_DELAY
+            : AbandonProof.INVENTORY_AFTER_FENCE;
+    return OrderSteps.abandon(state, order, proof, PlacementReason.INVENTORY_SHOWS_NO_EFFECT);
+  }
+
+  private static Transition<NodeState, Effect> askOverdue(NodeState state) {
+    Transition<NodeState, Effect> result = Transition.of(state);
+    int asked = 0;
+    for (int shard : LeaseEvents.heldShards(state)) {
+      for (BackendId engine : state.agreed().ledger().enginesOf(shard)) {
+        Long lastMs = OrderSteps.book(state).askedMs().get(engine);
+        boolean overdue = lastMs == null || state.nowMs() - lastMs >= INVENTORY_INTERVAL_MS;
+        if (overdue && asked < MAX_QUESTIONS) {
+          asked++;
+          result = result.then(s -> OrderSteps.askInventory(s, configured(s, engine)));
+        }
+      }
+    }
+    return result;
+  }
+
+  /** Drops what was done for shards whose lease is lost; the new holder takes their orders over. */
+  private static NodeState withoutForeign(NodeState state) {
+    OrderBook book = OrderSteps.book(state);
+    for (BackendId engine : book.pending().keySet()) {
+      book = LeaseEvents.holds(state, Shards.of(engine)) ? book : book.withoutPending(engine);
+    }
+    return OrderSteps.withBook(state, book);
+  }
+
+  private static Optional<UnsettledOrder> unsettled(NodeState state, BackendId engine) {
+    Engine configured = configured(state, engine);
+    Optional<Intent> intent = state.agreed().ledger().account(engine).pending();
+    if (configured == null || intent.isEmpty()) {
+      return Optional.empty();
+    }
+    return OrderSteps.book(state)
+        .find(engine, intent.get().id())
+        .map(pending -> new UnsettledOrder(configured, intent.get(), pending));
+  }
+
+  private static Engine configured(NodeState state, BackendId engine) {
+    return state.configuration().engines().get(engine);
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/placement/OrderPhase.java
@@ -0,0 +1,33 @@
+package org.limpetdoor.core.placement;
+
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.effect.Effect;
+
+/** What the holder of a lease waits for, and what it does on the next look. */
+public enum OrderPhase {
+  /** The order was sent and is not answered. */
+  SENT(OrderSteps::awaitAnswer),
+  /** A higher fencing number was sent, so that copies of the order are refused. */
+  FENCING(OrderSteps::repeatFence),
+  /** The engine ignores fencing numbers; the longest order delay has to pass. */
+  WAITING(OrderSteps::awaitQuiet),
+  /** No copy of the order can act any more; the inventory decides. */
+  ASKING(OrderSteps::repeatQuestion),
+  /** The result was submitted to the log. */
+  SETTLING(OrderSteps::awaitRecord);
+
+  private final Step onTick;
+
+  OrderPhase(Step onTick) {
+    this.onTick = onTick;
+  }
+
+  Transition<NodeState, Effect> tick(NodeState state, UnsettledOrder order) {
+    return onTick.apply(state, order);
+  }
+
+  private interface Step {
+    Transition<NodeState, Effect> apply(NodeState state, UnsettledOrder order);
+  }
+}
--- a/limpetdoor-standin/src/main/java/org/limpetdoor/standin/package-info.java
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/package-info.java
@@ -1,2 +1,5 @@
-/** Small stand-ins for the outside systems: engine, plain service, log service, instance list, weight store. */
+/**
+ * Small stand-ins for the outside systems: engine, plain service, log service, instance list,
+ * weight store.
+ */
 package org.limpetdoor.standin;
