--- /dev/null
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/FakeLog.java
@@ -0,0 +1,49 @@
+package org.limpetdoor.core.simulation;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.limpetdoor.core.agreed.AgreedState;
+import org.limpetdoor.core.agreed.Envelope;
+import org.limpetdoor.core.agreed.LogRecord;
+import org.limpetdoor.core.agreed.LogRecord.PlacementIntended;
+import org.limpetdoor.core.agreed.Outbox;
+import org.limpetdoor.core.agreed.StoredRecord;
+
+/** The log, with the fold that every instance must arrive at. */
+final class FakeLog {
+  private final List<StoredRecord> records = new ArrayList<>();
+  private final List<AgreedState> folds = new ArrayList<>(List.of(AgreedState.INITIAL));
+  private final Map<String, Long> epochsByIntent = new HashMap<>();
+  long downUntilMs;
+
+  long append(Envelope envelope) {
+    StoredRecord stored = new StoredRecord(records.size(), envelope);
+    records.add(stored);
+    folds.add(folds.get(folds.size() - 1).fold(stored).state());
+    for (LogRecord content : Outbox.records(envelope.content())) {
+      if (content instanceof PlacementIntended intended) {
+        epochsByIntent.put(intended.intentId(), intended.epoch());
+      }
+    }
+    return stored.offset();
+  }
+
+  List<StoredRecord> read(long from, int max) {
+    int start = (int) Math.min(from, records.size());
+    return records.subList(start, Math.min(records.size(), start + max));
+  }
+
+  AgreedState foldAt(long nextOffset) {
+    return folds.get((int) nextOffset);
+  }
+
+  AgreedState head() {
+    return folds.get(folds.size() - 1);
+  }
+
+  long epochOf(String intentId) {
+    return epochsByIntent.get(intentId);
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/SimulatedNode.java
@@ -0,0 +1,76 @@
+package org.limpetdoor.core.simulation;
+
+import java.util.function.LongFunction;
+import org.limpetdoor.core.NodeReducer;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.InstanceStarted;
+import org.limpetdoor.core.event.TimerFired;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.id.ZoneId;
+
+/** One process: a reducer with its own clock, which can be paused and can crash. */
+final class SimulatedNode {
+  final InstanceId id;
+  final long incarnation;
+  private final NodeReducer reducer = new NodeReducer();
+  private final Simulation world;
+  private final long clockOffsetMs;
+  NodeState state;
+  long pausedUntilMs;
+  boolean crashed;
+  private long timerAtMs = Long.MAX_VALUE;
+
+  SimulatedNode(Simulation world, InstanceId id, long incarnation, long clockOffsetMs) {
+    this.world = world;
+    this.id = id;
+    this.incarnation = incarnation;
+    this.clockOffsetMs = clockOffsetMs;
+    this.state = NodeState.initial(new NodeState.Self(id, incarnation, new ZoneId("zone-0")));
+  }
+
+  void start() {
+    deliver(InstanceStarted::new);
+  }
+
+  boolean running() {
+    return !crashed && world.nowMs() >= pausedUntilMs;
+  }
+
+  /** Reduces an event, after the end of a pause if there is one. */
+  void deliver(LongFunction<Event> event) {
+    if (crashed) {
+      return;
+    }
+    if (!running()) {
+      world.at(pausedUntilMs, () -> deliver(event));
+      return;
+    }
+    apply(reducer.reduce(state, event.apply(world.nowMs() + clockOffsetMs)));
+  }
+
+  /** Applies a decision that the test takes in place of the planner. */
+  void apply(Transition<NodeState, Effect> transition) {
+    state = transition.state();
+    transition.effects().forEach(effect -> world.execute(this, effect));
+    scheduleTimer();
+  }
+
+  private void scheduleTimer() {
+    if (state.nextDeadlineMs() == Long.MAX_VALUE) {
+      return;
+    }
+    long dueMs = Math.max(world.nowMs(), state.nextDeadlineMs() - clockOffsetMs);
+    if (dueMs < timerAtMs) {
+      timerAtMs = dueMs;
+      world.at(dueMs, this::timerDue);
+    }
+  }
+
+  private void timerDue() {
+    timerAtMs = Long.MAX_VALUE;
+    deliver(TimerFired::new);
+  }
+}
