--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/AgreedState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/AgreedState.java
@@ -3,6 +3,9 @@
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.config.Configuration;
 import org.limpetdoor.core.decision.Decision;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.ModelId;
+import org.pcollections.TreePSet;
 
 /**
  * The state that all instances share: the same on each instance that has folded the log up to the
@@ -48,6 +51,14 @@
     return head.version();
   }
 
+  /**
+   * Returns the engines that requests for a model may be sent to, in the order of their names. The
+   * set is kept by the fold, so a call costs one look-up.
+   */
+  public TreePSet<BackendId> replicas(ModelId model) {
+    return ledger.servingOf(model);
+  }
+
   /** Folds one record. Records before {@link #nextOffset()} and repeated appends change nothing. */
   public Transition<AgreedState, Decision> fold(StoredRecord stored) {
     if (stored.offset() < nextOffset) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/LedgerRules.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/LedgerRules.java
@@ -172,7 +172,8 @@
     }
     TreePSet<BackendId> serving = state.ledger().servingOf(record.model());
     TreePSet<BackendId> left = serving.minus(record.engine());
-    boolean losesZone = zones(state, serving) > 1 && zones(state, left) < 2;
+    boolean spread = model.minReplicas() > 1 && zones(state, serving) > 1;
+    boolean losesZone = spread && zones(state, left) < 2;
     return left.size() < model.minReplicas() || losesZone
         ? Optional.of(FoldResult.BELOW_MINIMUM)
         : Optional.empty();
