--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
@@ -3,6 +3,7 @@
 import java.util.function.BiFunction;
 import org.limpetdoor.core.agreed.OutboxEvents;
 import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.RequestId;
 import org.limpetdoor.core.request.RequestEvents;
 
@@ -13,7 +14,13 @@
   /** An append is repeated. The key is its sequence number and the number of attempts. */
   APPEND_RETRY(OutboxEvents::retryDue),
   /** Leases, orders and placement are looked at. The key is empty. */
-  CONTROL_TICK((state, key) -> ControlTick.tick(state));
+  CONTROL_TICK((state, key) -> ControlTick.tick(state)),
+  /** The ages of all queues are checked. The key has no meaning. */
+  QUEUE_AGE_CHECK((state, key) -> RequestEvents.queueAgeCheck(state)),
+  /** A back end may have become reachable again. The key is its identifier. */
+  BACKEND_RETRY((state, key) -> RequestEvents.backendRetry(state, new BackendId(key))),
+  /** An attempt has run for as long as long work. The key is request and attempt number. */
+  WORK_OUTRUN(RequestEvents::workOutrun);
 
   private final BiFunction<NodeState, String, Transition<NodeState, Effect>> handler;
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/Decision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/Decision.java
@@ -11,6 +11,7 @@
         AgreementDecision,
         ConfigurationDecision,
         PlacementDecision,
+        QueueAgeAlarm,
         RoutingDecision {
   /** Returns the kind, the name of the event in log lines. */
   DecisionKind kind();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -11,7 +11,9 @@
   /** A record of the log was accepted or rejected. */
   AGREEMENT("agreement", "offset"),
   /** A lease holder gave an order or settled one, or found an engine over its capacity. */
-  PLACEMENT("placement", "engine");
+  PLACEMENT("placement", "engine"),
+  /** Requests of a customer wait for too long. */
+  QUEUE_AGE_ALARM("queue_age_alarm", "customer");
 
   private final String eventName;
   private final String subjectKey;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
@@ -7,8 +7,10 @@
 public sealed interface Effect
     permits AppendRecord,
         CancelAttempt,
+        ChangePriority,
         DispatchAttempt,
         FinishRequest,
+        RaiseQueueAgeAlarm,
         RecordDecision,
         RefuseRequest,
         RequestInventory,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
@@ -25,4 +25,10 @@
 
   /** Asks an engine for its inventory. */
   void requestInventory(RequestInventory effect);
+
+  /** Tells the operators that requests of a customer wait for too long. */
+  void raiseQueueAgeAlarm(RaiseQueueAgeAlarm effect);
+
+  /** Changes the priority of an attempt that an engine is running. */
+  void changePriority(ChangePriority effect);
 }
