Grant each instance its part of the contract limits by limit epochs

Until now every instance granted the whole contract. The holder of the lease of shard 0 starts limit epochs, each member holds an equal part, and an instance without a part refuses with NO_LIMIT_SHARE. RecordsRead says up to which time a read is complete; the short constructor is exact only when the read was asked for at the time of the event.

LeaseTest stores the first limit epoch, because at most one append is in flight; its assertions are unchanged.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/ControlTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/ControlTick.java
@@ -3,6 +3,7 @@
 import org.limpetdoor.core.agreed.AgreedEvents;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.event.InstanceStarted;
+import org.limpetdoor.core.limits.LimitEvents;
 import org.limpetdoor.core.placement.LeaseEvents;
 import org.limpetdoor.core.placement.OrderEvents;
 
@@ -14,7 +15,7 @@
   private ControlTick() {}
 
   static Transition<NodeState, Effect> started(NodeState state, InstanceStarted event) {
-    NodeState noted = OrderEvents.started(LeaseEvents.started(state));
+    NodeState noted = LimitEvents.started(OrderEvents.started(LeaseEvents.started(state)));
     return tick(noted);
   }
 
@@ -23,6 +24,7 @@
     return Transition.<NodeState, Effect>of(state.withTimers(state.timers().plus(next)))
         .then(LeaseEvents::tick)
         .then(OrderEvents::tick)
+        .then(LimitEvents::tick)
         .then(AgreedEvents::snapshotIfDue);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/NodeReducer.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/NodeReducer.java
@@ -2,6 +2,7 @@
 
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.limits.LimitEvents;
 
 /**
  * The reducer of an instance: all decisions about requests, agreement, membership and placement
@@ -10,6 +11,6 @@
 public final class NodeReducer implements Reducer<NodeState, Event, Effect> {
   @Override
   public Transition<NodeState, Effect> reduce(NodeState state, Event event) {
-    return event.kind().reduce(state.withNowMs(event.atMs()), event);
+    return event.kind().reduce(LimitEvents.refresh(state.withNowMs(event.atMs())), event);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/NodeState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/NodeState.java
@@ -6,6 +6,7 @@
 import org.limpetdoor.core.config.Configuration;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.limits.ShareTable;
 import org.limpetdoor.core.membership.Membership;
 import org.limpetdoor.core.request.RequestTable;
 
@@ -20,6 +21,7 @@
  * @param timers pending timers
  * @param coordination what this instance keeps to take part in the agreement
  * @param membership what this instance knows of the others
+ * @param limits part of the contract limits that this instance holds
  */
 public record NodeState(
     Self self,
@@ -29,7 +31,8 @@
     RequestTable requests,
     Timers timers,
     Coordination coordination,
-    Membership membership)
+    Membership membership,
+    ShareTable limits)
     implements Timed {
 
   /**
@@ -56,7 +59,8 @@
         RequestTable.EMPTY,
         Timers.NONE,
         Coordination.START,
-        Membership.EMPTY);
+        Membership.EMPTY,
+        ShareTable.INITIAL);
   }
 
   /** Returns the configuration in force. */
@@ -72,36 +76,56 @@
   /** Returns a copy at a later time; time never goes back. */
   public NodeState withNowMs(long value) {
     return new NodeState(
-        self, Math.max(nowMs, value), agreed, backends, requests, timers, coordination, membership);
+        self,
+        Math.max(nowMs, value),
+        agreed,
+        backends,
+        requests,
+        timers,
+        coordination,
+        membership,
+        limits);
   }
 
   /** Returns a copy with other agreed state. */
   public NodeState withAgreed(AgreedState value) {
-    return new NodeState(self, nowMs, value, backends, requests, timers, coordination, membership);
+    return new NodeState(
+        self, nowMs, value, backends, requests, timers, coordination, membership, limits);
   }
 
   /** Returns a copy with another back-end table. */
   public NodeState withBackends(BackendTable value) {
-    return new NodeState(self, nowMs, agreed, value, requests, timers, coordination, membership);
+    return new NodeState(
+        self, nowMs, agreed, value, requests, timers, coordination, membership, limits);
   }
 
   /** Returns a copy with another request table. */
   public NodeState withRequests(RequestTable value) {
-    return new NodeState(self, nowMs, agreed, backends, value, timers, coordination, membership);
+    return new NodeState(
+        self, nowMs, agreed, backends, value, timers, coordination, membership, limits);
   }
 
   /** Returns a copy with other timers. */
   public NodeState withTimers(Timers value) {
-    return new NodeState(self, nowMs, agreed, backends, requests, value, coordination, membership);
+    return new NodeState(
+        self, nowMs, agreed, backends, requests, value, coordination, membership, limits);
   }
 
   /** Returns a copy with other coordination state. */
   public NodeState withCoordination(Coordination value) {
-    return new NodeState(self, nowMs, agreed, backends, requests, timers, value, membership);
+    return new NodeState(
+        self, nowMs, agreed, backends, requests, timers, value, membership, limits);
   }
 
   /** Returns a copy with another membership. */
   public NodeState withMembership(Membership value) {
-    return new NodeState(self, nowMs, agreed, backends, requests, timers, coordination, value);
+    return new NodeState(
+        self, nowMs, agreed, backends, requests, timers, coordination, value, limits);
+  }
+
+  /** Returns a copy with another part of the limits. */
+  public NodeState withLimits(ShareTable value) {
+    return new NodeState(
+        self, nowMs, agreed, backends, requests, timers, coordination, membership, value);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/AgreedEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/AgreedEvents.java
@@ -8,6 +8,7 @@
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.event.RecordsRead;
+import org.limpetdoor.core.limits.LimitEvents;
 import org.limpetdoor.core.placement.LeaseEvents;
 import org.limpetdoor.core.placement.OrderEvents;
 import org.pcollections.TreePVector;
@@ -36,7 +37,8 @@
     for (StoredRecord stored : event.records()) {
       result = result.then(current -> read(current, stored));
     }
-    return result;
+    return result.then(
+        current -> Transition.of(LimitEvents.logRead(current, event.completeAtMs())));
   }
 
   /** Takes a snapshot if this instance is the one to do so and it is time. */
@@ -61,7 +63,8 @@
     if (snapshot.nextOffset() <= state.agreed().nextOffset()) {
       return Transition.of(state);
     }
-    NodeState adopted = OrderEvents.started(LeaseEvents.adopted(state.withAgreed(snapshot)));
+    NodeState adopted =
+        LimitEvents.adopted(OrderEvents.started(LeaseEvents.adopted(state.withAgreed(snapshot))));
     return confirmIfContained(adopted).then(AgreedEvents::foldHeld);
   }
 
@@ -92,7 +95,7 @@
     }
     boolean repeated = state.agreed().sequences().contains(stored.envelope().id());
     Transition<AgreedState, Decision> folded = state.agreed().fold(stored);
-    NodeState next = state.withAgreed(folded.state());
+    NodeState next = LimitEvents.folded(state.withAgreed(folded.state()));
     Transition<NodeState, Effect> result =
         new Transition<>(next, folded.effects().stream().<Effect>map(RecordDecision::new).toList());
     return repeated ? result : result.then(current -> followUp(current, stored));
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/limits/LimitEvents.java
@@ -0,0 +1,111 @@
+package org.limpetdoor.core.limits;
+
+import java.util.Comparator;
+import java.util.List;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.agreed.LimitEpoch;
+import org.limpetdoor.core.agreed.LogReader;
+import org.limpetdoor.core.agreed.LogRecord.LimitEpochStarted;
+import org.limpetdoor.core.agreed.OutboxEvents;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.placement.LeaseEvents;
+import org.limpetdoor.core.request.LimitShare;
+import org.pcollections.HashTreePMap;
+
+/** Follows limit epochs and starts new ones. */
+public final class LimitEvents {
+  /** The holder of the lease of this shard starts the epochs. */
+  static final int EPOCH_SHARD = 0;
+
+  /** Shortest time between two epochs, in milliseconds; each one lowers parts for a while. */
+  static final long EPOCH_INTERVAL_MS = 10_000;
+
+  /** Time for which the live instances must differ from the epoch, in milliseconds. */
+  static final long SETTLE_MS = 2_000;
+
+  private LimitEvents() {}
+
+  /** Notes the start of the instance: from now on it needs a limit epoch to accept work. */
+  public static NodeState started(NodeState state) {
+    return refresh(state.withLimits(state.limits().start()));
+  }
+
+  /** Brings the part in use up to date. It is called before each event, because parts expire. */
+  public static NodeState refresh(NodeState state) {
+    double usable = state.limits().usableAt(state.nowMs());
+    if (state.requests().limitShare().otherwise() == usable) {
+      return state;
+    }
+    LimitShare share = new LimitShare(HashTreePMap.empty(), usable);
+    return state.withRequests(state.requests().withLimitShare(share));
+  }
+
+  /** Follows the limit epoch of the fold after a record. */
+  public static NodeState folded(NodeState state) {
+    LimitEpoch epoch = state.agreed().limitEpoch();
+    if (epoch.epoch() == state.limits().epoch()) {
+      return state;
+    }
+    return refresh(
+        state.withLimits(state.limits().superseded(epoch, state.self().id(), state.nowMs())));
+  }
+
+  /** Follows the limit epoch of a snapshot, which does not name the epochs before it. */
+  public static NodeState adopted(NodeState state) {
+    LimitEpoch epoch = state.agreed().limitEpoch();
+    if (epoch.epoch() == state.limits().epoch()) {
+      return state;
+    }
+    return refresh(
+        state.withLimits(state.limits().adopted(epoch, state.self().id(), state.nowMs())));
+  }
+
+  /** Notes up to which time the log was read, unless records are missing in between. */
+  public static NodeState logRead(NodeState state, long completeAtMs) {
+    if (state.coordination().reader().hasGap()) {
+      return state;
+    }
+    return refresh(state.withLimits(state.limits().completeAt(completeAtMs)));
+  }
+
+  /** Starts an epoch when the live instances have differed from the members for a while. */
+  public static Transition<NodeState, Effect> tick(NodeState state) {
+    if (!LeaseEvents.followsLog(state) || !LeaseEvents.holds(state, EPOCH_SHARD)) {
+      return Transition.of(withDiffersSince(state, LogReader.NEVER));
+    }
+    LimitEpoch epoch = state.agreed().limitEpoch();
+    List<InstanceId> live = live(state);
+    if (live.equals(epoch.members())) {
+      return Transition.of(withDiffersSince(state, LogReader.NEVER));
+    }
+    boolean known = state.limits().differsSinceMs() != LogReader.NEVER;
+    NodeState noted = known ? state : withDiffersSince(state, state.nowMs());
+    LimitEpochStarted record = new LimitEpochStarted(epoch.epoch(), live);
+    boolean waits = noted.coordination().outbox().contains(record);
+    return waits || !isDue(noted, epoch)
+        ? Transition.of(noted)
+        : OutboxEvents.submit(noted, record);
+  }
+
+  private static boolean isDue(NodeState state, LimitEpoch epoch) {
+    if (epoch.epoch() == LimitEpoch.NONE.epoch()) {
+      return true;
+    }
+    ShareTable table = state.limits();
+    return state.nowMs() - table.differsSinceMs() >= SETTLE_MS
+        && state.nowMs() - table.readMs() >= EPOCH_INTERVAL_MS;
+  }
+
+  private static List<InstanceId> live(NodeState state) {
+    return state.membership().ranked(state.self().id(), "limits").stream()
+        .sorted(Comparator.comparing(InstanceId::value))
+        .toList();
+  }
+
+  private static NodeState withDiffersSince(NodeState state, long value) {
+    boolean same = state.limits().differsSinceMs() == value;
+    return same ? state : state.withLimits(state.limits().differsSince(value));
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/limits/ShareTable.java
@@ -0,0 +1,109 @@
+package org.limpetdoor.core.limits;
+
+import org.limpetdoor.core.agreed.LimitEpoch;
+import org.limpetdoor.core.agreed.LogReader;
+import org.limpetdoor.core.id.InstanceId;
+import org.pcollections.PVector;
+import org.pcollections.TreePVector;
+
+/**
+ * The part of the contract limits that this instance holds. An instance may act on an earlier limit
+ * epoch until {@link #TTL_MS} after its last complete read of the log, so each instance uses the
+ * smallest of its parts in all epochs that another may still act on.
+ *
+ * @param started whether the instance takes part in the agreement; without it the limits are whole
+ * @param epoch newest limit epoch that was read
+ * @param part own part in that epoch, from 0 to 1
+ * @param earlier own parts in earlier epochs that others may still act on
+ * @param readMs when the newest epoch was read, in monotonic milliseconds
+ * @param completeAtMs time of the log up to which all records were read, or {@link LogReader#NEVER}
+ * @param differsSinceMs since when the live instances differ from the members of the epoch, or
+ *     {@link LogReader#NEVER}
+ */
+public record ShareTable(
+    boolean started,
+    long epoch,
+    double part,
+    PVector<Earlier> earlier,
+    long readMs,
+    long completeAtMs,
+    long differsSinceMs) {
+  /**
+   * Time without a complete read of the log after which a part may no longer be used, in
+   * milliseconds. Longer values bridge longer outages of the log but delay the parts of new
+   * instances by as much.
+   */
+  public static final long TTL_MS = 30_000;
+
+  /**
+   * Time for which an earlier epoch still limits the own part, in milliseconds. It is longer than
+   * {@link #TTL_MS} because clocks of different instances may run at rates that differ by 3%.
+   */
+  static final long RETAIN_MS = TTL_MS + 1_000;
+
+  /** The table of a reducer that takes no part in the agreement. */
+  public static final ShareTable INITIAL =
+      new ShareTable(false, LimitEpoch.NONE.epoch(), 0, TreePVector.empty(), 0, LogReader.NEVER, 0);
+
+  /**
+   * The own part in an epoch that others may still act on.
+   *
+   * @param part the part, from 0 to 1
+   * @param untilMs until when nobody can act on the epoch any more, in monotonic milliseconds
+   */
+  public record Earlier(double part, long untilMs) {}
+
+  /** Returns the part that may be used at a time, from 0 to 1. */
+  public double usableAt(long nowMs) {
+    if (!started) {
+      return 1;
+    }
+    if (completeAtMs == LogReader.NEVER || nowMs - completeAtMs > TTL_MS) {
+      return 0;
+    }
+    double usable = part;
+    for (Earlier one : earlier) {
+      usable = nowMs < one.untilMs() ? Math.min(usable, one.part()) : usable;
+    }
+    return usable;
+  }
+
+  ShareTable start() {
+    return new ShareTable(true, epoch, part, earlier, readMs, completeAtMs, LogReader.NEVER);
+  }
+
+  ShareTable completeAt(long value) {
+    long latest = Math.max(completeAtMs, value);
+    return new ShareTable(started, epoch, part, earlier, readMs, latest, differsSinceMs);
+  }
+
+  ShareTable differsSince(long value) {
+    return new ShareTable(started, epoch, part, earlier, readMs, completeAtMs, value);
+  }
+
+  /** Follows a new epoch. The one before it may be acted on by others for a while. */
+  ShareTable superseded(LimitEpoch next, InstanceId self, long nowMs) {
+    boolean first = epoch == LimitEpoch.NONE.epoch();
+    return withEpoch(next, self, nowMs, first ? unexpired(nowMs) : retained(part, nowMs));
+  }
+
+  /** Follows an epoch whose predecessors are not known: others may act on any of them. */
+  ShareTable adopted(LimitEpoch next, InstanceId self, long nowMs) {
+    return withEpoch(next, self, nowMs, retained(0, nowMs));
+  }
+
+  private ShareTable withEpoch(
+      LimitEpoch next, InstanceId self, long nowMs, PVector<Earlier> others) {
+    boolean member = next.members().contains(self);
+    double own = member ? 1.0 / next.members().size() : 0;
+    return new ShareTable(started, next.epoch(), own, others, nowMs, completeAtMs, LogReader.NEVER);
+  }
+
+  private PVector<Earlier> retained(double earlierPart, long nowMs) {
+    return unexpired(nowMs).plus(new Earlier(earlierPart, nowMs + RETAIN_MS));
+  }
+
+  private PVector<Earlier> unexpired(long nowMs) {
+    return TreePVector.from(earlier.stream().filter(one -> nowMs < one.untilMs()).toList());
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Admission.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Admission.java
@@ -13,6 +13,9 @@
   /** Shortest advice on when to try again; less would only add load. */
   private static final long MIN_RETRY_AFTER_MS = 100;
 
+  /** A repeat may reach an instance that holds a part, so it need not wait for a limit epoch. */
+  private static final long NO_SHARE_RETRY_AFTER_MS = 1_000;
+
   private static final int MARGIN_DIVISOR = 4;
 
   private Admission() {}
@@ -20,6 +23,9 @@
   /** Routes, queues or refuses a request of a known customer for a known target. */
   static Transition<NodeState, Effect> admit(NodeState state, RequestSpec spec, Contract contract) {
     LimitShare share = state.requests().learned().share();
+    if (share.of(contract.customer()) == 0) {
+      return refuse(state, spec, contract, RefusalReason.NO_LIMIT_SHARE, NO_SHARE_RETRY_AFTER_MS);
+    }
     ArrivalLimit limit = share.of(contract.customer(), contract.arrival());
     CustomerState customer = state.requests().customer(contract.customer(), limit, state.nowMs());
     WorkPlan plan = Prediction.plan(state, spec, contract.customer());
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RefusalReason.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RefusalReason.java
@@ -12,6 +12,8 @@
   UNKNOWN_SERVICE(404),
   /** The customer sends requests or tokens faster than its contract allows. */
   RATE_EXCEEDED(429),
+  /** The instance holds no part of the contract limits at present; another instance may. */
+  NO_LIMIT_SHARE(503),
   /** As much work of the customer waits as its contract allows. */
   QUEUE_FULL(429),
   /** The request cannot start within the customer's objective. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestTable.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestTable.java
@@ -46,6 +46,11 @@
     return withLearned(learned.withShare(share));
   }
 
+  /** Returns the part of the limits that this instance may use. */
+  public LimitShare limitShare() {
+    return learned.share();
+  }
+
   Pool pool(PoolId id) {
     return pools.getOrDefault(id, Pool.EMPTY);
   }
--- /dev/null
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/limits/LimitEventsTest.java
@@ -0,0 +1,145 @@
+package org.limpetdoor.core.limits;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.NodeReducer;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.agreed.AppendId;
+import org.limpetdoor.core.agreed.Envelope;
+import org.limpetdoor.core.agreed.LogRecord;
+import org.limpetdoor.core.agreed.LogRecord.LimitEpochStarted;
+import org.limpetdoor.core.agreed.Outbox;
+import org.limpetdoor.core.agreed.StoredRecord;
+import org.limpetdoor.core.effect.AppendRecord;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.InstanceStarted;
+import org.limpetdoor.core.event.InstancesListed;
+import org.limpetdoor.core.event.RecordsRead;
+import org.limpetdoor.core.event.TimerFired;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.membership.ListedInstance;
+
+class LimitEventsTest {
+  private static final InstanceId SELF = new InstanceId("a");
+  private static final InstanceId OTHER = new InstanceId("b");
+
+  private final List<LimitEpochStarted> epochs = new ArrayList<>();
+  private Optional<Envelope> pending = Optional.empty();
+  private long nextOffset;
+  private long otherSequence;
+  private long nowMs = 5_000;
+  private NodeState state = NodeState.initial(new NodeState.Self(SELF, 1, new ZoneId("zone-0")));
+
+  /** Guards against a grant by an instance that can't know whether others exist. */
+  @Test
+  void nothingIsGrantedBeforeTheFirstEpoch() {
+    event(new InstanceStarted(nowMs));
+    assertThat(part()).isEqualTo(0.0);
+    for (int i = 0; i < 20; i++) {
+      nowMs += 1_000;
+      event(new TimerFired(nowMs));
+    }
+    assertThat(part()).isEqualTo(0.0);
+  }
+
+  /** Guards against a single instance that never gets its part or waits for a validity time. */
+  @Test
+  void singleInstanceGetsTheWholeWithinSeconds() {
+    event(new InstanceStarted(nowMs));
+    run(5);
+    assertThat(part()).isEqualTo(1.0);
+    assertThat(epochs).containsExactly(new LimitEpochStarted(-1, List.of(SELF)));
+  }
+
+  /** Guards against one epoch for each change of a list that changes all the time. */
+  @Test
+  void epochsAreDamped() {
+    event(new InstanceStarted(nowMs));
+    run(5);
+    for (int i = 0; i < 30; i++) {
+      list(i % 2 == 0 ? List.of(OTHER) : List.of(OTHER, new InstanceId("c")));
+      run(1);
+    }
+    assertThat(epochs.size()).isAtLeast(2);
+    assertThat(epochs.size()).isAtMost(4);
+  }
+
+  /** Guards against growth while a failed member may still act on the epoch that named it. */
+  @Test
+  void partOfMissingMemberReturnsAfterItsValidity() {
+    event(new InstanceStarted(nowMs));
+    store(new LimitEpochStarted(-1, List.of(SELF, OTHER)));
+    store(new LimitEpochStarted(0, List.of(SELF)));
+    run(30);
+    assertThat(part()).isEqualTo(0.5);
+    run(2);
+    assertThat(part()).isEqualTo(1.0);
+  }
+
+  /** Guards against a part that outlives its validity when the log can't be read. */
+  @Test
+  void partEndsWhenTheLogIsSilent() {
+    event(new InstanceStarted(nowMs));
+    run(5);
+    nowMs += ShareTable.TTL_MS;
+    event(new TimerFired(nowMs));
+    assertThat(part()).isEqualTo(1.0);
+    nowMs += 1;
+    event(new TimerFired(nowMs));
+    assertThat(part()).isEqualTo(0.0);
+  }
+
+  private double part() {
+    return state.requests().limitShare().otherwise();
+  }
+
+  private void list(List<InstanceId> others) {
+    List<ListedInstance> entries = new ArrayList<>();
+    for (InstanceId id : others) {
+      entries.add(new ListedInstance(id, "127.0.0.1:1", new ZoneId("zone-0"), "region", false));
+    }
+    event(new InstancesListed(nowMs, entries));
+  }
+
+  /** Lets seconds pass with a log that stores own appends at once. */
+  private void run(int seconds) {
+    for (int i = 0; i < seconds; i++) {
+      nowMs += 1_000;
+      event(new TimerFired(nowMs));
+      Optional<Envelope> own = pending;
+      pending = Optional.empty();
+      own.ifPresent(this::store);
+      event(new RecordsRead(nowMs, List.of()));
+    }
+  }
+
+  private void store(LogRecord content) {
+    store(new Envelope(new AppendId("other", ++otherSequence), content));
+  }
+
+  private void store(Envelope envelope) {
+    event(new RecordsRead(nowMs, List.of(new StoredRecord(nextOffset++, envelope))));
+  }
+
+  private void event(Event event) {
+    Transition<NodeState, Effect> transition = new NodeReducer().reduce(state, event);
+    state = transition.state();
+    for (Effect effect : transition.effects()) {
+      if (effect instanceof AppendRecord append) {
+        pending = Optional.of(append.envelope());
+        for (LogRecord content : Outbox.records(append.envelope().content())) {
+          if (content instanceof LimitEpochStarted epoch) {
+            epochs.add(epoch);
+          }
+        }
+      }
+    }
+  }
+}
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/placement/LeaseTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/placement/LeaseTest.java
@@ -105,6 +105,8 @@
     run(4);
     long epoch = own();
     assertThat(LeaseEvents.holds(state, 0)).isTrue();
+    run(1);
+    own(); // The first limit epoch; at most one append is in flight.
     run(6);
     assertThat(appended).contains(new LeaseRenewed(0, epoch));
     own();
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/FakeLog.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/FakeLog.java
@@ -17,11 +17,14 @@
   private final List<AgreedState> folds = new ArrayList<>(List.of(AgreedState.INITIAL));
   private final Map<String, Long> epochsByIntent = new HashMap<>();
   long downUntilMs;
+  long epochs;
 
   long append(Envelope envelope) {
     StoredRecord stored = new StoredRecord(records.size(), envelope);
     records.add(stored);
-    folds.add(folds.get(folds.size() - 1).fold(stored).state());
+    long epochBefore = head().limitEpoch().epoch();
+    folds.add(head().fold(stored).state());
+    epochs += head().limitEpoch().epoch() == epochBefore ? 0 : 1;
     for (LogRecord content : Outbox.records(envelope.content())) {
       if (content instanceof PlacementIntended intended) {
         epochsByIntent.put(intended.intentId(), intended.epoch());
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/SimulatedNode.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/SimulatedNode.java
@@ -35,6 +35,10 @@
     deliver(InstanceStarted::new);
   }
 
+  long localMs(long atMs) {
+    return atMs + clockOffsetMs;
+  }
+
   boolean running() {
     return !crashed && world.nowMs() >= pausedUntilMs;
   }
@@ -48,7 +52,7 @@
       world.at(pausedUntilMs, () -> deliver(event));
       return;
     }
-    apply(reducer.reduce(state, event.apply(world.nowMs() + clockOffsetMs)));
+    apply(reducer.reduce(state, event.apply(localMs(world.nowMs()))));
   }
 
   /** Applies a decision that the test takes in place of the planner. */
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/Simulation.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/Simulation.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import org.limpetdoor.core.agreed.AppendFailure;
 import org.limpetdoor.core.agreed.Fleet;
+import org.limpetdoor.core.agreed.LogReader;
 import org.limpetdoor.core.agreed.StoredRecord;
 import org.limpetdoor.core.config.Engine;
 import org.limpetdoor.core.effect.AppendRecord;
@@ -112,7 +113,11 @@
     boolean down = nowMs < log.downUntilMs || !node.running();
     List<StoredRecord> records = down ? List.of() : List.copyOf(log.read(from, READ_RECORDS));
     if (!down) {
-      at(nowMs + random.nextInt(30), () -> node.deliver(t -> new RecordsRead(t, records)));
+      boolean complete = records.size() < READ_RECORDS;
+      long completeAtMs = complete ? node.localMs(nowMs) : LogReader.NEVER;
+      at(
+          nowMs + random.nextInt(30),
+          () -> node.deliver(t -> new RecordsRead(t, records, completeAtMs)));
     }
     at(nowMs + READ_INTERVAL_MS, () -> readLog(node, from + records.size()));
   }
