Add peer messages, neighbours and heartbeats

Each instance opens links to six neighbours: two ring neighbours in its zone, two in its region and the rest by hash. Heartbeats go out each second on established links; a peer is suspect after 2 s of silence and down after 6 s. Failed connections back off from 1 s to 16 s. A peer that says that it is leaving is no member any more, also while the lagging list still shows it.

The received share requests, grants, leaving back ends and crash suspects are not acted on yet.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/ControlTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/ControlTick.java
@@ -4,6 +4,7 @@
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.event.InstanceStarted;
 import org.limpetdoor.core.limits.LimitEvents;
+import org.limpetdoor.core.membership.PeerEvents;
 import org.limpetdoor.core.placement.LeaseEvents;
 import org.limpetdoor.core.placement.OrderEvents;
 
@@ -25,6 +26,7 @@
         .then(LeaseEvents::tick)
         .then(OrderEvents::tick)
         .then(LimitEvents::tick)
+        .then(PeerEvents::tick)
         .then(AgreedEvents::snapshotIfDue);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -16,10 +16,14 @@
 import org.limpetdoor.core.event.InstancesListed;
 import org.limpetdoor.core.event.InventoryReported;
 import org.limpetdoor.core.event.OrderAnswered;
+import org.limpetdoor.core.event.PeerLinkDown;
+import org.limpetdoor.core.event.PeerLinkUp;
+import org.limpetdoor.core.event.PeerMessageReceived;
 import org.limpetdoor.core.event.RecordsRead;
 import org.limpetdoor.core.event.RequestArrived;
 import org.limpetdoor.core.event.TimerFired;
 import org.limpetdoor.core.membership.MembershipEvents;
+import org.limpetdoor.core.membership.PeerEvents;
 import org.limpetdoor.core.placement.OrderEvents;
 import org.limpetdoor.core.request.RequestEvents;
 
@@ -47,6 +51,12 @@
   APPEND_FAILED(AppendFailed.class, OutboxEvents::failed),
   /** {@link InstancesListed}. */
   INSTANCES_LISTED(InstancesListed.class, MembershipEvents::listed),
+  /** {@link PeerLinkUp}. */
+  PEER_LINK_UP(PeerLinkUp.class, PeerEvents::linkUp),
+  /** {@link PeerLinkDown}. */
+  PEER_LINK_DOWN(PeerLinkDown.class, PeerEvents::linkDown),
+  /** {@link PeerMessageReceived}. */
+  PEER_MESSAGE_RECEIVED(PeerMessageReceived.class, PeerEvents::received),
   /** {@link OrderAnswered}. */
   ORDER_ANSWERED(OrderAnswered.class, OrderEvents::answered),
   /** {@link InventoryReported}. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
@@ -8,13 +8,15 @@
     permits AppendRecord,
         CancelAttempt,
         ChangePriority,
+        ConnectPeer,
         DispatchAttempt,
         FinishRequest,
         RaiseQueueAgeAlarm,
         RecordDecision,
         RefuseRequest,
         RequestInventory,
-        SendOrder {
+        SendOrder,
+        SendToPeer {
   /** Hands this effect to the matching method of a handler. */
   void applyTo(EffectHandler handler);
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
@@ -31,4 +31,10 @@
 
   /** Changes the priority of an attempt that an engine is running. */
   void changePriority(ChangePriority effect);
+
+  /** Opens a link to a peer, once. */
+  void connectPeer(ConnectPeer effect);
+
+  /** Sends a message to a peer. */
+  void sendToPeer(SendToPeer effect);
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -15,6 +15,9 @@
         InstancesListed,
         InventoryReported,
         OrderAnswered,
+        PeerLinkDown,
+        PeerLinkUp,
+        PeerMessageReceived,
         RecordsRead,
         RequestArrived,
         TimerFired {
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/PeerLinkDown.java
@@ -0,0 +1,17 @@
+package org.limpetdoor.core.event;
+
+import org.limpetdoor.core.EventKind;
+import org.limpetdoor.core.id.InstanceId;
+
+/**
+ * A link to a peer has ended, or a connection to it has failed.
+ *
+ * @param atMs when, in monotonic milliseconds
+ * @param peer the peer
+ */
+public record PeerLinkDown(long atMs, InstanceId peer) implements Event {
+  @Override
+  public EventKind kind() {
+    return EventKind.PEER_LINK_DOWN;
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/Membership.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/Membership.java
@@ -6,16 +6,31 @@
 import org.limpetdoor.core.agreed.Shards;
 import org.limpetdoor.core.id.InstanceId;
 import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
+import org.pcollections.PSet;
 
 /**
  * What this instance knows of the others.
  *
  * @param members instances of the list, without those that are leaving
+ * @param leaving instances that told that they are leaving while the list still has them
+ * @param neighbours peers that this instance opens links to
+ * @param links links to peers, opened by either side
  */
-public record Membership(PMap<InstanceId, Member> members) {
+public record Membership(
+    PMap<InstanceId, Member> members,
+    PSet<InstanceId> leaving,
+    List<InstanceId> neighbours,
+    PMap<InstanceId, PeerLink> links) {
   /** Knows of no other instance. */
-  public static final Membership EMPTY = new Membership(HashTreePMap.empty());
+  public static final Membership EMPTY =
+      new Membership(HashTreePMap.empty(), HashTreePSet.empty(), List.of(), HashTreePMap.empty());
+
+  /** Copies the neighbours. */
+  public Membership {
+    neighbours = List.copyOf(neighbours);
+  }
 
   /**
    * A member.
@@ -39,4 +54,17 @@
     ids.sort(byWeight.reversed().thenComparing(InstanceId::value));
     return ids;
   }
+
+  /** Returns the link to a peer. */
+  public PeerLink link(InstanceId peer) {
+    return links.getOrDefault(peer, PeerLink.NONE);
+  }
+
+  Membership withLink(InstanceId peer, PeerLink link) {
+    return new Membership(members, leaving, neighbours, links.plus(peer, link));
+  }
+
+  Membership withLeaving(InstanceId peer) {
+    return new Membership(members.minus(peer), leaving.plus(peer), neighbours, links);
+  }
 }
