--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/limits/LimitEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/limits/LimitEventsTest.java
@@ -9,22 +9,43 @@
 import org.limpetdoor.core.NodeReducer;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.agreed.AgreedEvents;
+import org.limpetdoor.core.agreed.AgreedState;
 import org.limpetdoor.core.agreed.AppendId;
 import org.limpetdoor.core.agreed.Envelope;
 import org.limpetdoor.core.agreed.LogRecord;
+import org.limpetdoor.core.agreed.LogRecord.ConfigurationPublished;
 import org.limpetdoor.core.agreed.LogRecord.LimitEpochStarted;
 import org.limpetdoor.core.agreed.Outbox;
 import org.limpetdoor.core.agreed.StoredRecord;
+import org.limpetdoor.core.config.ArrivalLimit;
+import org.limpetdoor.core.config.Configuration;
+import org.limpetdoor.core.config.ConfigurationPatch;
+import org.limpetdoor.core.config.Contract;
+import org.limpetdoor.core.config.Model;
+import org.limpetdoor.core.config.QueueLimit;
+import org.limpetdoor.core.config.ShedOrder;
 import org.limpetdoor.core.effect.AppendRecord;
 import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.RefuseRequest;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.InstanceStarted;
 import org.limpetdoor.core.event.InstancesListed;
 import org.limpetdoor.core.event.RecordsRead;
+import org.limpetdoor.core.event.RequestArrived;
 import org.limpetdoor.core.event.TimerFired;
+import org.limpetdoor.core.id.CustomerId;
 import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.id.KeyDigest;
+import org.limpetdoor.core.id.ModelId;
+import org.limpetdoor.core.id.RequestId;
 import org.limpetdoor.core.id.ZoneId;
 import org.limpetdoor.core.membership.ListedInstance;
+import org.limpetdoor.core.request.Refusal;
+import org.limpetdoor.core.request.RefusalReason;
+import org.limpetdoor.core.request.RequestSpec;
+import org.limpetdoor.core.request.Target;
+import org.limpetdoor.core.request.Target.ModelTarget;
 
 class LimitEventsTest {
   private static final InstanceId SELF = new InstanceId("a");
@@ -96,6 +117,51 @@
     assertThat(part()).isEqualTo(0.0);
   }
 
+  /** Guards against growth beside instances that act on an epoch which a snapshot has left out. */
+  @Test
+  void epochOfSnapshotIsUsedAfterTheValidityOfUnknownEpochs() {
+    LimitEpochStarted first = new LimitEpochStarted(-1, List.of(SELF));
+    Envelope envelope = new Envelope(new AppendId("other", 1), first);
+    AgreedState snapshot = AgreedState.INITIAL.fold(new StoredRecord(0, envelope)).state();
+    event(new InstanceStarted(nowMs));
+    state = AgreedEvents.adopt(state, snapshot).state();
+    nextOffset = 1;
+    run(30);
+    assertThat(part()).isEqualTo(0.0);
+    run(2);
+    assertThat(part()).isEqualTo(1.0);
+  }
+
+  /** Guards against an instance outside the epoch that admits work, or blames the caller's rate. */
+  @Test
+  void instanceWithoutPartRefuses() {
+    KeyDigest key = new KeyDigest("0".repeat(64));
+    Contract contract =
+        new Contract(
+            new CustomerId("coop"),
+            List.of(key),
+            new ArrivalLimit(100, 100, 10_000, 10_000),
+            new QueueLimit(10, 10_000),
+            1_000,
+            0,
+            1,
+            ShedOrder.NORMAL);
+    ModelId model = new ModelId("m1");
+    Configuration content =
+        Configuration.EMPTY
+            .withContracts(List.of(contract))
+            .withModels(List.of(new Model(model, "v1", 1, 1, 100)));
+    event(new InstanceStarted(nowMs));
+    store(new ConfigurationPublished(-1, "operator", ConfigurationPatch.of(content)));
+    store(new LimitEpochStarted(-1, List.of(OTHER)));
+    run(1);
+    RequestId id = new RequestId("r1");
+    Target target = new ModelTarget(model, Optional.empty());
+    RequestSpec spec = new RequestSpec(id, key, target, Optional.empty(), 9, 9, 0, 1);
+    assertThat(new NodeReducer().reduce(state, new RequestArrived(nowMs, spec)).effects())
+        .contains(new RefuseRequest(id, Refusal.notRun(RefusalReason.NO_LIMIT_SHARE, 1_000)));
+  }
+
   private double part() {
     return state.requests().limitShare().otherwise();
   }
