--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -1,8 +1,11 @@
 package org.limpetdoor.core;
 
 import org.limpetdoor.core.agreed.AgreedEvents;
+import org.limpetdoor.core.agreed.OutboxEvents;
 import org.limpetdoor.core.backend.BackendEvents;
 import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.event.AppendAnswered;
+import org.limpetdoor.core.event.AppendFailed;
 import org.limpetdoor.core.event.AttemptCompleted;
 import org.limpetdoor.core.event.AttemptFailed;
 import org.limpetdoor.core.event.AttemptStarted;
@@ -11,9 +14,19 @@
 import org.limpetdoor.core.event.CallerDisconnected;
 import org.limpetdoor.core.event.DrainRequested;
 import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.InstanceStarted;
+import org.limpetdoor.core.event.InstancesListed;
+import org.limpetdoor.core.event.InventoryReported;
+import org.limpetdoor.core.event.OrderAnswered;
+import org.limpetdoor.core.event.PeerLinkDown;
+import org.limpetdoor.core.event.PeerLinkUp;
+import org.limpetdoor.core.event.PeerMessageReceived;
 import org.limpetdoor.core.event.RecordsRead;
 import org.limpetdoor.core.event.RequestArrived;
 import org.limpetdoor.core.event.TimerFired;
+import org.limpetdoor.core.membership.MembershipEvents;
+import org.limpetdoor.core.membership.PeerEvents;
+import org.limpetdoor.core.placement.OrderEvents;
 import org.limpetdoor.core.request.RequestEvents;
 
 /** Kinds of events, each bound to the function that reduces it. */
@@ -36,6 +49,24 @@
   RECORDS_READ(RecordsRead.class, AgreedEvents::recordsRead),
   /** {@link DrainRequested}. */
   DRAIN_REQUESTED(DrainRequested.class, DrainEvents::requested),
+  /** {@link InstanceStarted}. */
+  INSTANCE_STARTED(InstanceStarted.class, ControlTick::started),
+  /** {@link AppendAnswered}. */
+  APPEND_ANSWERED(AppendAnswered.class, OutboxEvents::answered),
+  /** {@link AppendFailed}. */
+  APPEND_FAILED(AppendFailed.class, OutboxEvents::failed),
+  /** {@link InstancesListed}. */
+  INSTANCES_LISTED(InstancesListed.class, MembershipEvents::listed),
+  /** {@link PeerLinkUp}. */
+  PEER_LINK_UP(PeerLinkUp.class, PeerEvents::linkUp),
+  /** {@link PeerLinkDown}. */
+  PEER_LINK_DOWN(PeerLinkDown.class, PeerEvents::linkDown),
+  /** {@link PeerMessageReceived}. */
+  PEER_MESSAGE_RECEIVED(PeerMessageReceived.class, PeerEvents::received),
+  /** {@link OrderAnswered}. */
+  ORDER_ANSWERED(OrderAnswered.class, OrderEvents::answered),
+  /** {@link InventoryReported}. */
+  INVENTORY_REPORTED(InventoryReported.class, OrderEvents::inventoryReported),
   /** {@link TimerFired}. */
   TIMER_FIRED(TimerFired.class, TimerEvents::fired);
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/NodeState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/NodeState.java
@@ -1,10 +1,13 @@
 package org.limpetdoor.core;
 
 import org.limpetdoor.core.agreed.AgreedState;
+import org.limpetdoor.core.agreed.Coordination;
 import org.limpetdoor.core.backend.BackendTable;
 import org.limpetdoor.core.config.Configuration;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.limits.ShareTable;
+import org.limpetdoor.core.membership.Membership;
 import org.limpetdoor.core.request.RequestTable;
 
 /**
@@ -16,6 +19,9 @@
  * @param backends what this instance knows about back ends
  * @param requests requests that this instance has accepted and not finished
  * @param timers pending timers
+ * @param coordination what this instance keeps to take part in the agreement
+ * @param membership what this instance knows of the others
+ * @param limits part of the contract limits that this instance holds
  * @param drain how far the graceful shutdown has come
  */
 public record NodeState(
@@ -25,6 +31,9 @@
     BackendTable backends,
     RequestTable requests,
     Timers timers,
+    Coordination coordination,
+    Membership membership,
+    ShareTable limits,
     DrainPhase drain)
     implements Timed {
 
@@ -35,7 +44,12 @@
    * @param incarnation number that differs between two starts of the same instance
    * @param zone zone that it runs in
    */
-  public record Self(InstanceId id, long incarnation, ZoneId zone) {}
+  public record Self(InstanceId id, long incarnation, ZoneId zone) {
+    /** Returns the name under which this process appends to the log. */
+    public String appender() {
+      return id + ":" + incarnation;
+    }
+  }
 
   /** Returns the state of an instance that has just started. */
   public static NodeState initial(Self self) {
@@ -46,6 +60,9 @@
         BackendTable.EMPTY,
         RequestTable.EMPTY,
         Timers.NONE,
+        Coordination.START,
+        Membership.EMPTY,
+        ShareTable.INITIAL,
         DrainPhase.SERVING);
   }
 
@@ -66,31 +83,64 @@
 
   /** Returns a copy at a later time; time never goes back. */
   public NodeState withNowMs(long value) {
-    return new NodeState(self, Math.max(nowMs, value), agreed, backends, requests, timers, drain);
+    return new NodeState(
+        self,
+        Math.max(nowMs, value),
+        agreed,
+        backends,
+        requests,
+        timers,
+        coordination,
+        membership,
+        limits,
+        drain);
   }
 
   /** Returns a copy with other agreed state. */
   public NodeState withAgreed(AgreedState value) {
-    return new NodeState(self, nowMs, value, backends, requests, timers, drain);
+    return new NodeState(
+        self, nowMs, value, backends, requests, timers, coordination, membership, limits, drain);
   }
 
   /** Returns a copy with another back-end table. */
   public NodeState withBackends(BackendTable value) {
-    return new NodeState(self, nowMs, agreed, value, requests, timers, drain);
+    return new NodeState(
+        self, nowMs, agreed, value, requests, timers, coordination, membership, limits, drain);
   }
 
   /** Returns a copy with another request table. */
   public NodeState withRequests(RequestTable value) {
-    return new NodeState(self, nowMs, agreed, backends, value, timers, drain);
+    return new NodeState(
+        self, nowMs, agreed, backends, value, timers, coordination, membership, limits, drain);
   }
 
   /** Returns a copy with other timers. */
   public NodeState withTimers(Timers value) {
-    return new NodeState(self, nowMs, agreed, backends, requests, value, drain);
+    return new NodeState(
+        self, nowMs, agreed, backends, requests, value, coordination, membership, limits, drain);
+  }
+
+  /** Returns a copy with other coordination state. */
+  public NodeState withCoordination(Coordination value) {
+    return new NodeState(
+        self, nowMs, agreed, backends, requests, timers, value, membership, limits, drain);
+  }
+
+  /** Returns a copy with another membership. */
+  public NodeState withMembership(Membership value) {
+    return new NodeState(
+        self, nowMs, agreed, backends, requests, timers, coordination, value, limits, drain);
+  }
+
+  /** Returns a copy with another part of the limits. */
+  public NodeState withLimits(ShareTable value) {
+    return new NodeState(
+        self, nowMs, agreed, backends, requests, timers, coordination, membership, value, drain);
   }
 
   /** Returns a copy in another phase of the graceful shutdown. */
   public NodeState withDrain(DrainPhase value) {
-    return new NodeState(self, nowMs, agreed, backends, requests, timers, value);
+    return new NodeState(
+        self, nowMs, agreed, backends, requests, timers, coordination, membership, limits, value);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
@@ -1,6 +1,7 @@
 package org.limpetdoor.core;
 
 import java.util.function.BiFunction;
+import org.limpetdoor.core.agreed.OutboxEvents;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.RequestId;
@@ -10,6 +11,10 @@
 public enum TimerKind {
   /** A waiting request reaches its objective. The key is the request identifier. */
   QUEUE_DEADLINE((state, key) -> RequestEvents.queueDeadline(state, new RequestId(key))),
+  /** An append is repeated. The key is its sequence number and the number of attempts. */
+  APPEND_RETRY(OutboxEvents::retryDue),
+  /** Leases, orders and placement are looked at. The key is empty. */
+  CONTROL_TICK((state, key) -> ControlTick.tick(state)),
   /** The ages of all queues are checked. The key has no meaning. */
   QUEUE_AGE_CHECK((state, key) -> RequestEvents.queueAgeCheck(state)),
   /** A back end may have become reachable again. The key is its identifier. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/Decision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/Decision.java
@@ -8,9 +8,11 @@
  */
 public sealed interface Decision
     permits AdmissionDecision,
+        AgreementDecision,
         ConfigurationDecision,
         DrainDecision,
         LogStopDecision,
+        PlacementDecision,
         QueueAgeAlarm,
         RoutingDecision {
   /** Returns the kind, the name of the event in log lines. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -8,6 +8,10 @@
   ADMISSION("admission", "request"),
   /** A published configuration was accepted or rejected. */
   CONFIGURATION("configuration", "version"),
+  /** A record of the log was accepted or rejected. */
+  AGREEMENT("agreement", "offset"),
+  /** A lease holder gave an order or settled one, or found an engine over its capacity. */
+  PLACEMENT("placement", "engine"),
   /** Requests of a customer wait for too long. */
   QUEUE_AGE_ALARM("queue_age_alarm", "customer"),
   /** The instance began its graceful shutdown. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
@@ -5,13 +5,18 @@
  * not decided here.
  */
 public sealed interface Effect
-    permits CancelAttempt,
+    permits AppendRecord,
+        CancelAttempt,
         ChangePriority,
+        ConnectPeer,
         DispatchAttempt,
         FinishRequest,
         RaiseQueueAgeAlarm,
         RecordDecision,
         RefuseRequest,
+        RequestInventory,
+        SendOrder,
+        SendToPeer,
         StopInstance {
   /** Hands this effect to the matching method of a handler. */
   void applyTo(EffectHandler handler);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
@@ -17,6 +17,15 @@
   /** Writes the log line and the metrics of a decision, and keeps it for explanations. */
   void recordDecision(RecordDecision effect);
 
+  /** Appends to the log. */
+  void appendRecord(AppendRecord effect);
+
+  /** Sends an order to an engine, once. */
+  void sendOrder(SendOrder effect);
+
+  /** Asks an engine for its inventory. */
+  void requestInventory(RequestInventory effect);
+
   /** Tells the operators that requests of a customer wait for too long. */
   void raiseQueueAgeAlarm(RaiseQueueAgeAlarm effect);
 
@@ -25,4 +34,10 @@
 
   /** Ends the instance. */
   void stopInstance(StopInstance effect);
+
+  /** Opens a link to a peer, once. */
+  void connectPeer(ConnectPeer effect);
+
+  /** Sends a message to a peer. */
+  void sendToPeer(SendToPeer effect);
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -4,13 +4,22 @@
 
 /** Something that the traffic side saw, or a time that has come. */
 public sealed interface Event
-    permits AttemptCompleted,
+    permits AppendAnswered,
+        AppendFailed,
+        AttemptCompleted,
         AttemptFailed,
         AttemptStarted,
         BackendLeaving,
         BackendReported,
         CallerDisconnected,
         DrainRequested,
+        InstanceStarted,
+        InstancesListed,
+        InventoryReported,
+        OrderAnswered,
+        PeerLinkDown,
+        PeerLinkUp,
+        PeerMessageReceived,
         RecordsRead,
         RequestArrived,
         TimerFired {
