Check early orders and racing publications in the property test

The fake log computes the winning configuration apart from the fold, and an order that reaches an engine before its intent is in the log fails the run by name.

--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/AgreementPropertyTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/AgreementPropertyTest.java
@@ -89,6 +89,7 @@
           .that(engine.usedMib())
           .isAtMost(Fleet.CAPACITY_MIB);
     }
+    assertThat(world.log.head().configurationVersion()).isEqualTo(world.log.winningVersion());
     for (SimulatedNode node : world.nodes) {
       long version = node.state.agreed().configurationVersion();
       Long before = versions.put(node, version);
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/FakeLog.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/FakeLog.java
@@ -7,6 +7,7 @@
 import org.limpetdoor.core.agreed.AgreedState;
 import org.limpetdoor.core.agreed.Envelope;
 import org.limpetdoor.core.agreed.LogRecord;
+import org.limpetdoor.core.agreed.LogRecord.ConfigurationPublished;
 import org.limpetdoor.core.agreed.LogRecord.PlacementIntended;
 import org.limpetdoor.core.agreed.Outbox;
 import org.limpetdoor.core.agreed.StoredRecord;
@@ -16,6 +17,7 @@
   private final List<StoredRecord> records = new ArrayList<>();
   private final List<AgreedState> folds = new ArrayList<>(List.of(AgreedState.INITIAL));
   private final Map<String, Long> epochsByIntent = new HashMap<>();
+  private long winningVersion = AgreedState.NO_VERSION;
   long downUntilMs;
 
   long append(Envelope envelope) {
@@ -25,6 +27,9 @@
     for (LogRecord content : Outbox.records(envelope.content())) {
       if (content instanceof PlacementIntended intended) {
         epochsByIntent.put(intended.intentId(), intended.epoch());
+      } else if (content instanceof ConfigurationPublished published
+          && published.baseVersion() == winningVersion) {
+        winningVersion = stored.offset();
       }
     }
     return stored.offset();
@@ -44,6 +49,15 @@
   }
 
   long epochOf(String intentId) {
-    return epochsByIntent.get(intentId);
+    Long epoch = epochsByIntent.get(intentId);
+    if (epoch == null) {
+      throw new AssertionError("order " + intentId + " arrived before its intent was in the log");
+    }
+    return epoch;
+  }
+
+  /** Returns the version that the rule of one winner for each base gives, apart from the fold. */
+  long winningVersion() {
+    return winningVersion;
   }
 }
