Plan replicas for the engines of held shards

The planner restores minimums in different zones first, then loads ahead of projected demand, and unloads surplus replicas only to make room. Replicas at leaving or unreachable engines do not count. Loads keep the rate and concurrency of the weight store by parts per shard; an intent that finds no room when it is read back is abandoned unsent.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/ControlTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/ControlTick.java
@@ -5,6 +5,7 @@
 import org.limpetdoor.core.event.InstanceStarted;
 import org.limpetdoor.core.placement.LeaseEvents;
 import org.limpetdoor.core.placement.OrderEvents;
+import org.limpetdoor.core.placement.Planner;
 
 /** Reduces the regular look at leases, orders and placement. */
 final class ControlTick {
@@ -23,6 +24,7 @@
     return Transition.<NodeState, Effect>of(state.withTimers(state.timers().plus(next)))
         .then(LeaseEvents::tick)
         .then(OrderEvents::tick)
+        .then(Planner::tick)
         .then(AgreedEvents::snapshotIfDue);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -11,6 +11,7 @@
 import org.limpetdoor.core.event.AttemptStarted;
 import org.limpetdoor.core.event.BackendReported;
 import org.limpetdoor.core.event.CallerDisconnected;
+import org.limpetdoor.core.event.DemandReported;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.InstanceStarted;
 import org.limpetdoor.core.event.InstancesListed;
@@ -20,6 +21,7 @@
 import org.limpetdoor.core.event.RequestArrived;
 import org.limpetdoor.core.event.TimerFired;
 import org.limpetdoor.core.membership.MembershipEvents;
+import org.limpetdoor.core.placement.DemandEvents;
 import org.limpetdoor.core.placement.OrderEvents;
 import org.limpetdoor.core.request.RequestEvents;
 
@@ -51,6 +53,8 @@
   ORDER_ANSWERED(OrderAnswered.class, OrderEvents::answered),
   /** {@link InventoryReported}. */
   INVENTORY_REPORTED(InventoryReported.class, OrderEvents::inventoryReported),
+  /** {@link DemandReported}. */
+  DEMAND_REPORTED(DemandReported.class, DemandEvents::reported),
   /** {@link TimerFired}. */
   TIMER_FIRED(TimerFired.class, TimerEvents::fired);
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/Coordination.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/Coordination.java
@@ -2,6 +2,7 @@
 
 import org.limpetdoor.core.placement.LeaseKeeper;
 import org.limpetdoor.core.placement.OrderBook;
+import org.limpetdoor.core.placement.PlannerState;
 
 /**
  * What this instance keeps for itself to take part in the agreement. Nothing of it is shared.
@@ -10,29 +11,37 @@
  * @param reader how far the log is read
  * @param leases own view of the silence of leases
  * @param orders orders to engines of own shards
+ * @param planner what the planner remembers
  */
-public record Coordination(Outbox outbox, LogReader reader, LeaseKeeper leases, OrderBook orders) {
+public record Coordination(
+    Outbox outbox, LogReader reader, LeaseKeeper leases, OrderBook orders, PlannerState planner) {
   /** The state of an instance that has just started. */
   public static final Coordination START =
-      new Coordination(Outbox.EMPTY, LogReader.START, LeaseKeeper.START, OrderBook.EMPTY);
+      new Coordination(
+          Outbox.EMPTY, LogReader.START, LeaseKeeper.START, OrderBook.EMPTY, PlannerState.START);
 
   /** Returns a copy with another outbox. */
   public Coordination withOutbox(Outbox value) {
-    return new Coordination(value, reader, leases, orders);
+    return new Coordination(value, reader, leases, orders, planner);
   }
 
   /** Returns a copy with another reader. */
   public Coordination withReader(LogReader value) {
-    return new Coordination(outbox, value, leases, orders);
+    return new Coordination(outbox, value, leases, orders, planner);
   }
 
   /** Returns a copy with another view of the leases. */
   public Coordination withLeases(LeaseKeeper value) {
-    return new Coordination(outbox, reader, value, orders);
+    return new Coordination(outbox, reader, value, orders, planner);
   }
 
   /** Returns a copy with other orders. */
   public Coordination withOrders(OrderBook value) {
-    return new Coordination(outbox, reader, leases, value);
+    return new Coordination(outbox, reader, leases, value, planner);
+  }
+
+  /** Returns a copy with another memory of the planner. */
+  public Coordination withPlanner(PlannerState value) {
+    return new Coordination(outbox, reader, leases, orders, value);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/PlacementDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/PlacementDecision.java
@@ -1,6 +1,8 @@
 package org.limpetdoor.core.decision;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.ModelId;
 
@@ -11,9 +13,15 @@
  * @param model the model
  * @param intentId the intent
  * @param reason what is done and why
+ * @param basis what the planner knew, if the decision is a plan
  */
 public record PlacementDecision(
-    BackendId engine, ModelId model, String intentId, PlacementReason reason) implements Decision {
+    BackendId engine,
+    ModelId model,
+    String intentId,
+    PlacementReason reason,
+    Optional<PlanBasis> basis)
+    implements Decision {
   @Override
   public DecisionKind kind() {
     return DecisionKind.PLACEMENT;
@@ -26,10 +34,12 @@
 
   @Override
   public List<Field> fields() {
-    return List.of(
-        Field.of("model", model),
-        Field.of("intent", intentId),
-        Field.of("result", reason.result()),
-        Field.of("reason", reason.label()));
+    List<Field> fields = new ArrayList<>();
+    fields.add(Field.of("model", model));
+    fields.add(Field.of("intent", intentId));
+    fields.add(Field.of("result", reason.result()));
+    fields.add(Field.of("reason", reason.label()));
+    basis.ifPresent(known -> fields.addAll(known.fields()));
+    return List.copyOf(fields);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/PlacementReason.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/PlacementReason.java
@@ -12,6 +12,8 @@
   INTENT_READ_BACK("order_sent", "intent_read_back"),
   /** The intent was read back after its send window. */
   SEND_WINDOW_PASSED("abandoned", "send_window_passed"),
+  /** Earlier loads have used up what the weight store serves at once. */
+  STORE_BUSY("abandoned", "weight_store_busy"),
   /** The order was not answered; the engine gets a higher fencing number. */
   OUTCOME_UNKNOWN("fence_sent", "outcome_unknown"),
   /** The engine answered that it carried out the order. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -11,6 +11,7 @@
         AttemptStarted,
         BackendReported,
         CallerDisconnected,
+        DemandReported,
         InstanceStarted,
         InstancesListed,
         InventoryReported,
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/placement/DemandEvents.java
@@ -0,0 +1,75 @@
+package org.limpetdoor.core.placement;
+
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.backend.BackendState;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.event.DemandReported;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.ModelId;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/** Keeps what the planner knows of demand and of engines that are out of service. */
+public final class DemandEvents {
+  /** Age at which a report no longer counts, in milliseconds: its reporter is gone. */
+  static final long REPORT_TTL_MS = 10_000;
+
+  private DemandEvents() {}
+
+  /** Notes a report. */
+  public static Transition<NodeState, Effect> reported(NodeState state, DemandReported event) {
+    DemandTable.Report report = new DemandTable.Report(state.nowMs(), event.models());
+    DemandTable demand = planner(state).demand().with(event.reporter(), report);
+    return Transition.of(withPlanner(state, planner(state).withDemand(demand)));
+  }
+
+  /** Samples the demand if it is time, and notes since when engines are unreachable. */
+  static NodeState observed(NodeState state) {
+    NodeState seen =
+        withPlanner(state, planner(state).withUnreachableSinceMs(unreachableSinceMs(state)));
+    if (seen.nowMs() - planner(seen).sampledMs() < DemandTrend.SAMPLE_MS) {
+      return seen;
+    }
+    PlannerState current =
+        planner(seen).withDemand(planner(seen).demand().since(seen.nowMs() - REPORT_TTL_MS));
+    return withPlanner(seen, current.withTrends(sampled(current), seen.nowMs()));
+  }
+
+  static PlannerState planner(NodeState state) {
+    return state.coordination().planner();
+  }
+
+  static NodeState withPlanner(NodeState state, PlannerState value) {
+    return state.withCoordination(state.coordination().withPlanner(value));
+  }
+
+  private static PMap<ModelId, DemandTrend> sampled(PlannerState planner) {
+    PMap<ModelId, DemandTrend> trends = HashTreePMap.empty();
+    for (ModelId model : planner.trends().plusAll(zeroes(planner)).keySet()) {
+      DemandTrend next = planner.trendOf(model).sampled(planner.demand().slotsOf(model));
+      trends = next.equals(DemandTrend.NONE) ? trends : trends.plus(model, next);
+    }
+    return trends;
+  }
+
+  private static PMap<ModelId, DemandTrend> zeroes(PlannerState planner) {
+    PMap<ModelId, DemandTrend> result = HashTreePMap.empty();
+    for (ModelId model : planner.demand().slots().keySet()) {
+      result = result.plus(model, DemandTrend.NONE);
+    }
+    return result;
+  }
+
+  private static PMap<BackendId, Long> unreachableSinceMs(NodeState state) {
+    PMap<BackendId, Long> since = HashTreePMap.empty();
+    for (BackendId id : state.backends().states().keySet()) {
+      BackendState backend = state.backends().get(id);
+      if (backend.unreachableUntilMs() > state.nowMs()) {
+        long firstMs = planner(state).unreachableSinceMs().getOrDefault(id, state.nowMs());
+        since = since.plus(id, firstMs);
+      }
+    }
+    return since;
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/placement/DemandTable.java
@@ -0,0 +1,64 @@
+package org.limpetdoor.core.placement;
+
+import java.util.List;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.id.ModelId;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * Demand of all reporters, with the sum of each model. A report costs the models that it names.
+ *
+ * @param reports last report of each reporter
+ * @param slots sum of the reports for each model, in engine slots
+ */
+public record DemandTable(PMap<InstanceId, Report> reports, PMap<ModelId, Integer> slots) {
+  /** No demand. */
+  public static final DemandTable EMPTY =
+      new DemandTable(HashTreePMap.empty(), HashTreePMap.empty());
+
+  /**
+   * A report.
+   *
+   * @param atMs when it arrived, in monotonic milliseconds
+   * @param models demand of each model
+   */
+  public record Report(long atMs, List<ModelDemand> models) {}
+
+  /** Returns the demand for a model in engine slots. */
+  public int slotsOf(ModelId model) {
+    return slots.getOrDefault(model, 0);
+  }
+
+  DemandTable with(InstanceId reporter, Report report) {
+    DemandTable without = without(reporter);
+    PMap<ModelId, Integer> sums = added(without.slots, report.models(), 1);
+    return new DemandTable(without.reports.plus(reporter, report), sums);
+  }
+
+  /** Returns a copy without the reports of reporters that fell silent. */
+  DemandTable since(long oldestMs) {
+    DemandTable result = this;
+    for (InstanceId reporter : reports.keySet()) {
+      result = reports.get(reporter).atMs() < oldestMs ? result.without(reporter) : result;
+    }
+    return result;
+  }
+
+  private DemandTable without(InstanceId reporter) {
+    Report old = reports.get(reporter);
+    return old == null
+        ? this
+        : new DemandTable(reports.minus(reporter), added(slots, old.models(), -1));
+  }
+
+  private static PMap<ModelId, Integer> added(
+      PMap<ModelId, Integer> sums, List<ModelDemand> models, int sign) {
+    PMap<ModelId, Integer> result = sums;
+    for (ModelDemand demand : models) {
+      int sum = result.getOrDefault(demand.model(), 0) + sign * demand.slots();
+      result = sum == 0 ? result.minus(demand.model()) : result.plus(demand.model(), sum);
+    }
+    return result;
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/placement/ModelSupply.java
@@ -0,0 +1,78 @@
+package org.limpetdoor.core.placement;
+
+import java.util.Set;
+import org.limpetdoor.core.config.Model;
+import org.limpetdoor.core.decision.PlanBasis;
+import org.limpetdoor.core.id.ZoneId;
+
+/**
+ * Replicas of a model against what is required and asked of them.
+ *
+ * @param model the model
+ * @param serving replicas that are confirmed
+ * @param loading replicas that are ordered and not confirmed
+ * @param unavailable replicas, serving or loading, at engines that are out of service
+ * @param zones zones of the other replicas; two are enough to know
+ * @param slots slots of one replica, taken from the first
+ * @param trend course of the demand
+ */
+record ModelSupply(
+    Model model,
+    int serving,
+    int loading,
+    int unavailable,
+    Set<ZoneId> zones,
+    int slots,
+    DemandTrend trend) {
+  /** Part of the slots above which another replica is loaded. */
+  static final double HIGH_LOAD = 0.8;
+
+  /**
+   * Part of the remaining slots below which a replica is surplus. It is far below {@link
+   * #HIGH_LOAD}, so that a replica is not loaded and unloaded in turn.
+   */
+  static final double LOW_LOAD = 0.4;
+
+  ModelSupply {
+    zones = Set.copyOf(zones);
+  }
+
+  int usable() {
+    return serving + loading - unavailable;
+  }
+
+  /** Returns the replicas that the minimum lacks; a second zone counts as one. */
+  int belowMinimum() {
+    int missing = Math.max(0, model.minReplicas() - usable());
+    boolean oneZone = model.minReplicas() > 1 && zones.size() < 2;
+    return oneZone ? Math.max(1, missing) : missing;
+  }
+
+  /** Returns the replicas that the expected demand lacks. */
+  int belowDemand() {
+    int wanted = (int) Math.ceil(trend.projected() / (HIGH_LOAD * slots));
+    return usable() < 1 ? 0 : Math.max(0, wanted - usable());
+  }
+
+  /** Returns whether a new replica has to be in another zone than the others. */
+  boolean needsOtherZone() {
+    return model.minReplicas() > 1 && zones.size() == 1 && usable() + 1 >= model.minReplicas();
+  }
+
+  /** Returns whether the confirmed replicas suffice without one of them. */
+  boolean hasSurplus() {
+    int left = serving - unavailable - 1;
+    return left >= model.minReplicas() && trend.peak() <= LOW_LOAD * slots * left;
+  }
+
+  PlanBasis basis(long freeMib) {
+    return new PlanBasis(
+        serving,
+        loading,
+        unavailable,
+        model.minReplicas(),
+        trend.projected(),
+        (int) Math.ceil(trend.peak()),
+        freeMib);
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/placement/OrderEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/placement/OrderEvents.java
@@ -14,6 +14,7 @@
 import org.limpetdoor.core.config.Engine;
 import org.limpetdoor.core.decision.PlacementDecision;
 import org.limpetdoor.core.decision.PlacementReason;
+import org.limpetdoor.core.decision.PlanBasis;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.event.InventoryReported;
@@ -47,13 +48,14 @@
       ModelId model,
       int memoryMib,
       PlacementAction action,
-      PlacementReason reason) {
+      PlacementReason reason,
+      Optional<PlanBasis> basis) {
     int shard = Shards.of(engine);
     long epoch = state.coordination().leases().ownEpoch(shard).orElseThrow();
     OrderBook book = OrderSteps.book(state);
     String intentId = state.self().appender() + "/" + (book.lastIntent() + 1);
     NodeState noted = OrderSteps.withBook(state, book.withSubmitted(intentId, state.nowMs()));
-    PlacementDecision decision = new PlacementDecision(engine, model, intentId, reason);
+    PlacementDecision decision = new PlacementDecision(engine, model, intentId, reason, basis);
     return Transition.<NodeState, Effect>of(noted, new RecordDecision(decision))
         .then(
             s ->
@@ -154,11 +156,14 @@
     PendingOrder pending = new PendingOrder(intent.id(), OrderPhase.SENT, state.nowMs());
     UnsettledOrder order = new UnsettledOrder(configured(state, engine), intent, pending);
     boolean inTime = ageMs < OrderSteps.SEND_WINDOW_MS;
-    if (inTime && LeaseEvents.holds(state, Shards.of(engine))) {
-      return OrderSteps.send(state, order, ageMs);
+    if (!inTime || !LeaseEvents.holds(state, Shards.of(engine))) {
+      return OrderSteps.abandon(
+          state, order, AbandonProof.NEVER_SENT, PlacementReason.SEND_WINDOW_PASSED);
     }
-    return OrderSteps.abandon(
-        state, order, AbandonProof.NEVER_SENT, PlacementReason.SEND_WINDOW_PASSED);
+    if (intent.load() && StoreShares.room(state, engine, intent.offset()) < 1) {
+      return OrderSteps.abandon(state, order, AbandonProof.NEVER_SENT, PlacementReason.STORE_BUSY);
+    }
+    return OrderSteps.send(state, order, ageMs);
   }
 
   private static Transition<NodeState, Effect> answered(
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/placement/OrderSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/placement/OrderSteps.java
@@ -178,6 +178,10 @@
   private static Effect decision(UnsettledOrder order, PlacementReason reason) {
     return new RecordDecision(
         new PlacementDecision(
-            order.engine().id(), order.intent().model(), order.intent().id(), reason));
+            order.engine().id(),
+            order.intent().model(),
+            order.intent().id(),
+            reason,
+            Optional.empty()));
   }
 }
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/placement/Planner.java
@@ -0,0 +1,183 @@
+package org.limpetdoor.core.placement;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.agreed.EngineAccount;
+import org.limpetdoor.core.agreed.PlacementAction;
+import org.limpetdoor.core.config.Model;
+import org.limpetdoor.core.decision.PlacementReason;
+import org.limpetdoor.core.decision.PlanBasis;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.ModelId;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * Plans for the engines of own shards. One look costs the models plus, for each model that lacks
+ * replicas, the engines of own shards.
+ */
+public final class Planner {
+  private Planner() {}
+
+  /** Looks once at all models. */
+  public static Transition<NodeState, Effect> tick(NodeState state) {
+    if (!LeaseEvents.followsLog(state)) {
+      return Transition.of(state);
+    }
+    NodeState seen = withStarts(DemandEvents.observed(state));
+    if (LeaseEvents.heldShards(seen).isEmpty()) {
+      return Transition.of(seen);
+    }
+    PlacementView view = PlacementView.of(seen);
+    List<Shortage> shortages = Shortage.all(view);
+    NodeState noted = withShortages(seen, shortages);
+    return hasUnreadIntent(noted) ? Transition.of(noted) : plan(noted, view, shortages);
+  }
+
+  private static Transition<NodeState, Effect> plan(
+      NodeState state, PlacementView view, List<Shortage> shortages) {
+    List<Integer> shards = state.agreed().ledger().engines().keySet().stream().sorted().toList();
+    PlanRun run = PlanRun.start(state);
+    for (Shortage shortage : shortages) {
+      long ageMs = ageMs(state, shortage);
+      int left = shortage.missing();
+      for (int shard : LeaseEvents.heldShards(state)) {
+        int position = shards.indexOf(shard);
+        if (left > 0 && position >= 0 && shortage.isTurnOf(position, shards.size(), ageMs)) {
+          PlanRun next = planShard(run, view, shortage, shard);
+          left -= next.equals(run) ? 0 : 1;
+          run = next;
+        }
+      }
+    }
+    return run.result();
+  }
+
+  private static PlanRun planShard(PlanRun run, PlacementView view, Shortage shortage, int shard) {
+    Comparator<BackendId> byRoom =
+        Comparator.comparing((BackendId e) -> !isKnownZone(view, shortage, e))
+            .thenComparing(view::freeMib)
+            .thenComparing(Comparator.reverseOrder());
+    List<BackendId> engines =
+        view.state().agreed().ledger().enginesOf(shard).stream()
+            .filter(engine -> mayTake(run, view, shortage, engine))
+            .sorted(byRoom.reversed())
+            .toList();
+    int neededMib = shortage.supply().model().memoryMib();
+    Optional<BackendId> roomy =
+        engines.stream().filter(engine -> view.freeMib(engine) >= neededMib).findFirst();
+    return roomy
+        .map(engine -> load(run, view, shortage, engine))
+        .orElseGet(() -> makeRoom(run, view, engines, neededMib));
+  }
+
+  private static boolean mayTake(
+      PlanRun run, PlacementView view, Shortage shortage, BackendId engine) {
+    EngineAccount account = view.state().agreed().ledger().account(engine);
+    boolean wrongZone =
+        shortage.refusesKnownZone(ageMs(run.result().state(), shortage))
+            && isKnownZone(view, shortage, engine);
+    return !wrongZone
+        && !view.unavailable().contains(engine)
+        && !run.engines().contains(engine)
+        && account.pending().isEmpty()
+        && account.unpriced().isEmpty()
+        && !account.bookings().containsKey(shortage.supply().model().id())
+        && run.mayLoad(engine);
+  }
+
+  private static PlanRun load(
+      PlanRun run, PlacementView view, Shortage shortage, BackendId engine) {
+    Model model = shortage.supply().model();
+    PlanBasis basis = shortage.supply().basis(view.freeMib(engine));
+    return run.loaded(
+        OrderEvents.intend(
+            run.result().state(),
+            engine,
+            model.id(),
+            model.memoryMib(),
+            PlacementAction.LOAD,
+            shortage.reason(),
+            Optional.of(basis)),
+        engine);
+  }
+
+  /** Unloads one replica that is not needed, if the model fits then. */
+  private static PlanRun makeRoom(
+      PlanRun run, PlacementView view, List<BackendId> engines, int neededMib) {
+    for (BackendId engine : engines) {
+      EngineAccount account = view.state().agreed().ledger().account(engine);
+      Optional<ModelId> surplus =
+          account.bookings().keySet().stream()
+              .filter(m -> view.freeMib(engine) + account.bookings().get(m) >= neededMib)
+              .filter(m -> !run.unloaded().contains(m) && view.isSurplus(m, engine))
+              .min(Comparator.comparing((ModelId m) -> peak(view, m)).thenComparing(m -> m));
+      if (surplus.isPresent()) {
+        return unload(run, view, engine, surplus.get());
+      }
+    }
+    return run;
+  }
+
+  private static PlanRun unload(PlanRun run, PlacementView view, BackendId engine, ModelId model) {
+    Optional<PlanBasis> basis =
+        Optional.ofNullable(view.state().configuration().models().get(model))
+            .map(known -> view.supplyOf(known).basis(view.freeMib(engine)));
+    return run.unloaded(
+        OrderEvents.intend(
+            run.result().state(),
+            engine,
+            model,
+            0,
+            PlacementAction.UNLOAD,
+            PlacementReason.SURPLUS,
+            basis),
+        engine,
+        model);
+  }
+
+  private static boolean isKnownZone(PlacementView view, Shortage shortage, BackendId engine) {
+    return shortage.supply().zones().contains(view.zoneOf(engine));
+  }
+
+  private static double peak(PlacementView view, ModelId model) {
+    return DemandEvents.planner(view.state()).trendOf(model).peak();
+  }
+
+  /** Intents that are not read back are missing in the ledger, so the next look waits for them. */
+  private static boolean hasUnreadIntent(NodeState state) {
+    return OrderSteps.book(state).submittedMs().values().stream()
+        .anyMatch(ms -> state.nowMs() - ms < OrderSteps.SEND_WINDOW_MS);
+  }
+
+  /** A shard that was just taken over waits, because its earlier holder may just have loaded. */
+  private static NodeState withStarts(NodeState state) {
+    PlannerState planner = DemandEvents.planner(state);
+    PMap<Integer, Long> next = HashTreePMap.empty();
+    for (int shard : LeaseEvents.heldShards(state)) {
+      long freshMs = state.nowMs() + StoreShares.loadIntervalMs(state);
+      next = next.plus(shard, planner.nextLoadMs().getOrDefault(shard, freshMs));
+    }
+    return DemandEvents.withPlanner(state, planner.withNextLoadMs(next));
+  }
+
+  private static NodeState withShortages(NodeState state, List<Shortage> shortages) {
+    PlannerState planner = DemandEvents.planner(state);
+    PMap<ModelId, Long> since = HashTreePMap.empty();
+    for (Shortage shortage : shortages) {
+      ModelId model = shortage.supply().model().id();
+      since = since.plus(model, planner.shortSinceMs().getOrDefault(model, state.nowMs()));
+    }
+    return DemandEvents.withPlanner(state, planner.withShortSinceMs(since));
+  }
+
+  private static long ageMs(NodeState state, Shortage shortage) {
+    ModelId model = shortage.supply().model().id();
+    long sinceMs = DemandEvents.planner(state).shortSinceMs().getOrDefault(model, state.nowMs());
+    return state.nowMs() - sinceMs;
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/placement/PlannerState.java
@@ -0,0 +1,60 @@
+package org.limpetdoor.core.placement;
+
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.ModelId;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * What the planner remembers between two looks.
+ *
+ * @param demand reported demand
+ * @param trends course of the demand for each model that has or had some
+ * @param sampledMs when the demand was last sampled
+ * @param nextLoadMs time from which an own shard may start its next load
+ * @param unreachableSinceMs when an engine was first seen to be unreachable
+ * @param shortSinceMs when a model was first seen to lack replicas
+ */
+public record PlannerState(
+    DemandTable demand,
+    PMap<ModelId, DemandTrend> trends,
+    long sampledMs,
+    PMap<Integer, Long> nextLoadMs,
+    PMap<BackendId, Long> unreachableSinceMs,
+    PMap<ModelId, Long> shortSinceMs) {
+
+  /** The memory of an instance that has just started. */
+  public static final PlannerState START =
+      new PlannerState(
+          DemandTable.EMPTY,
+          HashTreePMap.empty(),
+          0,
+          HashTreePMap.empty(),
+          HashTreePMap.empty(),
+          HashTreePMap.empty());
+
+  /** Returns the course of the demand for a model. */
+  public DemandTrend trendOf(ModelId model) {
+    return trends.getOrDefault(model, DemandTrend.NONE);
+  }
+
+  PlannerState withDemand(DemandTable value) {
+    return new PlannerState(value, trends, sampledMs, nextLoadMs, unreachableSinceMs, shortSinceMs);
+  }
+
+  PlannerState withTrends(PMap<ModelId, DemandTrend> value, long nowMs) {
+    return new PlannerState(demand, value, nowMs, nextLoadMs, unreachableSinceMs, shortSinceMs);
+  }
+
+  PlannerState withNextLoadMs(PMap<Integer, Long> value) {
+    return new PlannerState(demand, trends, sampledMs, value, unreachableSinceMs, shortSinceMs);
+  }
+
+  PlannerState withUnreachableSinceMs(PMap<BackendId, Long> value) {
+    return new PlannerState(demand, trends, sampledMs, nextLoadMs, value, shortSinceMs);
+  }
+
+  PlannerState withShortSinceMs(PMap<ModelId, Long> value) {
+    return new PlannerState(demand, trends, sampledMs, nextLoadMs, unreachableSinceMs, value);
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/placement/Shortage.java
@@ -0,0 +1,67 @@
+package org.limpetdoor.core.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.limpetdoor.core.agreed.Shards;
+import org.limpetdoor.core.config.Model;
+import org.limpetdoor.core.decision.PlacementReason;
+
+/**
+ * A model that lacks replicas.
+ *
+ * @param supply its replicas
+ * @param missing replicas that it lacks, at least 1
+ * @param reason why
+ */
+record Shortage(ModelSupply supply, int missing, PlacementReason reason) {
+  /** Time after which twice as many shards look for room, in milliseconds. */
+  private static final long TURN_MS = 1_000;
+
+  /** All shards of {@link Shards#COUNT} have their turn after this number of doublings. */
+  private static final int MAX_DOUBLINGS = 6;
+
+  /** Time after which a replica in the same zone is better than none, in milliseconds. */
+  private static final long ZONE_PATIENCE_MS = 30_000;
+
+  /** Returns all shortages: models without a replica first, then minimums, then demand. */
+  static List<Shortage> all(PlacementView view) {
+    List<Shortage> result = new ArrayList<>();
+    for (Model model : view.state().configuration().models().values()) {
+      ModelSupply supply = view.supplyOf(model);
+      if (supply.belowMinimum() > 0) {
+        result.add(new Shortage(supply, supply.belowMinimum(), PlacementReason.BELOW_MINIMUM));
+      } else if (supply.belowDemand() > 0) {
+        result.add(new Shortage(supply, supply.belowDemand(), PlacementReason.DEMAND));
+      }
+    }
+    Comparator<Shortage> order =
+        Comparator.comparing((Shortage s) -> s.supply().usable() > 0)
+            .thenComparing(Shortage::reason)
+            .thenComparing(s -> -s.missing())
+            .thenComparing(s -> s.supply().model().id());
+    result.sort(order);
+    return result;
+  }
+
+  /**
+   * Returns whether a shard may act. Holders see the same shortage at the same time; as many shards
+   * as replicas are missing act first, and others follow only if these found no room.
+   *
+   * @param position position of the shard among the shards with engines
+   * @param shards number of shards with engines
+   * @param ageMs how long the shortage has been seen
+   */
+  boolean isTurnOf(int position, int shards, long ageMs) {
+    int first = (int) Long.remainderUnsigned(Shards.hash(supply.model().id().value()), shards);
+    int distance = Math.floorMod(position - first, shards);
+    long width = (long) missing << Math.min(ageMs / TURN_MS, MAX_DOUBLINGS);
+    return distance < width;
+  }
+
+  /** Returns whether a replica in the zone of the others would not help. */
+  boolean refusesKnownZone(long ageMs) {
+    boolean tooFew = supply.usable() < supply.model().minReplicas();
+    return supply.needsOtherZone() && !(tooFew && ageMs >= ZONE_PATIENCE_MS);
+  }
+}
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/placement/OrderTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/placement/OrderTest.java
@@ -61,7 +61,7 @@
   @BeforeEach
   void holdAllLeases() {
     event(new InstanceStarted(nowMs));
-    other(Fleet.publication(2, 3, 1));
+    other(Fleet.publication(2, 2, 1));
     run(1);
     assertThat(LeaseEvents.holds(state, Shards.of(CHECKING))).isTrue();
     assertThat(LeaseEvents.holds(state, Shards.of(IGNORING))).isTrue();
@@ -196,7 +196,14 @@
       other(new InventoryBooked(shard, epoch, twin, booked, nextOffset));
     }
     apply(
-        OrderEvents.intend(state, engine, model, Fleet.MODEL_MIB, action, PlacementReason.DEMAND));
+        OrderEvents.intend(
+            state,
+            engine,
+            model,
+            Fleet.MODEL_MIB,
+            action,
+            PlacementReason.DEMAND,
+            Optional.empty()));
   }
 
   private EngineAccount account(BackendId engine) {
--- /dev/null
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/placement/PlannerTest.java
@@ -0,0 +1,312 @@
+package org.limpetdoor.core.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.NodeReducer;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.agreed.AppendId;
+import org.limpetdoor.core.agreed.Envelope;
+import org.limpetdoor.core.agreed.Fleet;
+import org.limpetdoor.core.agreed.LogRecord.ConfigurationPublished;
+import org.limpetdoor.core.agreed.PlacementAction;
+import org.limpetdoor.core.agreed.StoredRecord;
+import org.limpetdoor.core.config.Configuration;
+import org.limpetdoor.core.config.ConfigurationPatch;
+import org.limpetdoor.core.config.Model;
+import org.limpetdoor.core.config.PlatformLimits;
+import org.limpetdoor.core.decision.PlacementDecision;
+import org.limpetdoor.core.decision.PlacementReason;
+import org.limpetdoor.core.effect.AppendRecord;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.RecordDecision;
+import org.limpetdoor.core.effect.RequestInventory;
+import org.limpetdoor.core.effect.SendOrder;
+import org.limpetdoor.core.event.DemandReported;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.InstanceStarted;
+import org.limpetdoor.core.event.InventoryReported;
+import org.limpetdoor.core.event.OrderAnswered;
+import org.limpetdoor.core.event.RecordsRead;
+import org.limpetdoor.core.event.TimerFired;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.id.ModelId;
+import org.limpetdoor.core.id.ZoneId;
+
+/** One instance holds all leases; engine i is in zone i mod 3 and takes two models. */
+class PlannerTest {
+  private static final InstanceId SELF = new InstanceId("a");
+  private static final int STORE_LOADS = 3;
+
+  private final List<SendOrder> orders = new ArrayList<>();
+  private final List<PlacementDecision> plans = new ArrayList<>();
+  private final List<RequestInventory> questions = new ArrayList<>();
+  private final List<Envelope> unread = new ArrayList<>();
+  private boolean answering = true;
+  private final Map<BackendId, Set<ModelId>> held = new HashMap<>();
+  private int answered;
+  private int demandSlots;
+  private ModelId demanded = Fleet.modelId(0);
+  private long nextOffset;
+  private long nowMs = 5_000;
+  private NodeState state = NodeState.initial(new NodeState.Self(SELF, 1, new ZoneId("zone-0")));
+
+  /** Guards against models that one zone failure takes away. */
+  @Test
+  void minimumIsLoadedInDifferentZones() {
+    start(6, 3, 2, 100);
+    run(30);
+    for (int i = 0; i < 3; i++) {
+      assertThat(zones(Fleet.modelId(i)).size()).isAtLeast(2);
+    }
+    PlacementDecision plan = plans.get(0);
+    assertThat(plan.reason()).isEqualTo(PlacementReason.BELOW_MINIMUM);
+    assertThat(plan.basis().orElseThrow().minimum()).isEqualTo(2);
+    assertThat(plan.basis().orElseThrow().serving()).isEqualTo(1);
+  }
+
+  /** Guards against more replicas than required, loaded by shards that act at the same time. */
+  @Test
+  void shortageIsFilledOnce() {
+    start(9, 3, 2, 100);
+    run(60);
+    assertThat(orders).hasSize(3);
+  }
+
+  /** Guards against models that stay unreachable after their engine died. */
+  @Test
+  void modelsOfUnreachableEngineAreLoadedElsewhere() {
+    start(4, 2, 1, 100);
+    run(5);
+    assertThat(orders).isEmpty();
+    unreachable(0, nowMs + 300_000);
+    run(8);
+    assertThat(orders).isEmpty();
+    run(20);
+    assertThat(state.agreed().replicas(Fleet.modelId(0)).size()).isEqualTo(2);
+    assertThat(state.agreed().replicas(Fleet.modelId(1)).size()).isEqualTo(1);
+  }
+
+  /** Guards against an engine that takes its models with it when it leaves. */
+  @Test
+  void modelsOfLeavingEngineAreLoadedElsewhere() {
+    start(4, 2, 1, 100);
+    state =
+        state.withBackends(state.backends().update(Fleet.engineId(0), b -> b.withLeaving(true)));
+    run(20);
+    assertThat(state.agreed().replicas(Fleet.modelId(0)).size()).isEqualTo(2);
+  }
+
+  /** Guards against replicas that come only when the present ones are full. */
+  @Test
+  void growingDemandLoadsAheadOfNeed() {
+    start(6, 1, 1, 100);
+    run(5);
+    for (int slots = 1; slots <= 3; slots++) {
+      demandSlots = slots;
+      run(2);
+    }
+    assertThat(plans).isNotEmpty();
+    assertThat(plans.get(0).reason()).isEqualTo(PlacementReason.DEMAND);
+    assertThat(demandSlots).isAtMost(3);
+  }
+
+  /** Guards against replicas that move with each burst of two models that share the engines. */
+  @Test
+  void alternatingBurstsMoveNothingAfterTheFirst() {
+    start(4, 4, 1, 100);
+    demandSlots = 12;
+    run(20);
+    demanded = Fleet.modelId(1);
+    run(20);
+    assertThat(orders).hasSize(4);
+    for (int burst = 0; burst < 6; burst++) {
+      demanded = Fleet.modelId(burst % 2);
+      run(12);
+    }
+    assertThat(orders).hasSize(4);
+  }
+
+  /** Guards against memory that stays with a quiet model, and against one unloaded for good. */
+  @Test
+  void surplusMakesRoomOnlyWhileAnotherReplicaServes() {
+    start(2, 2, 1, 100);
+    demandSlots = 8;
+    run(20);
+    assertThat(state.agreed().replicas(Fleet.modelId(0)).size()).isEqualTo(2);
+    demanded = Fleet.modelId(1);
+    run(20);
+    assertThat(state.agreed().replicas(Fleet.modelId(1)).size()).isEqualTo(2);
+    forget();
+    publishModel(2);
+    run(200);
+    assertThat(orders.stream().filter(o -> o.action() == PlacementAction.UNLOAD).count())
+        .isEqualTo(1);
+    for (int i = 0; i < 3; i++) {
+      assertThat(state.agreed().replicas(Fleet.modelId(i))).isNotEmpty();
+    }
+  }
+
+  /** Guards against a weight store that slows down because all shards load at once. */
+  @Test
+  void loadsKeepConcurrencyOfTheWeightStore() {
+    answering = false;
+    start(12, 10, 2, 100);
+    run(20);
+    assertThat(orders).isNotEmpty();
+    assertThat(orders.size()).isAtMost(STORE_LOADS);
+    answering = true;
+    run(20);
+    assertThat(orders.size()).isGreaterThan(STORE_LOADS);
+  }
+
+  /** Guards against an engine that dies while loading and blocks the loads of others for good. */
+  @Test
+  void loadsWithoutAnswerGiveTheirPartBack() {
+    answering = false;
+    start(12, 10, 2, 100);
+    run(20);
+    int stuck = orders.size();
+    run(60);
+    assertThat(orders.stream().filter(o -> o.action() == PlacementAction.LOAD).count())
+        .isGreaterThan((long) stuck);
+  }
+
+  /** Guards against more loads in a time than the weight store starts. */
+  @Test
+  void loadsKeepRateOfTheWeightStore() {
+    start(12, 10, 2, 0.5);
+    for (int second = 1; second <= 60; second++) {
+      run(1);
+      assertThat(orders.size()).isAtMost((second + 1) / 2);
+    }
+    assertThat(orders).isNotEmpty();
+  }
+
+  private void start(int engines, int models, int minReplicas, double storeRate) {
+    event(new InstanceStarted(nowMs));
+    ConfigurationPublished fleet = Fleet.publication(engines, models, minReplicas);
+    Configuration content =
+        fleet
+            .patch()
+            .applyTo(Configuration.EMPTY)
+            .withLimits(new PlatformLimits(storeRate, STORE_LOADS, 25, Fleet.MAX_ORDER_DELAY_MS));
+    publish(ConfigurationPatch.of(content));
+    run(1);
+    assertThat(LeaseEvents.heldShards(state)).isNotEmpty();
+  }
+
+  private void publishModel(int number) {
+    Model model = Fleet.model(number, 1);
+    List<Model> models = new ArrayList<>(state.configuration().models().values());
+    models.add(model);
+    Configuration next = state.configuration().withModels(models);
+    publish(ConfigurationPatch.between(state.configuration(), next));
+  }
+
+  private void publish(ConfigurationPatch patch) {
+    long base = state.agreed().configurationVersion();
+    store(
+        new Envelope(
+            new AppendId("operator", nextOffset + 1),
+            new ConfigurationPublished(base, "operator", patch)));
+  }
+
+  private void unreachable(int engine, long untilMs) {
+    state =
+        state.withBackends(
+            state
+                .backends()
+                .update(Fleet.engineId(engine), b -> b.withUnreachableUntilMs(untilMs)));
+  }
+
+  private Set<ZoneId> zones(ModelId model) {
+    Set<ZoneId> zones = new HashSet<>();
+    for (BackendId engine : new TreeSet<>(state.agreed().replicas(model))) {
+      zones.add(state.configuration().engines().get(engine).zone());
+    }
+    return zones;
+  }
+
+  private void run(int seconds) {
+    for (int i = 0; i < seconds; i++) {
+      nowMs += 1_000;
+      event(new RecordsRead(nowMs, List.of()));
+      event(new DemandReported(nowMs, SELF, List.of(new ModelDemand(demanded, demandSlots, 0))));
+      event(new TimerFired(nowMs));
+      settle();
+    }
+  }
+
+  /** Reads own records back and answers orders until nothing is left to do. */
+  private void settle() {
+    while (!questions.isEmpty() && answering) {
+      tell(questions.remove(0));
+    }
+    while (!unread.isEmpty() || (answering && answered < orders.size())) {
+      if (!unread.isEmpty()) {
+        store(unread.remove(0));
+      } else {
+        carryOut(orders.get(answered++));
+      }
+    }
+  }
+
+  private void carryOut(SendOrder order) {
+    Set<ModelId> models = held.computeIfAbsent(order.engine(), this::initialModels);
+    if (order.action() == PlacementAction.LOAD) {
+      models.add(order.model().orElseThrow());
+    } else {
+      order.model().ifPresent(models::remove);
+    }
+    event(new OrderAnswered(nowMs, order.orderId(), OrderAnswer.DONE));
+  }
+
+  private Set<ModelId> initialModels(BackendId engine) {
+    return new HashSet<>(state.configuration().engines().get(engine).initialModels());
+  }
+
+  private void tell(RequestInventory question) {
+    List<HeldModel> models =
+        held.computeIfAbsent(question.engine(), this::initialModels).stream()
+            .map(model -> new HeldModel(model, Fleet.MODEL_MIB, true))
+            .toList();
+    event(new InventoryReported(nowMs, question.engine(), question.query(), models));
+  }
+
+  private void forget() {
+    orders.clear();
+    answered = 0;
+  }
+
+  private void store(Envelope envelope) {
+    event(new RecordsRead(nowMs, List.of(new StoredRecord(nextOffset++, envelope))));
+  }
+
+  private void event(Event event) {
+    Transition<NodeState, Effect> transition = new NodeReducer().reduce(state, event);
+    state = transition.state();
+    for (Effect effect : transition.effects()) {
+      if (effect instanceof AppendRecord append) {
+        unread.add(append.envelope());
+      } else if (effect instanceof SendOrder order) {
+        orders.add(order);
+      } else if (effect instanceof RequestInventory question) {
+        questions.add(question);
+      } else if (effect instanceof RecordDecision recorded
+          && recorded.decision() instanceof PlacementDecision plan
+          && plan.basis().isPresent()) {
+        plans.add(plan);
+      }
+    }
+  }
+}
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/AgreementPropertyTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/AgreementPropertyTest.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.limpetdoor.core.agreed.AppendId;
 import org.limpetdoor.core.agreed.EngineAccount;
@@ -136,7 +137,13 @@
     ModelId model = Fleet.modelId(world.random.nextInt(MODELS));
     node.apply(
         OrderEvents.intend(
-            node.state, engine, model, Fleet.MODEL_MIB, action, PlacementReason.DEMAND));
+            node.state,
+            engine,
+            model,
+            Fleet.MODEL_MIB,
+            action,
+            PlacementReason.DEMAND,
+            Optional.empty()));
   }
 
   private void disturb() {
@@ -189,7 +196,7 @@
               List.of(),
               List.of(),
               List.of(),
-              java.util.Optional.empty(),
+              Optional.empty(),
               ConfigurationPatch.Removals.NONE);
       world.log.append(
           new Envelope(
