--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/placement/PlannerTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/placement/PlannerTest.java
@@ -21,6 +21,7 @@
 import org.limpetdoor.core.agreed.StoredRecord;
 import org.limpetdoor.core.config.Configuration;
 import org.limpetdoor.core.config.ConfigurationPatch;
+import org.limpetdoor.core.config.Engine;
 import org.limpetdoor.core.config.Model;
 import org.limpetdoor.core.config.PlatformLimits;
 import org.limpetdoor.core.decision.PlacementDecision;
@@ -51,6 +52,7 @@
   private final List<PlacementDecision> plans = new ArrayList<>();
   private final List<RequestInventory> questions = new ArrayList<>();
   private final List<Envelope> unread = new ArrayList<>();
+  private boolean reading = true;
   private boolean answering = true;
   private final Map<BackendId, Set<ModelId>> held = new HashMap<>();
   private int answered;
@@ -74,6 +76,35 @@
     assertThat(plan.basis().orElseThrow().serving()).isEqualTo(1);
   }
 
+  /** Guards against enough replicas that are all in one zone. */
+  @Test
+  void secondZoneIsAddedToEnoughReplicas() {
+    start(6, 1, 2, 100);
+    run(10);
+    Configuration content = state.configuration();
+    List<Engine> engines = new ArrayList<>(content.engines().values());
+    engines.add(Fleet.engine(6, List.of(Fleet.modelId(1))));
+    engines.add(Fleet.engine(9, List.of(Fleet.modelId(1))));
+    Model model = Fleet.model(1, 2);
+    publish(
+        ConfigurationPatch.between(
+            content, content.withModels(List.of(model)).withEngines(engines)));
+    assertThat(zones(model.id())).hasSize(1);
+    run(10);
+    assertThat(zones(model.id())).hasSize(2);
+    assertThat(state.agreed().replicas(model.id())).hasSize(3);
+  }
+
+  /** Guards against a second load of the same model while the first intent is on its way. */
+  @Test
+  void planWaitsUntilIntentsAreReadBack() {
+    start(9, 3, 2, 100);
+    reading = false;
+    run(4);
+    assertThat(plans).isNotEmpty();
+    assertThat(plans.size()).isAtMost(3);
+  }
+
   /** Guards against more replicas than required, loaded by shards that act at the same time. */
   @Test
   void shortageIsFilledOnce() {
@@ -249,6 +280,9 @@
 
   /** Reads own records back and answers orders until nothing is left to do. */
   private void settle() {
+    if (!reading) {
+      return;
+    }
     while (!questions.isEmpty() && answering) {
       tell(questions.remove(0));
     }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/placement/PlanningRulesTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/placement/PlanningRulesTest.java
@@ -26,6 +26,16 @@
         .isEqualTo(64);
   }
 
+  /** Guards against an unload that leaves too few replicas for the minimum or the demand. */
+  @Test
+  void replicaIsSurplusOnlyAboveMinimumAndDemand() {
+    assertThat(supply(2, 0, 0).hasSurplus()).isFalse();
+    assertThat(supply(3, 1, 0).hasSurplus()).isFalse();
+    assertThat(supply(3, 0, 0).hasSurplus()).isTrue();
+    assertThat(supply(3, 0, 3).hasSurplus()).isTrue();
+    assertThat(supply(3, 0, 4).hasSurplus()).isFalse();
+  }
+
   /** Guards against parts that add up to more than the limit. */
   @Test
   void partsAddUpToTheLimit() {
@@ -52,4 +62,9 @@
   private DemandTable.Report report(long atMs, int slots) {
     return new DemandTable.Report(atMs, List.of(new ModelDemand(MODEL, slots, 0)));
   }
+
+  private static ModelSupply supply(int serving, int unavailable, int peakSlots) {
+    DemandTrend trend = new DemandTrend(0, 0, peakSlots);
+    return new ModelSupply(Fleet.model(0, 2), serving, 1, unavailable, Set.of(), 4, trend);
+  }
 }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/AgreementPropertyTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/AgreementPropertyTest.java
@@ -100,7 +100,10 @@
     }
   }
 
-  /** After the faults every order is settled and the ledger tells what the engines hold. */
+  /**
+   * After the faults every model is served, every order is settled and the ledger tells what the
+   * engines hold.
+   */
   private void checkSettled() {
     for (SimulatedNode node : world.nodes) {
       if (!node.crashed) {
@@ -108,6 +111,9 @@
         assertThat(node.state.agreed()).isEqualTo(world.log.foldAt(offset));
       }
     }
+    for (int i = 0; i < MODELS; i++) {
+      assertThat(world.log.head().replicas(Fleet.modelId(i))).isNotEmpty();
+    }
     for (FakeEngine engine : world.engines.values()) {
       EngineAccount account = world.log.head().ledger().account(engine.configured.id());
       assertWithMessage("pending of %s", engine.configured.id()).that(account.pending()).isEmpty();
