--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/ControlTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/ControlTick.java
@@ -7,6 +7,7 @@
 import org.limpetdoor.core.membership.PeerEvents;
 import org.limpetdoor.core.placement.LeaseEvents;
 import org.limpetdoor.core.placement.OrderEvents;
+import org.limpetdoor.core.placement.Planner;
 
 /** Reduces the regular look at leases, orders and placement. */
 final class ControlTick {
@@ -25,6 +26,7 @@
     return Transition.<NodeState, Effect>of(state.withTimers(state.timers().plus(next)))
         .then(LeaseEvents::tick)
         .then(OrderEvents::tick)
+        .then(Planner::tick)
         .then(LimitEvents::tick)
         .then(PeerEvents::tick)
         .then(AgreedEvents::snapshotIfDue);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -12,6 +12,7 @@
 import org.limpetdoor.core.event.BackendLeaving;
 import org.limpetdoor.core.event.BackendReported;
 import org.limpetdoor.core.event.CallerDisconnected;
+import org.limpetdoor.core.event.DemandReported;
 import org.limpetdoor.core.event.DrainRequested;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.InstanceStarted;
@@ -26,6 +27,7 @@
 import org.limpetdoor.core.event.TimerFired;
 import org.limpetdoor.core.membership.MembershipEvents;
 import org.limpetdoor.core.membership.PeerEvents;
+import org.limpetdoor.core.placement.DemandEvents;
 import org.limpetdoor.core.placement.OrderEvents;
 import org.limpetdoor.core.request.RequestEvents;
 
@@ -67,6 +69,8 @@
   ORDER_ANSWERED(OrderAnswered.class, OrderEvents::answered),
   /** {@link InventoryReported}. */
   INVENTORY_REPORTED(InventoryReported.class, OrderEvents::inventoryReported),
+  /** {@link DemandReported}. */
+  DEMAND_REPORTED(DemandReported.class, DemandEvents::reported),
   /** {@link TimerFired}. */
   TIMER_FIRED(TimerFired.class, TimerEvents::fired);
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -12,6 +12,7 @@
         BackendLeaving,
         BackendReported,
         CallerDisconnected,
+        DemandReported,
         DrainRequested,
         InstanceStarted,
         InstancesListed,
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/AgreementPropertyTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/simulation/AgreementPropertyTest.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.limpetdoor.core.agreed.AppendId;
 import org.limpetdoor.core.agreed.EngineAccount;
@@ -89,6 +90,7 @@
           .that(engine.usedMib())
           .isAtMost(Fleet.CAPACITY_MIB);
     }
+    assertThat(world.log.head().configurationVersion()).isEqualTo(world.log.winningVersion());
     for (SimulatedNode node : world.nodes) {
       long version = node.state.agreed().configurationVersion();
       Long before = versions.put(node, version);
@@ -98,7 +100,10 @@
     }
   }
 
-  /** After the faults every order is settled and the ledger tells what the engines hold. */
+  /**
+   * After the faults every model is served, every order is settled and the ledger tells what the
+   * engines hold.
+   */
   private void checkSettled() {
     for (SimulatedNode node : world.nodes) {
       if (!node.crashed) {
@@ -106,6 +111,9 @@
         assertThat(node.state.agreed()).isEqualTo(world.log.foldAt(offset));
       }
     }
+    for (int i = 0; i < MODELS; i++) {
+      assertThat(world.log.head().replicas(Fleet.modelId(i))).isNotEmpty();
+    }
     for (FakeEngine engine : world.engines.values()) {
       EngineAccount account = world.log.head().ledger().account(engine.configured.id());
       assertWithMessage("pending of %s", engine.configured.id()).that(account.pending()).isEmpty();
@@ -135,7 +143,13 @@
     ModelId model = Fleet.modelId(world.random.nextInt(MODELS));
     node.apply(
         OrderEvents.intend(
-            node.state, engine, model, Fleet.MODEL_MIB, action, PlacementReason.DEMAND));
+            node.state,
+            engine,
+            model,
+            Fleet.MODEL_MIB,
+            action,
+            PlacementReason.DEMAND,
+            Optional.empty()));
   }
 
   private void disturb() {
@@ -188,7 +202,7 @@
               List.of(),
               List.of(),
               List.of(),
-              java.util.Optional.empty(),
+              Optional.empty(),
               ConfigurationPatch.Removals.NONE);
       world.log.append(
           new Envelope(
