Carry out appends, orders and inventories, and follow the list of instances

The follower reports reads without records as well and waits for 2 s at most, because leases are neither renewed nor claimed after 5 s without a read.

--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
@@ -9,17 +9,22 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.limpetdoor.core.NodeReducer;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.NodeState.Self;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.InstanceStarted;
 import org.limpetdoor.core.event.RecordsRead;
 import org.limpetdoor.core.event.TimerFired;
 import org.limpetdoor.entry.caller.CallerGateway;
 import org.limpetdoor.entry.operator.DrainSwitch;
 import org.limpetdoor.entry.operator.OperatorView;
+import org.limpetdoor.entry.traffic.AgreementEffects;
+import org.limpetdoor.entry.traffic.EntryEffects;
+import org.limpetdoor.entry.traffic.InstanceListPoller;
 import org.limpetdoor.entry.traffic.OpenRequests;
 import org.limpetdoor.entry.traffic.UpstreamEffects;
 import org.limpetdoor.format.json.HostPort;
@@ -51,7 +56,7 @@
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final DecisionRecorder decisions = new DecisionRecorder(metrics);
   private final ScheduledExecutorService scheduler;
-  private final UpstreamEffects effects;
+  private final EntryEffects effects;
   private final ControlLoop<NodeState, Event, Effect> loop;
   private final LogFollower follower;
   private final HttpListener callers;
@@ -66,7 +71,10 @@
     String name = settings.instance().value();
     this.scheduler = trafficThreads(name);
     this.effects =
-        new UpstreamEffects(requests, decisions, scheduler, event -> loop().submit(event));
+        new EntryEffects(
+            new UpstreamEffects(requests, scheduler, this::submit),
+            new AgreementEffects(name, log, scheduler, this::submit),
+            decisions);
     this.loop =
         new ControlLoop<>(
             "control-" + name,
@@ -79,8 +87,12 @@
         new LogFollower(
             "log-" + name, log, read -> loop.submit(atMs -> new RecordsRead(atMs, read)));
     loop.failure().thenAccept(failure -> drain());
+    loop.submit(InstanceStarted::new);
     loop.start();
     follower.start();
+    settings
+        .instanceListAddress()
+        .ifPresent(address -> InstanceListPoller.start(address, scheduler, loop::submit));
     this.operators =
         startOrUndo(
             () -> HttpListener.operators(settings, operatorView(), (DrainSwitch) this::drain),
@@ -198,8 +210,8 @@
   }
 
   /** The effects need the loop, which needs the effects; no event comes before both exist. */
-  private ControlLoop<NodeState, Event, Effect> loop() {
-    return loop;
+  private void submit(Function<Long, Event> event) {
+    loop.submit(event);
   }
 
   private OperatorView operatorView() {
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/ControlCalls.java
@@ -0,0 +1,113 @@
+package org.limpetdoor.entry.traffic;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublisher;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Flow;
+import java.util.concurrent.TimeUnit;
+
+/** Calls of the control interfaces of the platform. They do not block. */
+final class ControlCalls {
+  /** Zones are a few milliseconds apart; two lost packets are still covered. */
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+
+  private static final int STATUS_OK = 200;
+
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final HttpClient client;
+
+  ControlCalls(Executor executor) {
+    this.client =
+        HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(CONNECT_TIMEOUT)
+            .executor(executor)
+            .build();
+  }
+
+  /** Returns the JSON document of an address; fails for each answer that is not one. */
+  CompletableFuture<JsonNode> get(String address, String path, Duration timeout) {
+    return send(request(address, path, timeout).GET().build());
+  }
+
+  /**
+   * Sends a JSON document, once, and returns the answer.
+   *
+   * @param sendBeforeNanos time of {@link System#nanoTime()} from which the document must not leave
+   *     the process any more
+   */
+  CompletableFuture<JsonNode> post(
+      String address,
+      String path,
+      Map<String, Object> document,
+      long sendBeforeNanos,
+      Duration timeout) {
+    return send(
+        request(address, path, timeout)
+            .header("Content-Type", "application/json")
+            .POST(new TimedBody(BodyPublishers.ofByteArray(bytes(document)), sendBeforeNanos))
+            .build());
+  }
+
+  private CompletableFuture<JsonNode> send(HttpRequest request) {
+    return client.sendAsync(request, BodyHandlers.ofByteArray()).thenApply(this::document);
+  }
+
+  private JsonNode document(HttpResponse<byte[]> response) {
+    if (response.statusCode() != STATUS_OK) {
+      throw new InvalidAnswerException("status " + response.statusCode(), null);
+    }
+    try {
+      return mapper.readTree(response.body());
+    } catch (IOException e) {
+      throw new InvalidAnswerException("not JSON", e);
+    }
+  }
+
+  private byte[] bytes(Map<String, Object> document) {
+    try {
+      return mapper.writeValueAsBytes(document);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static HttpRequest.Builder request(String address, String path, Duration timeout) {
+    return HttpRequest.newBuilder(URI.create("http://" + address + path)).timeout(timeout);
+  }
+
+  /**
+   * A body that fails instead of being sent too late. The client asks for it when the connection is
+   * open, so the time for opening it is covered.
+   */
+  private record TimedBody(BodyPublisher body, long sendBeforeNanos) implements BodyPublisher {
+    @Override
+    public long contentLength() {
+      return body.contentLength();
+    }
+
+    @Override
+    public void subscribe(Flow.Subscriber<? super ByteBuffer> subscriber) {
+      long lateNanos = System.nanoTime() - sendBeforeNanos;
+      if (lateNanos < 0) {
+        body.subscribe(subscriber);
+        return;
+      }
+      String message = "too late by " + TimeUnit.NANOSECONDS.toMillis(lateNanos) + " ms";
+      BodyPublishers.ofInputStream(() -> new FailingStream(message)).subscribe(subscriber);
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/EngineControl.java
@@ -0,0 +1,124 @@
+package org.limpetdoor.entry.traffic;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.limpetdoor.core.effect.RequestInventory;
+import org.limpetdoor.core.effect.SendOrder;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.InventoryReported;
+import org.limpetdoor.core.event.OrderAnswered;
+import org.limpetdoor.core.id.ModelId;
+import org.limpetdoor.core.placement.HeldModel;
+import org.limpetdoor.core.placement.OrderAnswer;
+import org.limpetdoor.runtime.decision.LogLine;
+
+/** Sends orders to engines and asks for their inventories. */
+final class EngineControl {
+  /** Loading large weights takes long; after this time the reducer counts an order as lost. */
+  private static final Duration ORDER_TIMEOUT = Duration.ofSeconds(60);
+
+  /** The reducer asks again after two seconds if it waits for the inventory. */
+  private static final Duration INVENTORY_TIMEOUT = Duration.ofSeconds(5);
+
+  private static final Logger LOG = System.getLogger(EngineControl.class.getName());
+
+  private final ControlCalls calls;
+  private final Consumer<Function<Long, Event>> events;
+
+  EngineControl(ControlCalls calls, Consumer<Function<Long, Event>> events) {
+    this.calls = calls;
+    this.events = events;
+  }
+
+  /**
+   * Sends an order unless its time has passed.
+   *
+   * @param receivedNanos time of {@link System#nanoTime()} when the effect was received
+   */
+  void send(SendOrder effect, long receivedNanos) {
+    long sendBeforeNanos = receivedNanos + TimeUnit.MILLISECONDS.toNanos(effect.sendWithinMs());
+    calls
+        .post(effect.address(), "/control/orders", document(effect), sendBeforeNanos, ORDER_TIMEOUT)
+        .handle((answer, failure) -> failure == null ? answer(answer) : lost(effect, failure))
+        .thenAccept(
+            answer -> events.accept(atMs -> new OrderAnswered(atMs, effect.orderId(), answer)));
+  }
+
+  /** Asks for an inventory; a failure is logged and reported as nothing. */
+  CompletableFuture<Void> ask(RequestInventory effect) {
+    return calls
+        .get(effect.address(), "/control/inventory", INVENTORY_TIMEOUT)
+        .thenApply(EngineControl::held)
+        .thenAccept(
+            held ->
+                events.accept(
+                    atMs -> new InventoryReported(atMs, effect.engine(), effect.query(), held)))
+        .exceptionally(failure -> noInventory(effect, failure));
+  }
+
+  /** Only answers that are known to be refusals count as such. */
+  private static OrderAnswer answer(JsonNode answer) {
+    return switch (answer.path("result").asText()) {
+      case "done" -> OrderAnswer.DONE;
+      case "stale_fencing_number", "no_memory", "unknown_model", "model_in_use" ->
+          OrderAnswer.REFUSED;
+      default -> OrderAnswer.UNKNOWN;
+    };
+  }
+
+  private static Map<String, Object> document(SendOrder effect) {
+    Map<String, Object> document = new HashMap<>();
+    document.put("orderId", effect.orderId());
+    document.put("fencingNumber", effect.fencingNumber());
+    document.put("action", effect.action().name().toLowerCase(Locale.ROOT));
+    document.put("memoryMib", effect.memoryMib());
+    effect.model().ifPresent(model -> document.put("model", model.value()));
+    return document;
+  }
+
+  /** An engine that does not tell whether a model is ready lists ready ones only. */
+  private static List<HeldModel> held(JsonNode inventory) {
+    JsonNode models = inventory.path("models");
+    if (!models.isArray()) {
+      throw new InvalidAnswerException("an inventory without models", null);
+    }
+    List<HeldModel> held = new ArrayList<>();
+    for (JsonNode model : models) {
+      JsonNode memoryMib = model.path("memoryMib");
+      if (!memoryMib.canConvertToInt() || memoryMib.intValue() < 1) {
+        throw new InvalidAnswerException("memoryMib of a model is no number from 1", null);
+      }
+      ModelId id = new ModelId(model.path("model").asText());
+      held.add(new HeldModel(id, memoryMib.intValue(), model.path("ready").asBoolean(true)));
+    }
+    return held;
+  }
+
+  private static OrderAnswer lost(SendOrder effect, Throwable failure) {
+    LogLine line =
+        LogLine.event("order_unanswered")
+            .with("engine", effect.engine())
+            .with("order", effect.orderId())
+            .with("reason", failure);
+    LOG.log(Level.WARNING, line.toString());
+    return OrderAnswer.UNKNOWN;
+  }
+
+  private static Void noInventory(RequestInventory effect, Throwable failure) {
+    LogLine line =
+        LogLine.event("inventory_failed").with("engine", effect.engine()).with("reason", failure);
+    LOG.log(Level.WARNING, line.toString());
+    return null;
+  }
+}
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/EntryEffects.java
@@ -0,0 +1,96 @@
+package org.limpetdoor.entry.traffic;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import org.limpetdoor.core.effect.AppendRecord;
+import org.limpetdoor.core.effect.CancelAttempt;
+import org.limpetdoor.core.effect.ChangePriority;
+import org.limpetdoor.core.effect.DispatchAttempt;
+import org.limpetdoor.core.effect.EffectHandler;
+import org.limpetdoor.core.effect.FinishRequest;
+import org.limpetdoor.core.effect.RaiseQueueAgeAlarm;
+import org.limpetdoor.core.effect.RecordDecision;
+import org.limpetdoor.core.effect.RefuseRequest;
+import org.limpetdoor.core.effect.RequestInventory;
+import org.limpetdoor.core.effect.SendOrder;
+import org.limpetdoor.runtime.decision.DecisionRecorder;
+import org.limpetdoor.runtime.decision.LogLine;
+
+/** Hands each effect of the reducer to the part of the traffic side that carries it out. */
+public final class EntryEffects implements EffectHandler, AutoCloseable {
+  private static final Logger LOG = System.getLogger(EntryEffects.class.getName());
+
+  private final UpstreamEffects attempts;
+  private final AgreementEffects agreement;
+  private final DecisionRecorder decisions;
+
+  /**
+   * Creates a handler, which closes its parts.
+   *
+   * @param attempts carries out what concerns requests and attempts
+   * @param agreement carries out what concerns the log and the control of engines
+   * @param decisions records decisions
+   */
+  public EntryEffects(
+      UpstreamEffects attempts, AgreementEffects agreement, DecisionRecorder decisions) {
+    this.attempts = attempts;
+    this.agreement = agreement;
+    this.decisions = decisions;
+  }
+
+  @Override
+  public void dispatchAttempt(DispatchAttempt effect) {
+    attempts.dispatchAttempt(effect);
+  }
+
+  @Override
+  public void cancelAttempt(CancelAttempt effect) {
+    attempts.cancelAttempt(effect);
+  }
+
+  @Override
+  public void changePriority(ChangePriority effect) {
+    attempts.changePriority(effect);
+  }
+
+  @Override
+  public void finishRequest(FinishRequest effect) {
+    // The request leaves the registry when the caller has read the last byte.
+  }
+
+  @Override
+  public void refuseRequest(RefuseRequest effect) {
+    attempts.refuseRequest(effect);
+  }
+
+  @Override
+  public void recordDecision(RecordDecision effect) {
+    decisions.record(effect.decision());
+  }
+
+  @Override
+  public void raiseQueueAgeAlarm(RaiseQueueAgeAlarm effect) {
+    LOG.log(Level.WARNING, LogLine.of(effect.alarm()).toString());
+  }
+
+  @Override
+  public void appendRecord(AppendRecord effect) {
+    agreement.appendRecord(effect);
+  }
+
+  @Override
+  public void sendOrder(SendOrder effect) {
+    agreement.sendOrder(effect);
+  }
+
+  @Override
+  public void requestInventory(RequestInventory effect) {
+    agreement.requestInventory(effect);
+  }
+
+  @Override
+  public void close() {
+    agreement.close();
+    attempts.close();
+  }
+}
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/InstanceListPoller.java
@@ -0,0 +1,93 @@
+package org.limpetdoor.entry.traffic;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.InstancesListed;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.membership.ListedInstance;
+import org.limpetdoor.format.json.HostPort;
+import org.limpetdoor.runtime.decision.LogLine;
+
+/** Reads the list of instances every few seconds. After a failure the last list stays in force. */
+public final class InstanceListPoller {
+  /** The list lags by about ten seconds, so reading it more often shows little more. */
+  private static final long INTERVAL_MS = 3_000;
+
+  /** Less than the interval, so that at most one call is open. */
+  private static final Duration TIMEOUT = Duration.ofMillis(2_500);
+
+  /** Zone and region of an entry that names none. */
+  private static final String UNKNOWN = "unknown";
+
+  private static final Logger LOG = System.getLogger(InstanceListPoller.class.getName());
+
+  private final ControlCalls calls;
+  private final String address;
+  private final Consumer<Function<Long, Event>> events;
+
+  private InstanceListPoller(
+      ControlCalls calls, String address, Consumer<Function<Long, Event>> events) {
+    this.calls = calls;
+    this.address = address;
+    this.events = events;
+  }
+
+  /**
+   * Starts to read the list, until the scheduler is shut down.
+   *
+   * @param address address of the list
+   * @param scheduler opens calls
+   * @param events where lists are reported
+   */
+  public static void start(
+      HostPort address,
+      ScheduledExecutorService scheduler,
+      Consumer<Function<Long, Event>> events) {
+    InstanceListPoller poller =
+        new InstanceListPoller(new ControlCalls(scheduler), address.toString(), events);
+    scheduler.scheduleWithFixedDelay(poller::poll, 0, INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void poll() {
+    calls
+        .get(address, "/instances", TIMEOUT)
+        .thenApply(InstanceListPoller::instances)
+        .thenAccept(listed -> events.accept(atMs -> new InstancesListed(atMs, listed)))
+        .exceptionally(this::failed);
+  }
+
+  private Void failed(Throwable failure) {
+    LogLine line =
+        LogLine.event("instance_list_failed").with("address", address).with("reason", failure);
+    LOG.log(Level.WARNING, line.toString());
+    return null;
+  }
+
+  private static List<ListedInstance> instances(JsonNode answer) {
+    JsonNode entries = answer.path("instances");
+    if (!entries.isArray()) {
+      throw new InvalidAnswerException("a list without instances", null);
+    }
+    List<ListedInstance> instances = new ArrayList<>();
+    for (JsonNode entry : entries) {
+      instances.add(
+          new ListedInstance(
+              new InstanceId(entry.path("name").asText()),
+              entry.path("address").asText(),
+              new ZoneId(entry.path("zone").asText(UNKNOWN)),
+              entry.path("region").asText(UNKNOWN),
+              entry.path("state").asText().equals("leaving")));
+    }
+    return instances;
+  }
+}
--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/FixedLog.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/FixedLog.java
@@ -34,7 +34,7 @@
 
   @Override
   public long append(byte[] body) {
-    throw new UnsupportedOperationException();
+    throw new LogServiceException(LogFailure.UNREACHABLE, "test", "no connection", null);
   }
 
   @Override
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/LogFollower.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/LogFollower.java
@@ -16,8 +16,11 @@
   /** Records of one read; bounds the time for which one event holds the control thread. */
   private static final int MAX_RECORDS = 200;
 
-  /** Longest wait of one read. */
-  private static final int WAIT_MS = 10_000;
+  /**
+   * Longest wait of one read. Leases are neither renewed nor claimed after 5 s without a read, so a
+   * quiet log must answer well before that.
+   */
+  private static final int WAIT_MS = 2_000;
 
   private static final long MIN_BACKOFF_MS = 100;
 
@@ -38,7 +41,8 @@
    *
    * @param name name of the thread
    * @param log the log
-   * @param records takes the records of each read that has any
+   * @param records takes the records of each read; a read without records tells that the log
+   *     answers
    */
   public LogFollower(String name, LogService log, Consumer<List<StoredRecord>> records) {
     this.log = log;
@@ -84,9 +88,7 @@
     if (page.firstOffset() > nextOffset) {
       noteGap(page.firstOffset());
     }
-    if (!page.records().isEmpty()) {
-      records.accept(page.records().stream().map(LogRecords::decode).toList());
-    }
+    records.accept(page.records().stream().map(LogRecords::decode).toList());
     nextOffset = Math.max(nextOffset, page.nextOffset());
     hasRead = true;
   }
