Route by the replicas of the memory ledger

A change of the ledger updates only the models whose replicas changed. The new test failed before: requests kept to the initial models of the configuration.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/AgreedEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/AgreedEvents.java
@@ -10,6 +10,7 @@
 import org.limpetdoor.core.event.RecordsRead;
 import org.limpetdoor.core.placement.LeaseEvents;
 import org.limpetdoor.core.placement.OrderEvents;
+import org.limpetdoor.core.request.RequestEvents;
 import org.pcollections.TreePVector;
 
 /** Reduces events of the platform log. */
@@ -36,7 +37,7 @@
     for (StoredRecord stored : event.records()) {
       result = result.then(current -> read(current, stored));
     }
-    return result;
+    return result.then(current -> Transition.of(RequestEvents.agreedChanged(current)));
   }
 
   /** Takes a snapshot if this instance is the one to do so and it is time. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Learned.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Learned.java
@@ -21,14 +21,14 @@
       new Learned(
           LimitShare.WHOLE, RoutingIndex.EMPTY, AdapterLoads.NONE, Lengths.NONE, RetryBudget.FULL);
 
-  /** Returns the state with an index that fits the configuration in force. */
+  /** Returns the state with an index that fits the agreed state. */
   static NodeState refresh(NodeState state) {
     Learned learned = state.requests().learned();
     double part = learned.share.otherwise();
-    if (learned.index.fits(state.configuration(), part)) {
+    if (learned.index.fits(state.agreed(), part)) {
       return state;
     }
-    RoutingIndex index = RoutingIndex.of(state.self(), state.configuration(), part);
+    RoutingIndex index = learned.index.following(state.self(), state.agreed(), part);
     return learned.withIndex(index).in(state);
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -121,6 +121,11 @@
                     request.get().refusal(RefusalReason.DEADLINE_PASSED)));
   }
 
+  /** Lets routing follow the configuration and the replicas of the agreed state. */
+  public static NodeState agreedChanged(NodeState state) {
+    return Learned.refresh(state);
+  }
+
   /** Checks the ages of all queues, and dispatches what a change of configuration made possible. */
   public static Transition<NodeState, Effect> queueAgeCheck(NodeState state) {
     Transition<NodeState, Effect> result = QueueAge.check(Learned.refresh(state));
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/request/RoutingIndexTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/request/RoutingIndexTest.java
@@ -6,9 +6,22 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.agreed.AgreedState;
+import org.limpetdoor.core.agreed.AppendId;
+import org.limpetdoor.core.agreed.Envelope;
+import org.limpetdoor.core.agreed.LogRecord;
+import org.limpetdoor.core.agreed.LogRecord.ConfigurationPublished;
+import org.limpetdoor.core.agreed.LogRecord.LeaseClaimed;
+import org.limpetdoor.core.agreed.LogRecord.PlacementIntended;
+import org.limpetdoor.core.agreed.PlacementAction;
+import org.limpetdoor.core.agreed.Shards;
+import org.limpetdoor.core.agreed.StoredRecord;
 import org.limpetdoor.core.config.Configuration;
+import org.limpetdoor.core.config.ConfigurationPatch;
 import org.limpetdoor.core.config.Engine;
 import org.limpetdoor.core.config.FencingSupport;
+import org.limpetdoor.core.config.Model;
+import org.limpetdoor.core.config.PlatformLimits;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ModelId;
@@ -46,26 +59,78 @@
   }
 
   @Test
-  void indexIsKeptWhileEnginesAndServicesStay() {
-    Configuration before = configuration(8);
+  void indexIsKeptWhileEnginesServicesAndReplicasStay() {
+    AgreedState before = agreed(8);
     RoutingIndex index = RoutingIndex.of(self("i1"), before, 1.0);
-    assertThat(index.fits(before.withContracts(List.of()), 1.0)).isTrue();
-    assertThat(index.fits(configuration(8), 1.0)).isFalse();
+    Configuration content = before.configuration();
+    Configuration changed = content.withLimits(new PlatformLimits(2.5, 1, 1, 1));
+    ConfigurationPatch patch = ConfigurationPatch.between(content, changed);
+    assertThat(patch.isEmpty()).isFalse();
+    assertThat(index.fits(publish(before, patch), 1.0)).isTrue();
+    assertThat(index.fits(agreed(8), 1.0)).isFalse();
+  }
+
+  /** Guards against an update after a change of the ledger that differs from a new index. */
+  @Test
+  void updatedIndexEqualsANewOne() {
+    NodeState.Self self = self("i1");
+    AgreedState agreed = agreed(40);
+    RoutingIndex updated = RoutingIndex.of(self, agreed, 0.1);
+    for (int i = 0; i < 40; i += 3) {
+      agreed = withIntendedUnload(agreed, new BackendId("e" + i));
+      updated = updated.following(self, agreed, 0.1);
+      RoutingIndex fresh = RoutingIndex.of(self, agreed, 0.1);
+      assertThat(updated.fits(agreed, 0.1)).isTrue();
+      assertThat(updated.candidates()).isEqualTo(fresh.candidates());
+      assertThat(updated.upstreams()).isEqualTo(fresh.upstreams());
+    }
+    assertThat(updated.candidates(MODEL).fleetSlots()).isEqualTo(8 * 26);
   }
 
   private static List<Candidate> subset(String instance, int engines, double part) {
-    RoutingIndex index = RoutingIndex.of(self(instance), configuration(engines), part);
+    RoutingIndex index = RoutingIndex.of(self(instance), agreed(engines), part);
     return index.candidates(MODEL).backends();
   }
 
+  private static AgreedState agreed(int engines) {
+    return publish(AgreedState.INITIAL, ConfigurationPatch.of(configuration(engines)));
+  }
+
+  private static AgreedState publish(AgreedState state, ConfigurationPatch patch) {
+    return fold(state, new ConfigurationPublished(state.configurationVersion(), "test", patch));
+  }
+
+  private static AgreedState withIntendedUnload(AgreedState state, BackendId engine) {
+    int shard = Shards.of(engine);
+    long last = state.leases().get(shard).epoch();
+    AgreedState leased = fold(state, new LeaseClaimed(shard, new InstanceId("i2"), last, 15_000));
+    return fold(
+        leased,
+        new PlacementIntended(
+            "unload-" + engine,
+            shard,
+            leased.leases().get(shard).epoch(),
+            engine,
+            new ModelId("m1"),
+            0,
+            PlacementAction.UNLOAD));
+  }
+
+  private static AgreedState fold(AgreedState state, LogRecord content) {
+    long offset = state.nextOffset();
+    Envelope envelope = new Envelope(new AppendId("i2:1", offset + 1), content);
+    return state.fold(new StoredRecord(offset, envelope)).state();
+  }
+
   private static NodeState.Self self(String instance) {
     long number = Math.abs(Rendezvous.hash(instance));
     return new NodeState.Self(new InstanceId(instance), 1, new ZoneId("z" + number % 4));
   }
 
   private static Configuration configuration(int engines) {
-    return Configuration.EMPTY.withEngines(
-        IntStream.range(0, engines).mapToObj(RoutingIndexTest::engine).toList());
+    return Configuration.EMPTY
+        .withModels(List.of(new Model(new ModelId("m1"), "1", 1, 1, 5)))
+        .withEngines(IntStream.range(0, engines).mapToObj(RoutingIndexTest::engine).toList());
   }
 
   private static Engine engine(int number) {
