--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/AgreedEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/agreed/AgreedEvents.java
@@ -11,6 +11,7 @@
 import org.limpetdoor.core.limits.LimitEvents;
 import org.limpetdoor.core.placement.LeaseEvents;
 import org.limpetdoor.core.placement.OrderEvents;
+import org.limpetdoor.core.request.RequestEvents;
 import org.pcollections.TreePVector;
 
 /** Reduces events of the platform log. */
@@ -37,8 +38,9 @@
     for (StoredRecord stored : event.records()) {
       result = result.then(current -> read(current, stored));
     }
-    return result.then(
-        current -> Transition.of(LimitEvents.logRead(current, event.completeAtMs())));
+    return result
+        .then(current -> Transition.of(LimitEvents.logRead(current, event.completeAtMs())))
+        .then(current -> Transition.of(RequestEvents.agreedChanged(current)));
   }
 
   /** Takes a snapshot if this instance is the one to do so and it is time. */
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/placement/PlannerTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/placement/PlannerTest.java
@@ -19,6 +19,7 @@
 import org.limpetdoor.core.agreed.LogRecord.ConfigurationPublished;
 import org.limpetdoor.core.agreed.PlacementAction;
 import org.limpetdoor.core.agreed.StoredRecord;
+import org.limpetdoor.core.backend.Departure;
 import org.limpetdoor.core.config.Configuration;
 import org.limpetdoor.core.config.ConfigurationPatch;
 import org.limpetdoor.core.config.Engine;
@@ -132,7 +133,12 @@
   void modelsOfLeavingEngineAreLoadedElsewhere() {
     start(4, 2, 1, 100);
     state =
-        state.withBackends(state.backends().update(Fleet.engineId(0), b -> b.withLeaving(true)));
+        state.withBackends(
+            state
+                .backends()
+                .update(
+                    Fleet.engineId(0),
+                    b -> b.withDeparture(Departure.NONE.withAnnouncement(nowMs))));
     run(20);
     assertThat(state.agreed().replicas(Fleet.modelId(0)).size()).isEqualTo(2);
   }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.limpetdoor.core.NodeReducer;
 import org.limpetdoor.core.NodeState;
@@ -17,11 +18,14 @@
 import org.limpetdoor.core.effect.StopInstance;
 import org.limpetdoor.core.event.DrainRequested;
 import org.limpetdoor.core.event.Event;
-import org.limpetdoor.core.event.RecordsRead;
+import org.limpetdoor.core.event.InstanceStarted;
 import org.limpetdoor.core.event.TimerFired;
 import org.limpetdoor.entry.caller.CallerGateway;
 import org.limpetdoor.entry.operator.DrainSwitch;
 import org.limpetdoor.entry.operator.OperatorView;
+import org.limpetdoor.entry.traffic.AgreementEffects;
+import org.limpetdoor.entry.traffic.EntryEffects;
+import org.limpetdoor.entry.traffic.InstanceListPoller;
 import org.limpetdoor.entry.traffic.OpenRequests;
 import org.limpetdoor.entry.traffic.UpstreamEffects;
 import org.limpetdoor.format.json.HostPort;
@@ -53,7 +57,7 @@
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final DecisionRecorder decisions = new DecisionRecorder(metrics);
   private final ScheduledExecutorService scheduler;
-  private final UpstreamEffects effects;
+  private final EntryEffects effects;
   private final ControlLoop<NodeState, Event, Effect> loop;
   private final LogFollower follower;
   private final HttpListener callers;
@@ -67,8 +71,11 @@
     String name = settings.instance().value();
     this.scheduler = trafficThreads(name);
     this.effects =
-        new UpstreamEffects(
-            requests, decisions, scheduler, event -> loop().submit(event), this::stopped);
+        new EntryEffects(
+            new UpstreamEffects(requests, scheduler, this::submit),
+            new AgreementEffects(name, log, scheduler, this::submit),
+            decisions,
+            this::stopped);
     this.loop =
         new ControlLoop<>(
             "control-" + name,
@@ -78,11 +85,14 @@
             TimerFired::new,
             effect -> effect.applyTo(effects));
     this.follower =
-        new LogFollower(
-            "log-" + name, log, read -> loop.submit(atMs -> new RecordsRead(atMs, read)));
+        new LogFollower("log-" + name, log, clock, read -> loop.submit(atMs -> read.event(atMs)));
     loop.failure().thenAccept(failure -> drainWithoutControl());
+    loop.submit(InstanceStarted::new);
     loop.start();
     follower.start();
+    settings
+        .instanceListAddress()
+        .ifPresent(address -> InstanceListPoller.start(address, scheduler, loop::submit));
     this.operators =
         startOrUndo(
             () -> HttpListener.operators(settings, operatorView(), (DrainSwitch) this::drain),
@@ -210,8 +220,8 @@
   }
 
   /** The effects need the loop, which needs the effects; no event comes before both exist. */
-  private ControlLoop<NodeState, Event, Effect> loop() {
-    return loop;
+  private void submit(Function<Long, Event> event) {
+    loop.submit(event);
   }
 
   private OperatorView operatorView() {
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/LogFollower.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/LogFollower.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.limpetdoor.core.agreed.StoredRecord;
+import org.limpetdoor.runtime.MonotonicClock;
 import org.limpetdoor.runtime.decision.LogLine;
 
 /** Reads the log on a thread of its own and hands the records on in order. */
@@ -16,8 +17,11 @@
   /** Records of one read; bounds the time for which one event holds the control thread. */
   private static final int MAX_RECORDS = 200;
 
-  /** Longest wait of one read. */
-  private static final int WAIT_MS = 10_000;
+  /**
+   * Longest wait of one read. Leases are neither renewed nor claimed after 5 s without a read, so a
+   * quiet log must answer well before that.
+   */
+  private static final int WAIT_MS = 2_000;
 
   private static final long MIN_BACKOFF_MS = 100;
 
@@ -27,7 +31,8 @@
   private static final Logger LOG = System.getLogger(LogFollower.class.getName());
 
   private final LogService log;
-  private final Consumer<List<StoredRecord>> records;
+  private final MonotonicClock clock;
+  private final Consumer<LogRead> reads;
   private final ScheduledExecutorService thread;
   private volatile boolean hasRead;
   private volatile long nextOffset;
@@ -38,11 +43,13 @@
    *
    * @param name name of the thread
    * @param log the log
-   * @param records takes the records of each read that has any
+   * @param clock source of the time of reads
+   * @param reads takes each read; one without records tells that the log answers
    */
-  public LogFollower(String name, LogService log, Consumer<List<StoredRecord>> records) {
+  public LogFollower(String name, LogService log, MonotonicClock clock, Consumer<LogRead> reads) {
     this.log = log;
-    this.records = records;
+    this.clock = clock;
+    this.reads = reads;
     this.thread = Executors.newSingleThreadScheduledExecutor(task -> daemon(task, name));
   }
 
@@ -80,13 +87,14 @@
   }
 
   private void read() {
+    long requestedAtMs = clock.nowMs();
     LogService.Page page = log.read(nextOffset, MAX_RECORDS, WAIT_MS);
     if (page.firstOffset() > nextOffset) {
       noteGap(page.firstOffset());
     }
-    if (!page.records().isEmpty()) {
-      records.accept(page.records().stream().map(LogRecords::decode).toList());
-    }
+    List<StoredRecord> decoded = page.records().stream().map(LogRecords::decode).toList();
+    boolean reachesEnd = page.records().size() < MAX_RECORDS;
+    reads.accept(new LogRead(decoded, requestedAtMs, reachesEnd));
     nextOffset = Math.max(nextOffset, page.nextOffset());
     hasRead = true;
   }
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeInstance.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeInstance.java
@@ -10,8 +10,10 @@
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.decision.Decision;
 import org.limpetdoor.core.decision.QueueAgeAlarm;
+import org.limpetdoor.core.effect.AppendRecord;
 import org.limpetdoor.core.effect.CancelAttempt;
 import org.limpetdoor.core.effect.ChangePriority;
+import org.limpetdoor.core.effect.ConnectPeer;
 import org.limpetdoor.core.effect.DispatchAttempt;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.EffectHandler;
@@ -19,6 +21,9 @@
 import org.limpetdoor.core.effect.RaiseQueueAgeAlarm;
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.effect.RefuseRequest;
+import org.limpetdoor.core.effect.RequestInventory;
+import org.limpetdoor.core.effect.SendOrder;
+import org.limpetdoor.core.effect.SendToPeer;
 import org.limpetdoor.core.effect.StopInstance;
 import org.limpetdoor.core.event.AttemptCompleted;
 import org.limpetdoor.core.event.AttemptFailed;
@@ -158,6 +163,38 @@
   @Override
   public void stopInstance(StopInstance effect) {}
 
+  /**
+   * The instances of a scenario take no part in the agreement, so the effects below do not occur.
+   */
+  @Override
+  public void appendRecord(AppendRecord effect) {
+    throw unexpected(effect);
+  }
+
+  @Override
+  public void sendOrder(SendOrder effect) {
+    throw unexpected(effect);
+  }
+
+  @Override
+  public void requestInventory(RequestInventory effect) {
+    throw unexpected(effect);
+  }
+
+  @Override
+  public void connectPeer(ConnectPeer effect) {
+    throw unexpected(effect);
+  }
+
+  @Override
+  public void sendToPeer(SendToPeer effect) {
+    throw unexpected(effect);
+  }
+
+  private static ScenarioException unexpected(Effect effect) {
+    return new ScenarioException("unexpected effect " + effect);
+  }
+
   @Override
   public void started(BackendJob job) {
     time.after(LINK_MS, () -> receiveStart(job));
