--- a/limpetdoor-bench/src/main/java/org/limpetdoor/bench/BenchMain.java
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/BenchMain.java
@@ -1,6 +1,7 @@
 package org.limpetdoor.bench;
 
 import java.util.Locale;
+import org.limpetdoor.bench.traffic.TrafficMeasurement;
 import org.openjdk.jmh.profile.GCProfiler;
 import org.openjdk.jmh.runner.Runner;
 import org.openjdk.jmh.runner.RunnerException;
@@ -30,7 +31,7 @@
   }
 
   private static void usage() {
-    System.err.println("usage: limpetdoor-bench reducer|heap");
+    System.err.println("usage: limpetdoor-bench reducer|heap|traffic");
     System.exit(EXIT_USAGE);
   }
 
@@ -53,6 +54,13 @@
       void run() {
         HeapMeasurement.run();
       }
+    },
+    /** Processor time and added latency of an entry under streamed traffic. */
+    TRAFFIC {
+      @Override
+      void run() {
+        TrafficMeasurement.run();
+      }
     };
 
     abstract void run() throws RunnerException;
