Answer callers at once after a reducer failure, and tell requests that were not sent apart

A request that cannot be built or encoded is refused with a reason of its own and does not take its back end out of service. A refusal says "not run" only if no earlier attempt may have run. After the reducer has failed, requests without an open attempt are refused, and open streams end.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/AttemptFailure.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/AttemptFailure.java
@@ -2,6 +2,8 @@
 
 /** How an attempt on a back end failed. */
 public enum AttemptFailure {
+  /** The request could not be built or encoded on this side, so no byte was handed over. */
+  NOT_SENT(false, false),
   /** No connection could be opened, so no byte was handed over. */
   CONNECT_FAILED(false, true),
   /** The back end answered that it did not start the call, for example because it is draining. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RefusalReason.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RefusalReason.java
@@ -28,6 +28,10 @@
   LOG_UNAVAILABLE(503),
   /** A call with the same idempotency key has been dispatched before. */
   ALREADY_CLAIMED(409),
+  /** The instance could not build or encode the request for any back end. */
+  REQUEST_NOT_SENT(500),
+  /** The instance has failed, can decide nothing more and is about to end. */
+  CONTROL_FAILED(503),
   /** Every back end that was tried failed. */
   BACKEND_FAILED(502),
   /** The back end stopped answering. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -69,7 +69,7 @@
       return Transition.of(state);
     }
     BackendId backend = request.get().backendOf(event.attempt()).orElseThrow();
-    RequestState ended = request.get().withAttemptEnded(event.deliveredTokens());
+    RequestState ended = request.get().withAttemptFailed(event.failure(), event.deliveredTokens());
     NodeState released = Attempts.release(state, backend);
     NodeState noted = event.failure().backendSuspect() ? avoid(released, backend) : released;
     return retryOrRefuse(noted, ended, event.failure()).then(Queues::drain);
@@ -146,14 +146,21 @@
       return Refusals.refuseAccepted(
           state, request, Refusal.outcomeUnknown(RefusalReason.BACKEND_FAILED));
     }
+    if (failure == AttemptFailure.NOT_SENT) {
+      return refuseFailed(state, request, RefusalReason.REQUEST_NOT_SENT);
+    }
     Router.Choice choice = Router.choose(state, request);
     if (choice.backend().isPresent()) {
       return Attempts.dispatch(state, request, choice);
     }
+    return refuseFailed(state, request, RefusalReason.BACKEND_FAILED);
+  }
+
+  /** An earlier attempt may have run although the last one did not. */
+  private static Transition<NodeState, Effect> refuseFailed(
+      NodeState state, RequestState request, RefusalReason reason) {
     Refusal refusal =
-        failure.mayHaveRun()
-            ? Refusal.outcomeUnknown(RefusalReason.BACKEND_FAILED)
-            : Refusal.notRun(RefusalReason.BACKEND_FAILED);
+        request.mayHaveRun() ? Refusal.outcomeUnknown(reason) : Refusal.notRun(reason);
     return Refusals.refuseAccepted(state, request, refusal);
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestState.java
@@ -18,6 +18,7 @@
  * @param tried back ends of all attempts, in order
  * @param running whether the last attempt is in flight
  * @param deliveredTokens tokens that the caller has
+ * @param mayHaveRun whether an attempt that failed may have run
  */
 public record RequestState(
     RequestSpec spec,
@@ -25,10 +26,11 @@
     long startDeadlineMs,
     PVector<BackendId> tried,
     boolean running,
-    int deliveredTokens) {
+    int deliveredTokens,
+    boolean mayHaveRun) {
 
   static RequestState arrived(RequestSpec spec, CustomerId customer, long startDeadlineMs) {
-    return new RequestState(spec, customer, startDeadlineMs, TreePVector.empty(), false, 0);
+    return new RequestState(spec, customer, startDeadlineMs, TreePVector.empty(), false, 0, false);
   }
 
   /** Returns the identifier of the last attempt. */
@@ -46,11 +48,12 @@
 
   RequestState withAttempt(BackendId backend) {
     return new RequestState(
-        spec, customer, startDeadlineMs, tried.plus(backend), true, deliveredTokens);
+        spec, customer, startDeadlineMs, tried.plus(backend), true, deliveredTokens, mayHaveRun);
   }
 
-  RequestState withAttemptEnded(int delivered) {
-    return new RequestState(spec, customer, startDeadlineMs, tried, false, delivered);
+  RequestState withAttemptFailed(AttemptFailure failure, int delivered) {
+    boolean ran = mayHaveRun || failure.mayHaveRun();
+    return new RequestState(spec, customer, startDeadlineMs, tried, false, delivered, ran);
   }
 
   Timer queueTimer() {
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryMain.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryMain.java
@@ -14,7 +14,6 @@
 public final class EntryMain {
   private static final Logger LOG = System.getLogger(EntryMain.class.getName());
   private static final int USAGE_ERROR = 2;
-  private static final int CONTROL_FAILED = 3;
 
   private EntryMain() {}
 
@@ -46,7 +45,7 @@
       Runtime.getRuntime().addShutdownHook(hook);
       DrainResult result = server.drained().join();
       LOG.log(Level.INFO, LogLine.event("instance_stopped").with("result", result).toString());
-      return server.controlFailed() ? CONTROL_FAILED : result.exitCode();
+      return server.exitCode(result);
     }
   }
 }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
@@ -13,6 +13,7 @@
 import org.limpetdoor.core.NodeReducer;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.NodeState.Self;
+import org.limpetdoor.core.Reducer;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.StopInstance;
 import org.limpetdoor.core.event.DrainRequested;
@@ -44,6 +45,9 @@
   /** Time for the last bytes to leave the sockets after the last answer was handed over. */
   private static final long FLUSH_MS = 200;
 
+  /** Exit code after the control thread has ended because the reducer threw. */
+  private static final int CONTROL_FAILED = 3;
+
   private static final Logger LOG = System.getLogger(EntryServer.class.getName());
 
   private final InstanceSettings settings;
@@ -61,7 +65,8 @@
   private final CompletableFuture<DrainResult> drained = new CompletableFuture<>();
   private final AtomicBoolean closed = new AtomicBoolean();
 
-  private EntryServer(InstanceSettings settings, LogService log) {
+  private EntryServer(
+      InstanceSettings settings, LogService log, Reducer<NodeState, Event, Effect> reducer) {
     this.settings = settings;
     Self self = new Self(settings.instance(), System.currentTimeMillis(), settings.zone());
     String name = settings.instance().value();
@@ -73,7 +78,7 @@
         new ControlLoop<>(
             "control-" + name,
             NodeState.initial(self),
-            new NodeReducer(),
+            reducer,
             clock,
             TimerFired::new,
             effect -> effect.applyTo(effects));
@@ -110,7 +115,13 @@
    * @param log the log
    */
   public static EntryServer start(InstanceSettings settings, LogService log) {
-    EntryServer server = new EntryServer(settings, log);
+    return start(settings, log, new NodeReducer());
+  }
+
+  /** Starts an instance with a given log and reducer. */
+  static EntryServer start(
+      InstanceSettings settings, LogService log, Reducer<NodeState, Event, Effect> reducer) {
+    EntryServer server = new EntryServer(settings, log, reducer);
     LogLine line =
         LogLine.event("instance_started")
             .with("instance", settings.instance())
@@ -135,9 +146,9 @@
     return loop.state();
   }
 
-  /** Returns whether the control thread has ended because the reducer threw. */
-  public boolean controlFailed() {
-    return loop.failure().isDone();
+  /** Returns the exit code of the process after a drain that ended with the given result. */
+  int exitCode(DrainResult result) {
+    return loop.failure().isDone() ? CONTROL_FAILED : result.exitCode();
   }
 
   /**
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/Failures.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/Failures.java
@@ -12,20 +12,22 @@
 
 /** Tells how a call failed from what the HTTP client reports. */
 final class Failures {
-  /** Failures before the first byte of the request is sent. */
-  private static final List<Class<? extends Exception>> NOT_SENT =
-      List.of(
-          ConnectException.class,
-          NoRouteToHostException.class,
-          UnknownHostException.class,
-          EncoderException.class,
-          ErrorDataEncoderException.class);
+  /** Failures to encode the request, which happen before its first byte is sent. */
+  private static final List<Class<? extends Exception>> NOT_ENCODED =
+      List.of(EncoderException.class, ErrorDataEncoderException.class);
+
+  /** Failures to open a connection. */
+  private static final List<Class<? extends Exception>> NOT_CONNECTED =
+      List.of(ConnectException.class, NoRouteToHostException.class, UnknownHostException.class);
 
   private Failures() {}
 
   /** Returns the kind of a failure without an answer. */
   static AttemptFailure of(Throwable error) {
-    if (NOT_SENT.stream().anyMatch(type -> hasCause(error, type))) {
+    if (NOT_ENCODED.stream().anyMatch(type -> hasCause(error, type))) {
+      return AttemptFailure.NOT_SENT;
+    }
+    if (NOT_CONNECTED.stream().anyMatch(type -> hasCause(error, type))) {
       return AttemptFailure.CONNECT_FAILED;
     }
     if (hasCause(error, ReadTimeoutException.class)) {
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/OpenRequest.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/OpenRequest.java
@@ -11,6 +11,9 @@
 import java.util.concurrent.locks.ReentrantLock;
 import org.limpetdoor.core.id.AttemptId;
 import org.limpetdoor.core.id.RequestId;
+import org.limpetdoor.core.request.AttemptFailure;
+import org.limpetdoor.core.request.Refusal;
+import org.limpetdoor.core.request.RefusalReason;
 import org.limpetdoor.core.request.RequestSpec;
 import org.limpetdoor.entry.traffic.SseDecoder.SseEvent;
 import reactor.core.publisher.Flux;
@@ -38,6 +41,8 @@
   private Runnable onClose = () -> {};
   private int deliveredTokens;
   private boolean ended;
+  private boolean attemptOpen;
+  private boolean mayHaveRun;
 
   /**
    * Creates a request that no attempt was made for.
@@ -110,7 +115,29 @@
 
   /** Makes an attempt the current one, which supersedes the one before. */
   void begin(UpstreamAttempt attempt) {
-    locked(() -> current = Optional.of(attempt));
+    locked(() -> setCurrent(attempt));
+  }
+
+  /** Notes a failure, and refuses the request if no reducer can retry or refuse it. */
+  void attemptFailed(AttemptId attempt, AttemptFailure failure) {
+    locked(() -> mayHaveRun |= failure.mayHaveRun());
+    if (isCurrent(attempt)) {
+      locked(() -> attemptOpen = false);
+      if (registry.draining()) {
+        refuseWithoutAttempt();
+      }
+    }
+  }
+
+  /** Refuses the request after the control thread has ended, unless an attempt can answer it. */
+  void refuseWithoutAttempt() {
+    if (locked(() -> attemptOpen || ended)) {
+      return;
+    }
+    RefusalReason reason = RefusalReason.CONTROL_FAILED;
+    Refusal refusal =
+        locked(() -> mayHaveRun) ? Refusal.outcomeUnknown(reason) : Refusal.notRun(reason);
+    refuse(Problem.of(refusal, spec.target().label()));
   }
 
   boolean isCurrent(AttemptId attempt) {
@@ -157,6 +184,12 @@
     locked(() -> events.tryEmitError(reason));
   }
 
+  private boolean setCurrent(UpstreamAttempt attempt) {
+    current = Optional.of(attempt);
+    attemptOpen = true;
+    return true;
+  }
+
   private boolean emitCurrent(SseEvent event, int tokens) {
     deliveredTokens += tokens;
     emitEvent(toEvent(event));
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/OpenRequests.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/OpenRequests.java
@@ -45,9 +45,13 @@
     return List.copyOf(byId.values());
   }
 
-  /** Stops taking requests, which is needed only when no reducer can refuse them. */
+  /**
+   * Stops taking requests and refuses those that no attempt can answer any more. Needed only when
+   * no reducer can refuse them.
+   */
   public CompletableFuture<Void> drain() {
     draining = true;
+    all().forEach(OpenRequest::refuseWithoutAttempt);
     return awaitEmpty();
   }
 
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/UpstreamAttempt.java
@@ -136,6 +136,7 @@
     if (end()) {
       int delivered = request.deliveredTokens();
       upstream.report(atMs -> new AttemptFailed(atMs, id(), failure, delivered));
+      request.attemptFailed(id(), failure);
       logFailure(failure, delivered);
       close();
     }
@@ -156,7 +157,7 @@
     } catch (RuntimeException e) {
       LOG.log(
           Level.WARNING, LogLine.event("request_not_built").with("attempt", id()).toString(), e);
-      failed(AttemptFailure.CONNECT_FAILED);
+      failed(AttemptFailure.NOT_SENT);
       return Optional.empty();
     }
   }
--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/FakeEngine.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/FakeEngine.java
@@ -91,6 +91,7 @@
   }
 
   private void refuse(HttpExchange exchange) throws IOException {
+    hold();
     if (notStarted) {
       exchange.getResponseHeaders().set("Limpetdoor-Not-Started", "true");
     }
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/ControlLoop.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/ControlLoop.java
@@ -105,8 +105,9 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     } catch (RuntimeException e) {
-      LOG.log(Level.ERROR, "event=control_loop_failed thread=" + thread.getName(), e);
-      failure.complete(new ReducerFailedException(e));
+      ReducerFailedException failed = new ReducerFailedException(e);
+      LOG.log(Level.ERROR, "event=control_loop_failed thread=" + thread.getName(), failed);
+      failure.complete(failed);
     }
   }
 
