--- a/limpetdoor-bench/src/main/java/org/limpetdoor/bench/BenchMain.java
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/BenchMain.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.Locale;
 import org.limpetdoor.bench.experiment.Experiments;
+import org.limpetdoor.bench.traffic.TrafficMeasurement;
 import org.openjdk.jmh.profile.GCProfiler;
 import org.openjdk.jmh.runner.Runner;
 import org.openjdk.jmh.runner.RunnerException;
@@ -51,7 +52,7 @@
 
   private static void usage() {
     System.err.println(
-        "usage: limpetdoor-bench reducer|heap|experiments"
+        "usage: limpetdoor-bench reducer|heap|traffic|experiments"
             + " [all|attainment|crest|blocking|tail [PLOT.svg]]");
     System.exit(EXIT_USAGE);
   }
@@ -75,6 +76,13 @@
       void run() {
         HeapMeasurement.run();
       }
+    },
+    /** Processor time and added latency of an entry under streamed traffic. */
+    TRAFFIC {
+      @Override
+      void run() {
+        TrafficMeasurement.run();
+      }
     };
 
     abstract void run() throws RunnerException;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Retries.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Retries.java
@@ -47,7 +47,7 @@
   private static boolean mayRetry(NodeState state, RequestState request, AttemptFailure failure) {
     boolean mayRepeat =
         Targets.repeatability(state.configuration(), request.spec().target()).mayRepeat();
-    if (request.mayHaveRun() && !mayRepeat) {
+    if (!failure.worthRetrying() || (request.mayHaveRun() && !mayRepeat)) {
       return false;
     }
     boolean inTime = request.deliveredTokens() > 0 || state.nowMs() < retryDeadlineMs(request);
@@ -64,10 +64,6 @@
 
   private static Transition<NodeState, Effect> refuse(
       NodeState state, RequestState request, AttemptFailure failure) {
-    RefusalReason reason =
-        failure == AttemptFailure.TIMED_OUT
-            ? RefusalReason.BACKEND_TIMEOUT
-            : RefusalReason.BACKEND_FAILED;
-    return Refusals.refuseAccepted(state, request, request.refusal(reason));
+    return Refusals.refuseAccepted(state, request, request.refusal(failure.refusalReason()));
   }
 }
