--- a/limpetdoor-bench/src/main/java/org/limpetdoor/bench/BenchMain.java
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/BenchMain.java
@@ -30,7 +30,7 @@
   }
 
   private static void usage() {
-    System.err.println("usage: limpetdoor-bench reducer|heap");
+    System.err.println("usage: limpetdoor-bench reducer|configuration|heap");
     System.exit(EXIT_USAGE);
   }
 
@@ -47,6 +47,13 @@
             .run();
       }
     },
+    /** Size of publications and control time to follow them. */
+    CONFIGURATION {
+      @Override
+      void run() {
+        ConfigurationMeasurement.run();
+      }
+    },
     /** Retained heap of the control state. */
     HEAP {
       @Override
--- a/limpetdoor-bench/src/main/java/org/limpetdoor/bench/FleetConfiguration.java
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/FleetConfiguration.java
@@ -37,6 +37,39 @@
         .withEngines(engines(engines, models));
   }
 
+  /** Returns a copy in which one contract has another weight. */
+  static Configuration withContractWeight(Configuration base, int weight) {
+    List<Contract> contracts = new ArrayList<>(base.contracts().values());
+    Contract first = contracts.remove(0);
+    contracts.add(
+        new Contract(
+            first.customer(),
+            first.keyDigests(),
+            first.arrival(),
+            first.queue(),
+            first.firstTokenObjectiveMs(),
+            first.guaranteedShare(),
+            weight,
+            first.shedOrder()));
+    return base.withContracts(contracts);
+  }
+
+  /** Returns a copy in which one engine has another number of slots. */
+  static Configuration withEngineSlots(Configuration base, int slots) {
+    List<Engine> engines = new ArrayList<>(base.engines().values());
+    Engine first = engines.remove(0);
+    engines.add(
+        new Engine(
+            first.id(),
+            first.zone(),
+            first.address(),
+            slots,
+            first.memoryMib(),
+            first.fencing(),
+            first.initialModels()));
+    return base.withEngines(engines);
+  }
+
   static KeyDigest key(int customer) {
     return new KeyDigest(String.format("%064x", customer));
   }
