--- a/limpetdoor-bench/src/main/java/org/limpetdoor/bench/BenchMain.java
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/BenchMain.java
@@ -30,7 +30,7 @@
   }
 
   private static void usage() {
-    System.err.println("usage: limpetdoor-bench reducer|configuration|heap");
+    System.err.println("usage: limpetdoor-bench reducer|configuration|records|heap");
     System.exit(EXIT_USAGE);
   }
 
@@ -54,6 +54,13 @@
         ConfigurationMeasurement.run();
       }
     },
+    /** Encoded sizes of log records. */
+    RECORDS {
+      @Override
+      void run() {
+        RecordMeasurement.run();
+      }
+    },
     /** Retained heap of the control state. */
     HEAP {
       @Override
