--- a/limpetdoor-bench/src/main/java/org/limpetdoor/bench/BenchMain.java
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/BenchMain.java
@@ -52,7 +52,7 @@
 
   private static void usage() {
     System.err.println(
-        "usage: limpetdoor-bench reducer|heap|traffic|experiments"
+        "usage: limpetdoor-bench reducer|configuration|records|heap|traffic|experiments"
             + " [all|attainment|crest|blocking|tail [PLOT.svg]]");
     System.exit(EXIT_USAGE);
   }
@@ -70,6 +70,20 @@
             .run();
       }
     },
+    /** Size of publications and control time to follow them. */
+    CONFIGURATION {
+      @Override
+      void run() {
+        ConfigurationMeasurement.run();
+      }
+    },
+    /** Encoded sizes of log records. */
+    RECORDS {
+      @Override
+      void run() {
+        RecordMeasurement.run();
+      }
+    },
     /** Retained heap of the control state. */
     HEAP {
       @Override
