--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/limits/LimitEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/limits/LimitEvents.java
@@ -32,8 +32,14 @@
     return refresh(state.withLimits(state.limits().start(mode)));
   }
 
-  /** Brings the part in use up to date. It is called before each event, because parts expire. */
+  /**
+   * Brings the part in use up to date. It is called before each event, because parts expire. A
+   * reducer outside the agreement keeps the share that it was given.
+   */
   public static NodeState refresh(NodeState state) {
+    if (state.limits().mode() == LimitMode.WHOLE) {
+      return state;
+    }
     double usable = state.limits().usableAt(state.nowMs());
     if (state.requests().limitShare().otherwise() == usable) {
       return state;
