--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/DrainEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/DrainEvents.java
@@ -5,9 +5,16 @@
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.effect.StopInstance;
 import org.limpetdoor.core.event.DrainRequested;
+import org.limpetdoor.core.gateway.GatewayTick;
 
 /** Reduces the graceful shutdown of the instance. */
 final class DrainEvents {
+  /**
+   * Time for which forwarded calls are still accepted. The load balancer asks once a second and
+   * sends callers elsewhere after two answers that say not ready.
+   */
+  private static final long LINGER_MS = 2_600;
+
   private DrainEvents() {}
 
   /** Refuses new requests from now on; a repeat changes nothing. */
@@ -19,16 +26,25 @@
     Timer timer =
         new Timer(state.nowMs() + event.drainTimeoutMs(), TimerKind.DRAIN_TIMEOUT, instance);
     NodeState draining =
-        state.withDrain(DrainPhase.DRAINING).withTimers(state.timers().plus(timer));
+        state
+            .withDrain(DrainPhase.DRAINING)
+            .withTimers(state.timers().plus(timer))
+            .withGateway(state.gateway().withAcceptsUntilMs(state.nowMs() + LINGER_MS));
     DrainDecision decision =
         new DrainDecision(
-            state.self().id(), state.requests().byId().size(), event.drainTimeoutMs());
-    return Transition.of(draining, new RecordDecision(decision));
+            state.self().id(),
+            state.requests().byId().size() + state.gateway().openCalls(),
+            event.drainTimeoutMs());
+    return Transition.<NodeState, Effect>of(draining, new RecordDecision(decision))
+        .then(GatewayTick::leave);
   }
 
   /** Stops the instance when the last accepted request has ended. */
   static Transition<NodeState, Effect> stopIfIdle(NodeState state) {
-    boolean last = state.drain() == DrainPhase.DRAINING && state.requests().byId().isEmpty();
+    boolean last =
+        state.drain() == DrainPhase.DRAINING
+            && state.requests().byId().isEmpty()
+            && state.gateway().mayStop(state.nowMs());
     return last ? stop(state, StopInstance.Reason.ALL_ENDED) : Transition.of(state);
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -11,10 +11,19 @@
 import org.limpetdoor.core.event.AttemptStarted;
 import org.limpetdoor.core.event.BackendLeaving;
 import org.limpetdoor.core.event.BackendReported;
+import org.limpetdoor.core.event.CallAbandoned;
+import org.limpetdoor.core.event.CallArrived;
 import org.limpetdoor.core.event.CallerDisconnected;
 import org.limpetdoor.core.event.DemandReported;
 import org.limpetdoor.core.event.DrainRequested;
+import org.limpetdoor.core.event.DutyAnswered;
+import org.limpetdoor.core.event.EngineInspected;
+import org.limpetdoor.core.event.EngineOrderEnded;
+import org.limpetdoor.core.event.EnginesRead;
 import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.ForwardEnded;
+import org.limpetdoor.core.event.ForwardStarted;
+import org.limpetdoor.core.event.GatewayStarted;
 import org.limpetdoor.core.event.InstanceStarted;
 import org.limpetdoor.core.event.InstancesListed;
 import org.limpetdoor.core.event.InventoryReported;
@@ -24,7 +33,14 @@
 import org.limpetdoor.core.event.PeerMessageReceived;
 import org.limpetdoor.core.event.RecordsRead;
 import org.limpetdoor.core.event.RequestArrived;
+import org.limpetdoor.core.event.RoutesRead;
+import org.limpetdoor.core.event.StoreContactChanged;
 import org.limpetdoor.core.event.TimerFired;
+import org.limpetdoor.core.gateway.CallEvents;
+import org.limpetdoor.core.gateway.DutyEvents;
+import org.limpetdoor.core.gateway.EngineOrders;
+import org.limpetdoor.core.gateway.GatewayTick;
+import org.limpetdoor.core.gateway.StoreEvents;
 import org.limpetdoor.core.membership.MembershipEvents;
 import org.limpetdoor.core.membership.PeerEvents;
 import org.limpetdoor.core.placement.DemandEvents;
@@ -71,6 +87,28 @@
   INVENTORY_REPORTED(InventoryReported.class, OrderEvents::inventoryReported),
   /** {@link DemandReported}. */
   DEMAND_REPORTED(DemandReported.class, DemandEvents::reported),
+  /** {@link GatewayStarted}. */
+  GATEWAY_STARTED(GatewayStarted.class, GatewayTick::started),
+  /** {@link CallArrived}. */
+  CALL_ARRIVED(CallArrived.class, CallEvents::arrived),
+  /** {@link CallAbandoned}. */
+  CALL_ABANDONED(CallAbandoned.class, CallEvents::abandoned),
+  /** {@link ForwardStarted}. */
+  FORWARD_STARTED(ForwardStarted.class, CallEvents::started),
+  /** {@link ForwardEnded}. */
+  FORWARD_ENDED(ForwardEnded.class, CallEvents::ended),
+  /** {@link RoutesRead}. */
+  ROUTES_READ(RoutesRead.class, StoreEvents::routesRead),
+  /** {@link EnginesRead}. */
+  ENGINES_READ(EnginesRead.class, StoreEvents::enginesRead),
+  /** {@link StoreContactChanged}. */
+  STORE_CONTACT_CHANGED(StoreContactChanged.class, StoreEvents::contactChanged),
+  /** {@link DutyAnswered}. */
+  DUTY_ANSWERED(DutyAnswered.class, DutyEvents::answered),
+  /** {@link EngineOrderEnded}. */
+  ENGINE_ORDER_ENDED(EngineOrderEnded.class, EngineOrders::ended),
+  /** {@link EngineInspected}. */
+  ENGINE_INSPECTED(EngineInspected.class, EngineOrders::inspected),
   /** {@link TimerFired}. */
   TIMER_FIRED(TimerFired.class, TimerEvents::fired);
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/NodeState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/NodeState.java
@@ -4,6 +4,7 @@
 import org.limpetdoor.core.agreed.Coordination;
 import org.limpetdoor.core.backend.BackendTable;
 import org.limpetdoor.core.config.Configuration;
+import org.limpetdoor.core.gateway.GatewayState;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
 import org.limpetdoor.core.limits.ShareTable;
@@ -22,6 +23,7 @@
  * @param coordination what this instance keeps to take part in the agreement
  * @param membership what this instance knows of the others
  * @param limits part of the contract limits that this instance holds
+ * @param gateway calls that are forwarded by route
  * @param drain how far the graceful shutdown has come
  */
 public record NodeState(
@@ -34,6 +36,7 @@
     Coordination coordination,
     Membership membership,
     ShareTable limits,
+    GatewayState gateway,
     DrainPhase drain)
     implements Timed {
 
@@ -63,6 +66,7 @@
         Coordination.START,
         Membership.EMPTY,
         ShareTable.INITIAL,
+        GatewayState.INITIAL,
         DrainPhase.SERVING);
   }
 
@@ -93,54 +97,141 @@
         coordination,
         membership,
         limits,
+        gateway,
         drain);
   }
 
   /** Returns a copy with other agreed state. */
   public NodeState withAgreed(AgreedState value) {
     return new NodeState(
-        self, nowMs, value, backends, requests, timers, coordination, membership, limits, drain);
+        self,
+        nowMs,
+        value,
+        backends,
+        requests,
+        timers,
+        coordination,
+        membership,
+        limits,
+        gateway,
+        drain);
   }
 
   /** Returns a copy with another back-end table. */
   public NodeState withBackends(BackendTable value) {
     return new NodeState(
-        self, nowMs, agreed, value, requests, timers, coordination, membership, limits, drain);
+        self,
+        nowMs,
+        agreed,
+        value,
+        requests,
+        timers,
+        coordination,
+        membership,
+        limits,
+        gateway,
+        drain);
   }
 
   /** Returns a copy with another request table. */
   public NodeState withRequests(RequestTable value) {
     return new NodeState(
-        self, nowMs, agreed, backends, value, timers, coordination, membership, limits, drain);
+        self,
+        nowMs,
+        agreed,
+        backends,
+        value,
+        timers,
+        coordination,
+        membership,
+        limits,
+        gateway,
+        drain);
   }
 
   /** Returns a copy with other timers. */
   public NodeState withTimers(Timers value) {
     return new NodeState(
-        self, nowMs, agreed, backends, requests, value, coordination, membership, limits, drain);
+        self,
+        nowMs,
+        agreed,
+        backends,
+        requests,
+        value,
+        coordination,
+        membership,
+        limits,
+        gateway,
+        drain);
   }
 
   /** Returns a copy with other coordination state. */
   public NodeState withCoordination(Coordination value) {
     return new NodeState(
-        self, nowMs, agreed, backends, requests, timers, value, membership, limits, drain);
+        self, nowMs, agreed, backends, requests, timers, value, membership, limits, gateway, drain);
   }
 
   /** Returns a copy with another membership. */
   public NodeState withMembership(Membership value) {
     return new NodeState(
-        self, nowMs, agreed, backends, requests, timers, coordination, value, limits, drain);
+        self,
+        nowMs,
+        agreed,
+        backends,
+        requests,
+        timers,
+        coordination,
+        value,
+        limits,
+        gateway,
+        drain);
   }
 
   /** Returns a copy with another part of the limits. */
   public NodeState withLimits(ShareTable value) {
     return new NodeState(
-        self, nowMs, agreed, backends, requests, timers, coordination, membership, value, drain);
+        self,
+        nowMs,
+        agreed,
+        backends,
+        requests,
+        timers,
+        coordination,
+        membership,
+        value,
+        gateway,
+        drain);
+  }
+
+  /** Returns a copy with other state of forwarded calls. */
+  public NodeState withGateway(GatewayState value) {
+    return new NodeState(
+        self,
+        nowMs,
+        agreed,
+        backends,
+        requests,
+        timers,
+        coordination,
+        membership,
+        limits,
+        value,
+        drain);
   }
 
   /** Returns a copy in another phase of the graceful shutdown. */
   public NodeState withDrain(DrainPhase value) {
     return new NodeState(
-        self, nowMs, agreed, backends, requests, timers, coordination, membership, limits, value);
+        self,
+        nowMs,
+        agreed,
+        backends,
+        requests,
+        timers,
+        coordination,
+        membership,
+        limits,
+        gateway,
+        value);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
@@ -3,6 +3,9 @@
 import java.util.function.BiFunction;
 import org.limpetdoor.core.agreed.OutboxEvents;
 import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.gateway.CallEvents;
+import org.limpetdoor.core.gateway.EngineOrders;
+import org.limpetdoor.core.gateway.GatewayTick;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.RequestId;
 import org.limpetdoor.core.request.RequestEvents;
@@ -21,6 +24,14 @@
   BACKEND_RETRY((state, key) -> RequestEvents.backendRetry(state, new BackendId(key))),
   /** An attempt has run for as long as long work. The key is request and attempt number. */
   WORK_OUTRUN(RequestEvents::workOutrun),
+  /** The time of a forwarded call has run out. The key is its number. */
+  CALL_EXPIRY(CallEvents::expired),
+  /** A forwarded call has waited for an engine as long as it may. The key is its number. */
+  CALL_WAIT(CallEvents::waitedTooLong),
+  /** An engine should have loaded an adapter. The key is the engine, the model and the adapter. */
+  ADAPTER_DUE(EngineOrders::adapterDue),
+  /** Duty, peers, engines and placement of forwarded calls are looked at. The key is empty. */
+  GATEWAY_TICK((state, key) -> GatewayTick.tick(state)),
   /** A graceful shutdown has taken as long as it may. The key is the instance. */
   DRAIN_TIMEOUT((state, key) -> DrainEvents.timedOut(state));
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/Decision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/Decision.java
@@ -9,8 +9,11 @@
 public sealed interface Decision
     permits AdmissionDecision,
         AgreementDecision,
+        CallDecision,
         ConfigurationDecision,
         DrainDecision,
+        EngineOrderDecision,
+        GatewayDecision,
         LogStopDecision,
         PlacementDecision,
         QueueAgeAlarm,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -16,6 +16,22 @@
   QUEUE_AGE_ALARM("queue_age_alarm", "customer"),
   /** The instance began its graceful shutdown. */
   DRAIN("drain", "instance"),
+  /** A call was sent to an engine by its route. */
+  CALL_ROUTED("call_routed", "call"),
+  /** A forwarded call ended with an answer, or its caller left. */
+  CALL_ENDED("call_ended", "call"),
+  /** A forwarded call was refused, failed or broken off. */
+  CALL_REFUSED("call_refused", "call"),
+  /** Another version of the routes is in force. */
+  ROUTES("routes", "version"),
+  /** Something that the instance depends on was lost or is back. */
+  DEPENDENCY("dependency", "name"),
+  /** An engine is new, started again, is leaving or is gone. */
+  ENGINE("engine", "engine"),
+  /** A duty was dealt to this instance or taken from it. */
+  DUTY("duty", "duty"),
+  /** An order to an engine was sent or answered. */
+  ENGINE_ORDER("engine_order", "engine"),
   /** The instance follows the log no further and must be replaced by a later version. */
   LOG_STOP("log_stop", "offset") {
     @Override
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/AbandonForward.java
@@ -0,0 +1,14 @@
+package org.limpetdoor.core.effect;
+
+/**
+ * Ends an attempt of a forwarded call.
+ *
+ * @param call number of the call
+ * @param attempt number of the attempt
+ */
+public record AbandonForward(long call, int attempt) implements GatewayEffect {
+  @Override
+  public void applyTo(GatewayEffectHandler handler) {
+    handler.abandonForward(this);
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/Effect.java
@@ -11,6 +11,7 @@
         ConnectPeer,
         DispatchAttempt,
         FinishRequest,
+        GatewayEffect,
         RaiseQueueAgeAlarm,
         RecordDecision,
         RefuseRequest,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/EffectHandler.java
@@ -38,6 +38,9 @@
   /** Opens a link to a peer, once. */
   void connectPeer(ConnectPeer effect);
 
+  /** Carries out an effect of a forwarded call. */
+  void gateway(GatewayEffect effect);
+
   /** Sends a message to a peer. */
   void sendToPeer(SendToPeer effect);
 }
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/ForwardCall.java
@@ -0,0 +1,35 @@
+package org.limpetdoor.core.effect;
+
+import org.limpetdoor.core.id.BackendId;
+
+/**
+ * Sends a call to an engine.
+ *
+ * @param call number of the call
+ * @param attempt number of the attempt, from 1
+ * @param engine engine that is meant; another one at its address refuses the call
+ * @param address address as {@code ip:port}
+ * @param timeLeftMs time until the answer must be complete, in milliseconds
+ * @param priority rank at the engine; 0 is the most urgent
+ * @param streamed whether the answer is passed on event by event
+ * @param atMostOnce whether the call must not meet a connection that may just be closing
+ * @param firstByteTimeoutMs longest silence before the answer, in milliseconds; 0 means no bound
+ * @param gapTimeoutMs longest silence within the answer, in milliseconds; 0 means no bound
+ */
+public record ForwardCall(
+    long call,
+    int attempt,
+    BackendId engine,
+    String address,
+    long timeLeftMs,
+    int priority,
+    boolean streamed,
+    boolean atMostOnce,
+    long firstByteTimeoutMs,
+    long gapTimeoutMs)
+    implements GatewayEffect {
+  @Override
+  public void applyTo(GatewayEffectHandler handler) {
+    handler.forwardCall(this);
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/GatewayEffect.java
@@ -0,0 +1,22 @@
+package org.limpetdoor.core.effect;
+
+/** An effect that concerns calls forwarded by route. */
+public sealed interface GatewayEffect extends Effect
+    permits AbandonForward,
+        BreakOffCall,
+        ForwardCall,
+        GiveEngineOrder,
+        InspectEngine,
+        JoinDuty,
+        LeaveDuty,
+        PassAnswer,
+        ReplyToCall,
+        UseCallerLimits {
+  @Override
+  default void applyTo(EffectHandler handler) {
+    handler.gateway(this);
+  }
+
+  /** Hands this effect to the matching method of a handler. */
+  void applyTo(GatewayEffectHandler handler);
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/GiveEngineOrder.java
@@ -0,0 +1,16 @@
+package org.limpetdoor.core.effect;
+
+import org.limpetdoor.core.gateway.EngineOrder;
+
+/**
+ * Sends an order to an engine, once.
+ *
+ * @param order the order
+ * @param address address of the engine as {@code ip:port}
+ */
+public record GiveEngineOrder(EngineOrder order, String address) implements GatewayEffect {
+  @Override
+  public void applyTo(GatewayEffectHandler handler) {
+    handler.giveEngineOrder(this);
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/UseCallerLimits.java
@@ -0,0 +1,15 @@
+package org.limpetdoor.core.effect;
+
+import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
+
+/**
+ * Applies limits to callers.
+ *
+ * @param limits the limits
+ */
+public record UseCallerLimits(CallerLimits limits) implements GatewayEffect {
+  @Override
+  public void applyTo(GatewayEffectHandler handler) {
+    handler.useCallerLimits(this);
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/EngineInspected.java
@@ -0,0 +1,21 @@
+package org.limpetdoor.core.event;
+
+import java.util.Optional;
+import org.limpetdoor.core.EventKind;
+import org.limpetdoor.core.gateway.EngineInventory;
+import org.limpetdoor.core.id.BackendId;
+
+/**
+ * An engine has told what it holds, or has not answered.
+ *
+ * @param atMs when, in monotonic milliseconds
+ * @param engine the engine
+ * @param inventory what it holds; empty if there was no valid answer
+ */
+public record EngineInspected(long atMs, BackendId engine, Optional<EngineInventory> inventory)
+    implements Event {
+  @Override
+  public EventKind kind() {
+    return EventKind.ENGINE_INSPECTED;
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -11,9 +11,18 @@
         AttemptStarted,
         BackendLeaving,
         BackendReported,
+        CallAbandoned,
+        CallArrived,
         CallerDisconnected,
         DemandReported,
         DrainRequested,
+        DutyAnswered,
+        EngineInspected,
+        EngineOrderEnded,
+        EnginesRead,
+        ForwardEnded,
+        ForwardStarted,
+        GatewayStarted,
         InstanceStarted,
         InstancesListed,
         InventoryReported,
@@ -23,6 +32,8 @@
         PeerMessageReceived,
         RecordsRead,
         RequestArrived,
+        RoutesRead,
+        StoreContactChanged,
         TimerFired {
   /** Returns when it happened, in monotonic milliseconds of this instance. */
   long atMs();
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/ForwardStarted.java
@@ -0,0 +1,17 @@
+package org.limpetdoor.core.event;
+
+import org.limpetdoor.core.EventKind;
+
+/**
+ * The first event of a streamed answer was passed on.
+ *
+ * @param atMs when, in monotonic milliseconds
+ * @param call number of the call
+ * @param attempt number of the attempt, from 1
+ */
+public record ForwardStarted(long atMs, long call, int attempt) implements Event {
+  @Override
+  public EventKind kind() {
+    return EventKind.FORWARD_STARTED;
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallKind.java
@@ -0,0 +1,29 @@
+package org.limpetdoor.core.gateway;
+
+/** Kinds of calls; the kind decides what may be repeated and how the answer arrives. */
+public enum CallKind {
+  /** May run more than once; the answer is passed on when it is whole. */
+  IDEMPOTENT(true, false),
+  /** Runs at most once for each attempt of the caller. */
+  AT_MOST_ONCE(false, false),
+  /** The answer is a stream of numbered events, passed on as they arrive. */
+  STREAM(false, true);
+
+  private final boolean repeatable;
+  private final boolean streamed;
+
+  CallKind(boolean repeatable, boolean streamed) {
+    this.repeatable = repeatable;
+    this.streamed = streamed;
+  }
+
+  /** Returns whether a call that may have run may be sent again. */
+  public boolean mayRepeat(boolean resumable) {
+    return repeatable || (streamed && resumable);
+  }
+
+  /** Returns whether the answer is passed on event by event. */
+  public boolean streamed() {
+    return streamed;
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -0,0 +1,85 @@
+package org.limpetdoor.core.gateway;
+
+import java.util.Map;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.SendToPeer;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.membership.PeerLink;
+import org.limpetdoor.core.membership.PeerMessage;
+import org.limpetdoor.core.membership.PeerMessage.HoldingChanged;
+import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
+import org.limpetdoor.core.membership.PeerMessage.ModelWanted;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/** Exchanges with peers what each one has in flight and was asked for. */
+public final class Digests {
+  private Digests() {}
+
+  /** Sends a digest on all links. */
+  static Transition<NodeState, Effect> send(NodeState node) {
+    GatewayState state = node.gateway();
+    LoadDigest digest =
+        new LoadDigest(
+            state.version(),
+            state.duty().acts(node.nowMs(), state.settings().leaseMs())
+                ? state.duty().generation()
+                : 0,
+            inFlight(state),
+            state.arrivals(),
+            state.suspects().unsent());
+    Placement placement = state.placement().withArrivals(state.arrivals(), node.nowMs());
+    NodeState told =
+        node.withGateway(
+            state
+                .withPlacement(placement)
+                .withArrivals(HashTreePMap.empty())
+                .withSuspects(state.suspects().told(node.nowMs())));
+    Transition<NodeState, Effect> result = Transition.of(told);
+    for (Map.Entry<InstanceId, PeerLink> link : node.membership().links().entrySet()) {
+      if (link.getValue().established()) {
+        result = result.with(new SendToPeer(link.getKey(), digest));
+      }
+    }
+    return result;
+  }
+
+  /** Reduces a message of a peer about forwarded calls. */
+  public static Transition<NodeState, Effect> received(
+      NodeState node, InstanceId peer, PeerMessage message) {
+    if (message instanceof LoadDigest digest) {
+      return Transition.of(digestReceived(node, peer, digest));
+    }
+    if (message instanceof HoldingChanged changed) {
+      return Holdings.told(node, changed);
+    }
+    if (message instanceof ModelWanted wanted) {
+      return Wants.wanted(node, wanted.service(), wanted.key());
+    }
+    return Transition.of(node);
+  }
+
+  private static NodeState digestReceived(NodeState node, InstanceId peer, LoadDigest digest) {
+    GatewayState state = node.gateway();
+    GatewayState noted =
+        state
+            .withPeers(state.peers().plus(peer, new PeerLoad(digest, node.nowMs())))
+            .withPlacement(state.placement().withArrivals(digest.arrivals(), node.nowMs()))
+            .withSuspects(state.suspects().withPeerLosses(digest.lostEngines(), node.nowMs()));
+    boolean known = state.peers().containsKey(peer);
+    return node.withGateway(known ? noted : Budgets.resize(noted, noted.peers().size() + 1));
+  }
+
+  private static PMap<BackendId, Integer> inFlight(GatewayState state) {
+    PMap<BackendId, Integer> counts = HashTreePMap.empty();
+    for (EngineState engine : state.engines().byId().values()) {
+      if (engine.inFlight() > 0) {
+        counts = counts.plus(engine.entry().id(), engine.inFlight());
+      }
+    }
+    return counts;
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
@@ -0,0 +1,180 @@
+package org.limpetdoor.core.gateway;
+
+import java.util.Optional;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Timer;
+import org.limpetdoor.core.TimerKind;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.decision.EngineOrderDecision;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.RecordDecision;
+import org.limpetdoor.core.event.EngineInspected;
+import org.limpetdoor.core.event.EngineOrderEnded;
+import org.limpetdoor.core.gateway.EngineOrder.Action;
+import org.limpetdoor.core.id.BackendId;
+
+/** Reduces what engines answer to orders and questions. */
+public final class EngineOrders {
+  /** Time after which an adapter that an engine loads can be used, in milliseconds. */
+  private static final long ADAPTER_LOAD_MS = 9;
+
+  /** Time beyond its expected end after which a change is asked after, in milliseconds. */
+  private static final long CHANGE_SLACK_MS = 1_500;
+
+  /** Time that an engine may take to finish running calls before it drops a model. */
+  private static final long UNLOAD_MS = 4_000;
+
+  private EngineOrders() {}
+
+  /** Notes the answer to an order. */
+  public static Transition<NodeState, Effect> ended(NodeState node, EngineOrderEnded event) {
+    GatewayState state = node.gateway();
+    OrderSlot slot = state.placement().slot(event.engine());
+    Optional<EngineOrder> open = slot.open().filter(order -> order.number() == event.order());
+    if (open.isEmpty()) {
+      return Transition.of(node);
+    }
+    EngineOrder order = open.get();
+    RecordDecision decision =
+        new RecordDecision(new EngineOrderDecision(order, Optional.of(event.result())));
+    Transition<NodeState, Effect> noted = Transition.of(node, decision);
+    return switch (event.result()) {
+      case ACCEPTED -> noted.then(next -> accepted(next, order, slot.answered(true)));
+      case ALREADY_DONE -> noted.then(next -> alreadyDone(next, order, slot));
+      case CONFLICT, REFUSED, UNKNOWN ->
+          noted.then(
+              next -> Transition.of(withSlot(next, order.engine(), slot.unverified(next.nowMs()))));
+      case FENCED ->
+          noted.then(
+              next ->
+                  Transition.of(
+                      next.withGateway(
+                          next.gateway()
+                              .withDuty(next.gateway().duty().fenced())
+                              .withPlacement(next.gateway().placement().unverified()))));
+    };
+  }
+
+  /** Notes what an engine holds. */
+  public static Transition<NodeState, Effect> inspected(NodeState node, EngineInspected event) {
+    GatewayState state = node.gateway();
+    Optional<EngineState> engine = state.engines().find(event.engine());
+    boolean usable =
+        event.inventory().isPresent()
+            && engine.isPresent()
+            && event.inventory().get().startedAtMs() == engine.get().entry().startedAtMs();
+    if (!usable) {
+      return Transition.of(node);
+    }
+    EngineInventory inventory = event.inventory().get();
+    NodeState held =
+        node.withGateway(
+            state.withEngines(
+                state
+                    .engines()
+                    .update(
+                        event.engine(),
+                        known -> known.withHeld(inventory.held(), inventory.ordersAccepted()))));
+    boolean settled = !inventory.busy() && inventory.pending().isEmpty();
+    OrderSlot slot = state.placement().slot(event.engine());
+    NodeState noted =
+        settled && slot.open().isEmpty()
+            ? withSlot(held, event.engine(), slot.verified(inventory.ordersAccepted()))
+            : held;
+    return Planning.plan(noted).then(CallEvents::serveWaiting);
+  }
+
+  /** An adapter should be complete. The key is the engine and the adapter. */
+  public static Transition<NodeState, Effect> adapterDue(NodeState node, String key) {
+    String[] parts = key.split(" ", 3);
+    BackendId engine = new BackendId(parts[0]);
+    ModelKey adapter = ModelKey.of(parts[1], parts[2]);
+    OrderSlot slot = node.gateway().placement().slot(engine);
+    if (!slot.adapters().containsKey(adapter)) {
+      return Transition.of(node);
+    }
+    NodeState next = withSlot(node, engine, slot.withoutAdapter(adapter));
+    return Holdings.changed(next, engine, adapter, true);
+  }
+
+  /** Ends changes that the list of engines shows to be complete, and asks after late ones. */
+  static NodeState settle(NodeState node) {
+    NodeState result = node;
+    for (var entry : node.gateway().placement().slots().entrySet()) {
+      OrderSlot slot = entry.getValue();
+      Optional<EngineState> engine = node.gateway().engines().find(entry.getKey());
+      if (engine.isEmpty()) {
+        Placement without = result.gateway().placement().withoutSlot(entry.getKey());
+        result = result.withGateway(result.gateway().withPlacement(without));
+      } else if (slot.change().isPresent()) {
+        result = withSlot(result, entry.getKey(), settled(node, slot, engine.get()));
+      }
+    }
+    return result;
+  }
+
+  private static OrderSlot settled(NodeState node, OrderSlot slot, EngineState engine) {
+    EngineOrder change = slot.change().orElseThrow();
+    boolean wanted = change.action() == Action.LOAD;
+    if (engine.holds(change.target()) == wanted) {
+      return slot.withoutChange();
+    }
+    boolean late = node.nowMs() > slot.changeUntilMs() + CHANGE_SLACK_MS;
+    return late ? slot.unverified(node.nowMs()) : slot;
+  }
+
+  private static Transition<NodeState, Effect> accepted(
+      NodeState node, EngineOrder order, OrderSlot slot) {
+    if (order.target().adapter().isPresent()) {
+      return adapterAccepted(node, order, slot);
+    }
+    long tookMs = order.action() == Action.LOAD ? loadMs(node, order) : UNLOAD_MS;
+    NodeState next = withSlot(node, order.engine(), slot.withChange(order, node.nowMs() + tookMs));
+    return order.action() == Action.UNLOAD
+        ? Holdings.changed(next, order.engine(), order.target(), false)
+        : Transition.of(next);
+  }
+
+  private static Transition<NodeState, Effect> adapterAccepted(
+      NodeState node, EngineOrder order, OrderSlot slot) {
+    if (order.action() == Action.UNLOAD) {
+      return Holdings.changed(
+              withSlot(node, order.engine(), slot), order.engine(), order.target(), false)
+          .then(Planning::plan);
+    }
+    long dueMs = node.nowMs() + ADAPTER_LOAD_MS;
+    String key =
+        order.engine()
+            + " "
+            + order.target().model()
+            + " "
+            + order.target().adapter().orElseThrow();
+    NodeState next = withSlot(node, order.engine(), slot.withAdapter(order.target(), dueMs));
+    return Planning.plan(
+        next.withTimers(next.timers().plus(new Timer(dueMs, TimerKind.ADAPTER_DUE, key))));
+  }
+
+  /** An adapter that is dropped at once counts as an order; a load that already holds does not. */
+  private static Transition<NodeState, Effect> alreadyDone(
+      NodeState node, EngineOrder order, OrderSlot slot) {
+    boolean loaded = order.action() == Action.LOAD;
+    boolean counted = !loaded && order.target().adapter().isPresent();
+    NodeState next = withSlot(node, order.engine(), slot.answered(counted));
+    return Holdings.changed(next, order.engine(), order.target(), loaded).then(Planning::plan);
+  }
+
+  private static long loadMs(NodeState node, EngineOrder order) {
+    return node.gateway().table().stream()
+        .flatMap(table -> table.services().values().stream())
+        .flatMap(service -> service.engine().stream())
+        .flatMap(spec -> Optional.ofNullable(spec.models().get(order.target().model())).stream())
+        .mapToLong(ServiceSpec.ModelSpec::loadMs)
+        .max()
+        .orElse(CHANGE_SLACK_MS);
+  }
+
+  private static NodeState withSlot(NodeState node, BackendId engine, OrderSlot slot) {
+    GatewayState state = node.gateway();
+    return node.withGateway(state.withPlacement(state.placement().withSlot(engine, slot)));
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineTable.java
@@ -0,0 +1,53 @@
+package org.limpetdoor.core.gateway;
+
+import java.util.Collection;
+import java.util.Optional;
+import java.util.function.UnaryOperator;
+import org.limpetdoor.core.id.BackendId;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * Engines by identifier, and those of each service.
+ *
+ * @param byId engines by identifier
+ * @param byService engines of each service by identifier
+ */
+record EngineTable(
+    PMap<BackendId, EngineState> byId, PMap<String, PMap<BackendId, EngineState>> byService) {
+  static final EngineTable EMPTY = new EngineTable(HashTreePMap.empty(), HashTreePMap.empty());
+
+  Optional<EngineState> find(BackendId id) {
+    return Optional.ofNullable(byId.get(id));
+  }
+
+  Collection<EngineState> ofService(String service) {
+    return byService.getOrDefault(service, HashTreePMap.empty()).values();
+  }
+
+  EngineTable with(EngineState engine) {
+    EngineTable without = without(engine.entry().id());
+    String service = engine.entry().service();
+    PMap<BackendId, EngineState> peers =
+        without.byService.getOrDefault(service, HashTreePMap.empty());
+    return new EngineTable(
+        without.byId.plus(engine.entry().id(), engine),
+        without.byService.plus(service, peers.plus(engine.entry().id(), engine)));
+  }
+
+  EngineTable without(BackendId id) {
+    EngineState known = byId.get(id);
+    if (known == null) {
+      return this;
+    }
+    String service = known.entry().service();
+    PMap<BackendId, EngineState> peers = byService.get(service).minus(id);
+    return new EngineTable(byId.minus(id), byService.plus(service, peers));
+  }
+
+  /** Returns a copy with one engine changed; an engine that is not known stays unknown. */
+  EngineTable update(BackendId id, UnaryOperator<EngineState> change) {
+    EngineState known = byId.get(id);
+    return known == null ? this : with(change.apply(known));
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Holdings.java
@@ -0,0 +1,67 @@
+package org.limpetdoor.core.gateway;
+
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.SendToPeer;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.membership.PeerMessage.HoldingChanged;
+import org.pcollections.PSet;
+
+/** Follows what engines hold, ahead of the list of engines. */
+final class Holdings {
+  private Holdings() {}
+
+  /** Notes a change at the holder of the duty, tells the peers and serves calls that wait. */
+  static Transition<NodeState, Effect> changed(
+      NodeState node, BackendId engine, ModelKey key, boolean held) {
+    GatewayState state = node.gateway();
+    if (state.engines().find(engine).isEmpty()) {
+      return Transition.of(node);
+    }
+    OrderSlot slot = state.placement().slot(engine);
+    HoldingChanged message =
+        new HoldingChanged(
+            engine,
+            state.engines().find(engine).get().entry().startedAtMs(),
+            slot.ordersAccepted(),
+            key,
+            held);
+    Transition<NodeState, Effect> result = told(node, message);
+    for (InstanceId peer : state.peers().keySet()) {
+      result = result.with(new SendToPeer(peer, message));
+    }
+    return result;
+  }
+
+  /** Notes a change that the holder of the duty told. */
+  static Transition<NodeState, Effect> told(NodeState node, HoldingChanged message) {
+    GatewayState state = node.gateway();
+    EngineTable engines =
+        state
+            .engines()
+            .update(
+                message.engine(),
+                engine ->
+                    engine.entry().startedAtMs() == message.startedAtMs()
+                        ? engine.withHeld(changed(engine.held(), message), message.ordersAccepted())
+                        : engine);
+    return CallEvents.serveWaiting(node.withGateway(state.withEngines(engines)));
+  }
+
+  /** A model that is dropped takes its adapters along. */
+  private static PSet<ModelKey> changed(PSet<ModelKey> held, HoldingChanged message) {
+    if (message.held()) {
+      return held.plus(message.key());
+    }
+    PSet<ModelKey> left = held.minus(message.key());
+    if (message.key().adapter().isPresent()) {
+      return left;
+    }
+    for (ModelKey key : held) {
+      left = key.base().equals(message.key()) ? left.minus(key) : left;
+    }
+    return left;
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ModelKey.java
@@ -0,0 +1,31 @@
+package org.limpetdoor.core.gateway;
+
+import java.util.Optional;
+
+/**
+ * A model, or an adapter of a model.
+ *
+ * @param model name of the model
+ * @param adapter name of the adapter, if one is meant
+ */
+public record ModelKey(String model, Optional<String> adapter) {
+  /** Returns the key of a model without adapter. */
+  public static ModelKey of(String model) {
+    return new ModelKey(model, Optional.empty());
+  }
+
+  /** Returns the key of an adapter. */
+  public static ModelKey of(String model, String adapter) {
+    return new ModelKey(model, Optional.of(adapter));
+  }
+
+  /** Returns the key of the model alone. */
+  public ModelKey base() {
+    return adapter.isEmpty() ? this : of(model);
+  }
+
+  @Override
+  public String toString() {
+    return adapter.map(name -> model + "/" + name).orElse(model);
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
@@ -0,0 +1,217 @@
+package org.limpetdoor.core.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.decision.EngineOrderDecision;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.GiveEngineOrder;
+import org.limpetdoor.core.effect.InspectEngine;
+import org.limpetdoor.core.effect.RecordDecision;
+import org.limpetdoor.core.gateway.EngineOrder.Action;
+import org.limpetdoor.core.gateway.Placement.Want;
+import org.limpetdoor.core.gateway.ServiceSpec.EngineSpec;
+import org.limpetdoor.core.gateway.ServiceSpec.ModelSpec;
+
+/** Decides, at the holder of the placement duty, which models and adapters engines load or drop. */
+final class Planning {
+  /** Loads that may be saved up; with the rate it keeps every window under the store's bound. */
+  private static final double MAX_LOAD_TOKENS = 3;
+
+  /** Loads at once; the smaller of the numbers that weight stores serve at full speed. */
+  private static final int MAX_CONCURRENT_LOADS = 3;
+
+  /** Time since its last call after which an adapter may make way for another one. */
+  private static final long ADAPTER_IDLE_MS = 300;
+
+  /** Time since its last call after which the only replica of a model may make way. */
+  private static final long MODEL_IDLE_MS = 8_000;
+
+  /** Calls a second for each replica from which another replica is worth a load. */
+  private static final double BUSY_REPLICA_PER_S = 5;
+
+  /** Factor by which the load of a replica must exceed that of the one that makes way. */
+  private static final double SWAP_GAIN = 2;
+
+  private Planning() {}
+
+  /** Gives the orders that are due. An instance that does not hold the duty gives none. */
+  static Transition<NodeState, Effect> plan(NodeState node) {
+    GatewayState state = node.gateway();
+    if (!state.duty().acts(node.nowMs(), state.settings().leaseMs()) || state.table().isEmpty()) {
+      return Transition.of(node);
+    }
+    Transition<NodeState, Effect> result = Transition.of(node);
+    for (ServiceSpec service : state.table().get().services().values()) {
+      if (service.engine().isPresent()) {
+        EngineSpec spec = service.engine().get();
+        result =
+            result
+                .then(next -> inspect(next, service.name()))
+                .then(next -> adapters(next, service.name(), spec))
+                .then(next -> models(next, service.name(), spec));
+      }
+    }
+    return result;
+  }
+
+  private static Transition<NodeState, Effect> inspect(NodeState node, String service) {
+    Transition<NodeState, Effect> result = Transition.of(node);
+    for (EngineState engine : node.gateway().engines().ofService(service)) {
+      OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
+      if (engine.usable() && slot.inspectionDue(node.nowMs())) {
+        Placement placement =
+            result
+                .state()
+                .gateway()
+                .placement()
+                .withSlot(engine.entry().id(), slot.inspecting(node.nowMs()));
+        result =
+            result.then(
+                next ->
+                    Transition.of(
+                        next.withGateway(next.gateway().withPlacement(placement)),
+                        new InspectEngine(engine.entry().id(), engine.entry().address())));
+      }
+    }
+    return result;
+  }
+
+  private static Transition<NodeState, Effect> adapters(
+      NodeState node, String service, EngineSpec spec) {
+    Transition<NodeState, Effect> result = Transition.of(node);
+    for (Map.Entry<ModelKey, Want> want : node.gateway().placement().wants().entrySet()) {
+      ModelKey key = want.getKey();
+      if (want.getValue().service().equals(service) && key.adapter().isPresent()) {
+        result = result.then(next -> adapter(next, service, spec, key));
+      }
+    }
+    return result;
+  }
+
+  private static Transition<NodeState, Effect> adapter(
+      NodeState node, String service, EngineSpec spec, ModelKey key) {
+    GatewayState state = node.gateway();
+    Placement placement = state.placement();
+    if (Wants.held(state, service, key)) {
+      return Transition.of(node.withGateway(state.withPlacement(placement.withoutWant(key))));
+    }
+    List<EngineState> holders = new ArrayList<>();
+    for (EngineState engine : state.engines().ofService(service)) {
+      OrderSlot slot = placement.slot(engine.entry().id());
+      boolean underWay = slot.adapters().containsKey(key) || targets(slot, key);
+      if (underWay) {
+        return Transition.of(node);
+      }
+      boolean dropsModel =
+          slot.change().filter(order -> order.target().equals(key.base())).isPresent();
+      if (engine.usable() && engine.holds(key.base()) && slot.free() && !dropsModel) {
+        holders.add(engine);
+      }
+    }
+    Optional<EngineState> chosen =
+        holders.stream()
+            .min(
+                Comparator.comparingDouble(
+                    engine ->
+                        adapterCount(node, engine) / (double) spec.adapterCapacity()
+                            + Chooser.load(node, engine)));
+    if (chosen.isEmpty()) {
+      return Transition.of(node);
+    }
+    EngineState engine = chosen.get();
+    if (adapterCount(node, engine) < spec.adapterCapacity()) {
+      return order(node, engine, Action.LOAD, key);
+    }
+    return idleAdapter(node, engine)
+        .map(idle -> order(node, engine, Action.UNLOAD, idle))
+        .orElse(Transition.of(node));
+  }
+
+  private static boolean targets(OrderSlot slot, ModelKey key) {
+    return slot.open().filter(order -> order.target().equals(key)).isPresent();
+  }
+
+  private static int adapterCount(NodeState node, EngineState engine) {
+    OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
+    long held = engine.held().stream().filter(key -> key.adapter().isPresent()).count();
+    return (int) held + slot.adapters().size();
+  }
+
+  /** Returns the adapter of an engine that was asked for least recently. */
+  private static Optional<ModelKey> idleAdapter(NodeState node, EngineState engine) {
+    Placement placement = node.gateway().placement();
+    return engine.held().stream()
+        .filter(key -> key.adapter().isPresent())
+        .filter(key -> node.nowMs() - placement.demandOf(key).lastMs() > ADAPTER_IDLE_MS)
+        .min(
+            Comparator.comparingLong((ModelKey key) -> placement.demandOf(key).lastMs())
+                .thenComparing(ModelKey::toString));
+  }
+
+  private static Transition<NodeState, Effect> models(
+      NodeState node, String service, EngineSpec spec) {
+    Supply supply = Supply.of(node, service, spec);
+    if (supply.loading() >= MAX_CONCURRENT_LOADS || node.gateway().placement().loadTokens() < 1) {
+      return Transition.of(node);
+    }
+    Optional<ModelSpec> needed = supply.mostNeeded(BUSY_REPLICA_PER_S);
+    if (needed.isEmpty()) {
+      return Transition.of(node);
+    }
+    ModelSpec model = needed.get();
+    Optional<EngineState> room = supply.roomFor(model);
+    if (room.isPresent()) {
+      return order(node, room.get(), Action.LOAD, ModelKey.of(model.name()));
+    }
+    return supply
+        .victimFor(model, SWAP_GAIN, MODEL_IDLE_MS)
+        .map(victim -> order(node, victim.engine(), Action.UNLOAD, ModelKey.of(victim.model())))
+        .orElse(Transition.of(node));
+  }
+
+  private static Transition<NodeState, Effect> order(
+      NodeState node, EngineState engine, Action action, ModelKey target) {
+    GatewayState state = node.gateway();
+    Placement placement = state.placement();
+    OrderSlot slot = placement.slot(engine.entry().id());
+    EngineOrder order =
+        new EngineOrder(
+            placement.nextOrder(),
+            engine.entry().id(),
+            action,
+            target,
+            state.duty().generation(),
+            slot.ordersAccepted());
+    boolean fromStore = action == Action.LOAD && target.adapter().isEmpty();
+    Placement counted =
+        fromStore
+            ? placement.withLoadTokens(placement.loadTokens() - 1, placement.refilledAtMs())
+            : placement;
+    Placement sent = counted.withNextOrder().withSlot(engine.entry().id(), slot.sent(order));
+    return Transition.<NodeState, Effect>of(
+            node.withGateway(state.withPlacement(sent)),
+            new RecordDecision(new EngineOrderDecision(order, Optional.empty())))
+        .with(new GiveEngineOrder(order, engine.entry().address()));
+  }
+
+  /** Adds the loads that the store has allowed since the last time. */
+  static NodeState refill(NodeState node) {
+    GatewayState state = node.gateway();
+    double perS =
+        state.table().stream()
+            .flatMap(table -> table.services().values().stream())
+            .flatMap(service -> service.engine().stream())
+            .mapToDouble(EngineSpec::loadsPerS)
+            .max()
+            .orElse(0);
+    Placement placement = state.placement();
+    long elapsedMs = node.nowMs() - placement.refilledAtMs();
+    double tokens = Math.min(MAX_LOAD_TOKENS, placement.loadTokens() + perS * elapsedMs / 1_000);
+    return node.withGateway(state.withPlacement(placement.withLoadTokens(tokens, node.nowMs())));
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
@@ -0,0 +1,133 @@
+package org.limpetdoor.core.gateway;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Timed;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.decision.GatewayDecision;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.RecordDecision;
+import org.limpetdoor.core.effect.UseCallerLimits;
+import org.limpetdoor.core.event.EnginesRead;
+import org.limpetdoor.core.event.RoutesRead;
+import org.limpetdoor.core.event.StoreContactChanged;
+import org.limpetdoor.core.id.BackendId;
+
+/** Reduces what the platform's store tells: configuration, engines, and whether it answers. */
+public final class StoreEvents {
+  private StoreEvents() {}
+
+  /** Puts a newer version in force; an older one changes nothing. */
+  public static Transition<NodeState, Effect> routesRead(NodeState node, RoutesRead event) {
+    GatewayState state = node.gateway();
+    RouteTable table = event.table();
+    if (table.version() <= state.version()) {
+      return Transition.of(node);
+    }
+    GatewayDecision decision =
+        GatewayDecision.routes(state.version(), table.version(), event.source());
+    return Transition.<NodeState, Effect>of(
+            node.withGateway(state.withTable(table)), new UseCallerLimits(table.limits()))
+        .with(new RecordDecision(decision))
+        .then(CallEvents::serveWaiting);
+  }
+
+  /** Follows entries of the list of engines. */
+  public static Transition<NodeState, Effect> enginesRead(NodeState node, EnginesRead event) {
+    Transition<NodeState, Effect> result = Transition.of(node);
+    Set<BackendId> named = new HashSet<>();
+    for (EngineEntry entry : event.entries()) {
+      named.add(entry.id());
+      result = result.then(next -> entryRead(next, entry));
+    }
+    for (BackendId id : event.removed()) {
+      result = result.then(next -> removed(next, id));
+    }
+    if (event.complete()) {
+      for (BackendId id : node.gateway().engines().byId().keySet()) {
+        result = named.contains(id) ? result : result.then(next -> removed(next, id));
+      }
+    }
+    return result.then(next -> CallEvents.serveWaiting(EngineOrders.settle(next)));
+  }
+
+  /** Notes that the store began or ceased to answer. */
+  public static Transition<NodeState, Effect> contactChanged(
+      NodeState node, StoreContactChanged event) {
+    GatewayState state = node.gateway();
+    if (state.storeReachable() == event.reachable()) {
+      return Transition.of(node);
+    }
+    long backAtMs = event.reachable() ? node.nowMs() : state.storeBackAtMs();
+    GatewayDecision decision = GatewayDecision.storeContact(event.reachable());
+    return Transition.of(
+        node.withGateway(state.withStoreContact(event.reachable(), backAtMs)),
+        new RecordDecision(decision));
+  }
+
+  /** Drops engines that were not listed again in time after the store came back. */
+  static NodeState dropUnlisted(NodeState node) {
+    GatewayState state = node.gateway();
+    EngineTable engines = state.engines();
+    for (EngineState engine : engines.byId().values()) {
+      boolean waits = engine.unlistedAtMs() != Timed.NEVER_MS;
+      if (waits && !mayBeListedAgain(node)) {
+        engines = engines.without(engine.entry().id());
+      }
+    }
+    return node.withGateway(state.withEngines(engines));
+  }
+
+  private static Transition<NodeState, Effect> entryRead(NodeState node, EngineEntry entry) {
+    GatewayState state = node.gateway();
+    var known = state.engines().find(entry.id());
+    EngineState next = known.map(engine -> engine.withEntry(entry)).orElse(EngineState.of(entry));
+    NodeState noted = node.withGateway(state.withEngines(state.engines().with(next)));
+    boolean changed =
+        known.isEmpty()
+            || known.get().entry().draining() != entry.draining()
+            || known.get().entry().startedAtMs() != entry.startedAtMs();
+    if (!changed) {
+      return Transition.of(noted);
+    }
+    boolean restarted =
+        known.isPresent() && known.get().entry().startedAtMs() != entry.startedAtMs();
+    NodeState cleared =
+        restarted
+            ? noted.withGateway(
+                noted.gateway().withPlacement(noted.gateway().placement().withoutSlot(entry.id())))
+            : noted;
+    return Transition.of(cleared, new RecordDecision(GatewayDecision.engine(entry)));
+  }
+
+  private static Transition<NodeState, Effect> removed(NodeState node, BackendId id) {
+    GatewayState state = node.gateway();
+    if (state.engines().find(id).isEmpty()) {
+      return Transition.of(node);
+    }
+    if (mayBeListedAgain(node)) {
+      EngineTable kept =
+          state
+              .engines()
+              .update(
+                  id,
+                  engine ->
+                      engine.unlistedAtMs() == Timed.NEVER_MS
+                          ? engine.withUnlistedAtMs(node.nowMs())
+                          : engine);
+      return Transition.of(node.withGateway(state.withEngines(kept)));
+    }
+    return Transition.of(
+        node.withGateway(state.withEngines(state.engines().without(id))),
+        new RecordDecision(GatewayDecision.engineGone(id)));
+  }
+
+  /** While the store is away it may drop entries of engines that live. */
+  private static boolean mayBeListedAgain(NodeState node) {
+    GatewayState state = node.gateway();
+    long sinceMs = node.nowMs() - state.storeBackAtMs();
+    boolean wasAway = state.storeBackAtMs() > 0;
+    return !state.storeReachable() || (wasAway && sinceMs < state.settings().relistMs());
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Supply.java
@@ -0,0 +1,174 @@
+package org.limpetdoor.core.gateway;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.gateway.EngineOrder.Action;
+import org.limpetdoor.core.gateway.Placement.Demand;
+import org.limpetdoor.core.gateway.ServiceSpec.EngineSpec;
+import org.limpetdoor.core.gateway.ServiceSpec.ModelSpec;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/**
+ * Replicas of the models of one service against the demand for them.
+ *
+ * @param node state of the instance
+ * @param engines engines of the service
+ * @param spec what its engines can hold
+ * @param replicas engines that hold or load each model
+ * @param loading models being loaded
+ */
+record Supply(
+    NodeState node,
+    Collection<EngineState> engines,
+    EngineSpec spec,
+    PMap<String, Integer> replicas,
+    int loading) {
+
+  /** Load that a model counts as that calls wait for and no engine holds. */
+  private static final double UNREACHABLE_PER_S = 1_000;
+
+  /** Load that a model counts as that no engine holds and nobody asks for. */
+  private static final double ABSENT_PER_S = 6;
+
+  /**
+   * A replica that makes way.
+   *
+   * @param engine engine that holds it
+   * @param model the model
+   */
+  record Victim(EngineState engine, String model) {}
+
+  static Supply of(NodeState node, String service, EngineSpec spec) {
+    Collection<EngineState> engines = node.gateway().engines().ofService(service);
+    Map<String, Integer> counts = new HashMap<>();
+    int loading = 0;
+    for (EngineState engine : engines) {
+      if (!engine.usable()) {
+        continue;
+      }
+      Optional<EngineOrder> change = change(node, engine);
+      Optional<String> dropped = model(change, Action.UNLOAD);
+      for (ModelKey key : engine.held()) {
+        boolean kept = key.adapter().isEmpty() && !dropped.filter(key.model()::equals).isPresent();
+        if (kept) {
+          counts.merge(key.model(), 1, Integer::sum);
+        }
+      }
+      Optional<String> loaded = model(change, Action.LOAD);
+      if (loaded.isPresent()) {
+        loading++;
+        counts.merge(loaded.get(), 1, Integer::sum);
+      }
+    }
+    return new Supply(node, engines, spec, HashTreePMap.from(counts), loading);
+  }
+
+  /** Returns the model with the most calls for each replica, if another replica is worth it. */
+  Optional<ModelSpec> mostNeeded(double busyPerS) {
+    return spec.models().values().stream()
+        .filter(model -> need(model) > busyPerS)
+        .filter(model -> replicas(model.name()) < engines.size())
+        .max(Comparator.comparingDouble(this::need).thenComparing(ModelSpec::name));
+  }
+
+  /** Returns an engine that has memory for another model; the least loaded one. */
+  Optional<EngineState> roomFor(ModelSpec model) {
+    return engines.stream()
+        .filter(engine -> mayTake(engine, model))
+        .filter(engine -> usedMb(engine) + model.weightsMb() <= spec.weightsMb())
+        .min(
+            Comparator.comparingDouble((EngineState engine) -> Chooser.load(node, engine))
+                .thenComparing(engine -> engine.entry().id()));
+  }
+
+  /**
+   * Returns the replica that is missed least, on an engine that can take the model afterwards.
+   *
+   * @param gain factor by which the need of the model must exceed the load of a replica that is
+   *     left
+   * @param idleMs time without calls after which the only replica of a model may make way
+   */
+  Optional<Victim> victimFor(ModelSpec model, double gain, long idleMs) {
+    double need = need(model);
+    Victim best = null;
+    double bestLoss = Double.MAX_VALUE;
+    for (EngineState engine : engines) {
+      if (!mayTake(engine, model)) {
+        continue;
+      }
+      for (ModelKey key : engine.held()) {
+        double loss = loss(key, idleMs);
+        if (key.adapter().isEmpty() && loss * gain < need && loss < bestLoss) {
+          best = new Victim(engine, key.model());
+          bestLoss = loss;
+        }
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  private boolean mayTake(EngineState engine, ModelSpec model) {
+    OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
+    boolean free = engine.usable() && slot.free() && !slot.changing();
+    return free && !engine.holds(ModelKey.of(model.name()));
+  }
+
+  private double usedMb(EngineState engine) {
+    double used = 0;
+    for (ModelKey key : engine.held()) {
+      ModelSpec model = spec.models().get(key.model());
+      // A model that the configuration does not name is taken to fill the engine.
+      double unknownMb = spec.weightsMb();
+      double modelMb = model == null ? unknownMb : model.weightsMb();
+      double adapterMb = model == null ? 0 : model.adapterMb();
+      used += key.adapter().isEmpty() ? modelMb : adapterMb;
+    }
+    double adapterReserveMb =
+        spec.models().values().stream().mapToDouble(ModelSpec::adapterMb).max().orElse(0);
+    long adapters = engine.held().stream().filter(key -> key.adapter().isPresent()).count();
+    return used + adapterReserveMb * Math.max(0, spec.adapterCapacity() - adapters);
+  }
+
+  private int replicas(String model) {
+    return replicas.getOrDefault(model, 0);
+  }
+
+  private double need(ModelSpec model) {
+    ModelKey key = ModelKey.of(model.name());
+    double perS = node.gateway().placement().demandOf(key).perS();
+    int count = replicas(model.name());
+    if (count > 0) {
+      return perS / count;
+    }
+    boolean wanted =
+        node.gateway().placement().wants().keySet().stream()
+            .anyMatch(want -> want.base().equals(key));
+    return wanted ? UNREACHABLE_PER_S + perS : ABSENT_PER_S + perS;
+  }
+
+  /** Calls a second that each replica gets that is left when one makes way. */
+  private double loss(ModelKey key, long idleMs) {
+    Demand demand = node.gateway().placement().demandOf(key);
+    int left = replicas(key.model()) - 1;
+    if (left > 0) {
+      return demand.perS() / left;
+    }
+    boolean idle = node.nowMs() - demand.lastMs() > idleMs;
+    return idle ? ABSENT_PER_S : UNREACHABLE_PER_S;
+  }
+
+  private static Optional<EngineOrder> change(NodeState node, EngineState engine) {
+    OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
+    Optional<EngineOrder> open = slot.open().filter(order -> order.target().adapter().isEmpty());
+    return slot.change().or(() -> open);
+  }
+
+  private static Optional<String> model(Optional<EngineOrder> order, Action action) {
+    return order.filter(o -> o.action() == action).map(o -> o.target().model());
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerEvents.java
@@ -9,6 +9,7 @@
 import org.limpetdoor.core.event.PeerLinkDown;
 import org.limpetdoor.core.event.PeerLinkUp;
 import org.limpetdoor.core.event.PeerMessageReceived;
+import org.limpetdoor.core.gateway.Digests;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.membership.Membership.Member;
 import org.limpetdoor.core.membership.PeerMessage.Heartbeat;
@@ -41,7 +42,7 @@
     if (event.message() instanceof Leaving) {
       return Transition.of(heard.withMembership(heard.membership().withLeaving(event.peer())));
     }
-    return Transition.of(heard);
+    return Digests.received(heard, event.peer(), event.message());
   }
 
   /** Sends heartbeats on established links and opens missing ones. It is called each second. */
@@ -52,6 +53,12 @@
         result = result.with(new SendToPeer(entry.getKey(), heartbeat(state)));
       }
     }
+    return result.then(PeerEvents::connect);
+  }
+
+  /** Opens missing links. */
+  public static Transition<NodeState, Effect> connect(NodeState state) {
+    Transition<NodeState, Effect> result = Transition.of(state);
     for (InstanceId peer : state.membership().neighbours()) {
       result = result.then(current -> connectIfDue(current, peer));
     }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
@@ -2,8 +2,10 @@
 
 import java.util.List;
 import org.limpetdoor.core.config.Ranges;
+import org.limpetdoor.core.gateway.ModelKey;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.CustomerId;
+import org.pcollections.PMap;
 
 /** What one instance tells another. Each message may be lost or arrive twice. */
 public sealed interface PeerMessage {
@@ -66,6 +68,44 @@
     }
   }
 
+  /**
+   * What the sender has in flight and was asked for. It is sent several times a second.
+   *
+   * @param configurationVersion version of the routes in force, or -1
+   * @param fencingNumber fencing number of its orders if it holds the placement duty, or 0
+   * @param inFlight calls at each engine
+   * @param arrivals calls of each model since the last digest
+   * @param lostEngines engines lost by each call since the last digest, by fingerprint
+   */
+  record LoadDigest(
+      long configurationVersion,
+      long fencingNumber,
+      PMap<BackendId, Integer> inFlight,
+      PMap<ModelKey, Integer> arrivals,
+      PMap<Long, Integer> lostEngines)
+      implements PeerMessage {}
+
+  /**
+   * Calls of the sender wait for a model or adapter that no engine holds.
+   *
+   * @param service service that they go to
+   * @param key the model or adapter
+   */
+  record ModelWanted(String service, ModelKey key) implements PeerMessage {}
+
+  /**
+   * An engine has loaded or dropped something at the order of the sender.
+   *
+   * @param engine the engine
+   * @param startedAtMs when the engine started, in Unix milliseconds
+   * @param ordersAccepted orders that it has accepted
+   * @param key the model or adapter
+   * @param held whether it holds it now
+   */
+  record HoldingChanged(
+      BackendId engine, long startedAtMs, long ordersAccepted, ModelKey key, boolean held)
+      implements PeerMessage {}
+
   /** The sender is shutting down. */
   record Leaving() implements PeerMessage {}
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Rendezvous.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Rendezvous.java
@@ -1,14 +1,14 @@
 package org.limpetdoor.core.request;
 
 /** Hash weights for rendezvous hashing. They are the same on each instance and in each run. */
-final class Rendezvous {
+public final class Rendezvous {
   private static final long FNV_OFFSET = 0xcbf29ce484222325L;
   private static final long FNV_PRIME = 0x100000001b3L;
 
   private Rendezvous() {}
 
   /** Returns a hash of a text. */
-  static long hash(String text) {
+  public static long hash(String text) {
     long hash = FNV_OFFSET;
     for (int i = 0; i < text.length(); i++) {
       hash = (hash ^ text.charAt(i)) * FNV_PRIME;
@@ -17,7 +17,7 @@
   }
 
   /** Returns the weight of a pair; for one key, the candidate with the highest weight wins. */
-  static long weight(long key, long candidate) {
+  public static long weight(long key, long candidate) {
     return mix(key ^ Long.rotateLeft(candidate, 32));
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RetryBudget.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RetryBudget.java
@@ -5,24 +5,38 @@
  * ends fail.
  *
  * @param available retries that may be sent now
+ * @param maxAvailable retries that may be saved up
+ * @param perRequest retries that each request adds
  */
-record RetryBudget(double available) {
+public record RetryBudget(double available, double maxAvailable, double perRequest) {
   /** Covers the requests in flight on one engine that crashes. */
   private static final double MAX_AVAILABLE = 50;
 
   private static final double PER_REQUEST = 0.1;
 
-  static final RetryBudget FULL = new RetryBudget(MAX_AVAILABLE);
+  static final RetryBudget FULL = new RetryBudget(MAX_AVAILABLE, MAX_AVAILABLE, PER_REQUEST);
 
-  boolean allows() {
+  /** Returns whether a retry may be sent now. */
+  public boolean allows() {
     return available >= 1;
   }
 
-  RetryBudget withRequest() {
-    return new RetryBudget(Math.min(MAX_AVAILABLE, available + PER_REQUEST));
+  /** Returns the budget after the first attempt of a request. */
+  public RetryBudget withRequest() {
+    return withAvailable(Math.min(maxAvailable, available + perRequest));
   }
 
-  RetryBudget withRetry() {
-    return new RetryBudget(available - 1);
+  /** Returns the budget after a retry. */
+  public RetryBudget withRetry() {
+    return withAvailable(available - 1);
+  }
+
+  /** Returns the budget with another bound on what is saved up. */
+  public RetryBudget withMaxAvailable(double value) {
+    return new RetryBudget(Math.min(available, value), value, perRequest);
+  }
+
+  private RetryBudget withAvailable(double value) {
+    return new RetryBudget(value, maxAvailable, perRequest);
   }
 }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/EntryEffects.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/EntryEffects.java
@@ -10,6 +10,7 @@
 import org.limpetdoor.core.effect.DispatchAttempt;
 import org.limpetdoor.core.effect.EffectHandler;
 import org.limpetdoor.core.effect.FinishRequest;
+import org.limpetdoor.core.effect.GatewayEffect;
 import org.limpetdoor.core.effect.RaiseQueueAgeAlarm;
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.effect.RefuseRequest;
@@ -103,6 +104,12 @@
     stop.accept(effect.reason());
   }
 
+  /** This front end submits no events of calls forwarded by route, so no such effect comes. */
+  @Override
+  public void gateway(GatewayEffect effect) {
+    LOG.log(Level.ERROR, LogLine.event("effect_unexpected").with("effect", effect).toString());
+  }
+
   /** Links between instances are not opened yet; membership rests on the list of instances. */
   @Override
   public void connectPeer(ConnectPeer effect) {}
--- /dev/null
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
@@ -0,0 +1,203 @@
+package org.limpetdoor.format.peer;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.limpetdoor.core.LimpetdoorException;
+import org.limpetdoor.core.gateway.ModelKey;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.membership.PeerMessage;
+import org.limpetdoor.core.membership.PeerMessage.Heartbeat;
+import org.limpetdoor.core.membership.PeerMessage.HoldingChanged;
+import org.limpetdoor.core.membership.PeerMessage.Leaving;
+import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
+import org.limpetdoor.core.membership.PeerMessage.ModelWanted;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.pcollections.HashTreePMap;
+import org.pcollections.PMap;
+
+/** Encodes messages between instances as MessagePack: a kind number and the fields in order. */
+public final class PeerMessageCodec {
+  private PeerMessageCodec() {}
+
+  /**
+   * Returns the bytes of a message.
+   *
+   * @throws MalformedFrameException if messages of the kind are not sent between instances
+   */
+  public static byte[] encode(PeerMessage message) {
+    try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+      Kind kind = Kind.of(message);
+      packer.packInt(kind.ordinal());
+      kind.pack(packer, message);
+      return packer.toByteArray();
+    } catch (IOException e) {
+      throw new MalformedFrameException("an encodable peer message", e);
+    }
+  }
+
+  /**
+   * Returns the message in some bytes.
+   *
+   * @throws MalformedFrameException if the bytes are not one whole message
+   */
+  public static PeerMessage decode(byte[] bytes) {
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+      int number = unpacker.unpackInt();
+      if (number < 0 || number >= Kind.values().length) {
+        throw new MalformedFrameException("a known kind of peer message", null);
+      }
+      PeerMessage message = Kind.values()[number].unpack(unpacker);
+      if (unpacker.hasNext()) {
+        throw new MalformedFrameException("nothing after the peer message", null);
+      }
+      return message;
+    } catch (MalformedFrameException e) {
+      throw e;
+    } catch (IOException | MessagePackException | LimpetdoorException e) {
+      throw new MalformedFrameException("a peer message", e);
+    }
+  }
+
+  /** Kinds of messages. The ordinal is the number on the wire, so the order must not change. */
+  private enum Kind {
+    HEARTBEAT(Heartbeat.class) {
+      @Override
+      void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
+        Heartbeat heartbeat = (Heartbeat) message;
+        packer.packLong(heartbeat.nextOffset());
+        packer.packLong(heartbeat.limitEpoch());
+      }
+
+      @Override
+      PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
+        return new Heartbeat(unpacker.unpackLong(), unpacker.unpackLong());
+      }
+    },
+    LEAVING(Leaving.class) {
+      @Override
+      void pack(MessageBufferPacker packer, PeerMessage message) {}
+
+      @Override
+      PeerMessage unpack(MessageUnpacker unpacker) {
+        return new Leaving();
+      }
+    },
+    LOAD_DIGEST(LoadDigest.class) {
+      @Override
+      void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
+        LoadDigest digest = (LoadDigest) message;
+        packer.packLong(digest.configurationVersion());
+        packer.packLong(digest.fencingNumber());
+        packer.packMapHeader(digest.inFlight().size());
+        for (Map.Entry<BackendId, Integer> entry : digest.inFlight().entrySet()) {
+          packer.packString(entry.getKey().value());
+          packer.packInt(entry.getValue());
+        }
+        packer.packMapHeader(digest.arrivals().size());
+        for (Map.Entry<ModelKey, Integer> entry : digest.arrivals().entrySet()) {
+          packKey(packer, entry.getKey());
+          packer.packInt(entry.getValue());
+        }
+        packer.packMapHeader(digest.lostEngines().size());
+        for (Map.Entry<Long, Integer> entry : digest.lostEngines().entrySet()) {
+          packer.packLong(entry.getKey());
+          packer.packInt(entry.getValue());
+        }
+      }
+
+      @Override
+      PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
+        long version = unpacker.unpackLong();
+        long fence = unpacker.unpackLong();
+        PMap<BackendId, Integer> inFlight =
+            unpackMap(unpacker, u -> new BackendId(u.unpackString()));
+        PMap<ModelKey, Integer> arrivals = unpackMap(unpacker, Kind::unpackKey);
+        PMap<Long, Integer> lost = unpackMap(unpacker, MessageUnpacker::unpackLong);
+        return new LoadDigest(version, fence, inFlight, arrivals, lost);
+      }
+    },
+    MODEL_WANTED(ModelWanted.class) {
+      @Override
+      void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
+        ModelWanted wanted = (ModelWanted) message;
+        packer.packString(wanted.service());
+        packKey(packer, wanted.key());
+      }
+
+      @Override
+      PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
+        return new ModelWanted(unpacker.unpackString(), unpackKey(unpacker));
+      }
+    },
+    HOLDING_CHANGED(HoldingChanged.class) {
+      @Override
+      void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
+        HoldingChanged changed = (HoldingChanged) message;
+        packer.packString(changed.engine().value());
+        packer.packLong(changed.startedAtMs());
+        packer.packLong(changed.ordersAccepted());
+        packKey(packer, changed.key());
+        packer.packBoolean(changed.held());
+      }
+
+      @Override
+      PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
+        BackendId engine = new BackendId(unpacker.unpackString());
+        long startedAtMs = unpacker.unpackLong();
+        long orders = unpacker.unpackLong();
+        ModelKey key = unpackKey(unpacker);
+        return new HoldingChanged(engine, startedAtMs, orders, key, unpacker.unpackBoolean());
+      }
+    };
+
+    private final Class<? extends PeerMessage> type;
+
+    Kind(Class<? extends PeerMessage> type) {
+      this.type = type;
+    }
+
+    abstract void pack(MessageBufferPacker packer, PeerMessage message) throws IOException;
+
+    abstract PeerMessage unpack(MessageUnpacker unpacker) throws IOException;
+
+    static Kind of(PeerMessage message) {
+      for (Kind kind : values()) {
+        if (kind.type.isInstance(message)) {
+          return kind;
+        }
+      }
+      throw new MalformedFrameException("a peer message that is sent between instances", null);
+    }
+
+    private interface KeyReader<K> {
+      K read(MessageUnpacker unpacker) throws IOException;
+    }
+
+    private static <K> PMap<K, Integer> unpackMap(MessageUnpacker unpacker, KeyReader<K> keys)
+        throws IOException {
+      int size = unpacker.unpackMapHeader();
+      Map<K, Integer> map = new HashMap<>();
+      for (int i = 0; i < size; i++) {
+        K key = keys.read(unpacker);
+        map.put(key, unpacker.unpackInt());
+      }
+      return HashTreePMap.from(map);
+    }
+
+    private static void packKey(MessageBufferPacker packer, ModelKey key) throws IOException {
+      packer.packString(key.model());
+      packer.packString(key.adapter().orElse(""));
+    }
+
+    private static ModelKey unpackKey(MessageUnpacker unpacker) throws IOException {
+      String model = unpacker.unpackString();
+      String adapter = unpacker.unpackString();
+      return new ModelKey(model, Optional.of(adapter).filter(name -> !name.isEmpty()));
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DecisionLog.java
@@ -0,0 +1,149 @@
+package org.limpetdoor.gateway;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.limpetdoor.core.decision.CallDecision;
+import org.limpetdoor.core.decision.Decision;
+import org.limpetdoor.core.decision.DecisionKind;
+import org.limpetdoor.runtime.decision.LogLine;
+
+/**
+ * Writes a line for each decision without ever blocking the threads that decide. Lines that do not
+ * fit into the queue are counted and reported. Of calls that were routed and answered as usual, one
+ * in {@value #SAMPLE_ONE_IN} is written; failures and changes of belief always are.
+ */
+final class DecisionLog implements AutoCloseable {
+  /** Lines that wait for the writer; about 1 MB. */
+  private static final int MAX_QUEUED_LINES = 4_096;
+
+  /** Usual calls for each line; at 50 calls a second this leaves about 5 lines a second. */
+  static final int SAMPLE_ONE_IN = 20;
+
+  /** Time for which the writer collects lines, in milliseconds, to save wake-ups and writes. */
+  private static final long COLLECT_MS = 200;
+
+  private final BlockingQueue<String> lines;
+  private final AtomicLong dropped = new AtomicLong();
+  private final PrintStream out;
+  private final Counter droppedCounter;
+  private final MeterRegistry metrics;
+  private final CountDownLatch pause = new CountDownLatch(1);
+  private final Thread writer;
+  private long usualCalls;
+
+  DecisionLog(PrintStream out, MeterRegistry metrics) {
+    this(out, metrics, MAX_QUEUED_LINES);
+  }
+
+  DecisionLog(PrintStream out, MeterRegistry metrics, int maxQueuedLines) {
+    this.out = out;
+    this.metrics = metrics;
+    this.lines = new ArrayBlockingQueue<>(maxQueuedLines);
+    this.droppedCounter = metrics.counter("limpetdoor.log.dropped.lines");
+    this.writer = new Thread(this::run, "log-writer");
+    this.writer.setDaemon(true);
+    this.writer.start();
+  }
+
+  /** Records a decision: counts it, and writes its line unless it is usual and not sampled. */
+  void record(Decision decision) {
+    count(decision);
+    boolean usual = isUsual(decision);
+    if (usual && usualCalls++ % SAMPLE_ONE_IN != 0) {
+      return;
+    }
+    LogLine line = LogLine.of(decision);
+    write(usual ? line.with("sampled_one_in", SAMPLE_ONE_IN) : line);
+  }
+
+  /** Writes a line, or counts it if the writer cannot keep up. */
+  void write(LogLine line) {
+    if (!lines.offer(line.with("at_ms", System.currentTimeMillis()).toString())) {
+      dropped.incrementAndGet();
+      droppedCounter.increment();
+    }
+  }
+
+  @Override
+  public void close() {
+    pause.countDown();
+    writer.interrupt();
+    try {
+      writer.join(COLLECT_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Returns whether a decision is one of many that went as usual. */
+  private static boolean isUsual(Decision decision) {
+    if (!(decision instanceof CallDecision call)) {
+      return false;
+    }
+    boolean first = call.call().attempts() <= 1;
+    boolean routed = call.kind() == DecisionKind.CALL_ROUTED;
+    boolean completed =
+        call.kind() == DecisionKind.CALL_ENDED && call.details().get(0).value().equals("completed");
+    return first && (routed || completed);
+  }
+
+  private void count(Decision decision) {
+    String reason =
+        decision.fields().stream()
+            .filter(field -> field.key().equals("reason"))
+            .map(Decision.Field::value)
+            .findFirst()
+            .orElse("none");
+    String route = decision instanceof CallDecision call ? call.call().route() : "none";
+    metrics
+        .counter(
+            "limpetdoor.decisions",
+            "kind",
+            decision.kind().eventName(),
+            "reason",
+            reason,
+            "route",
+            route)
+        .increment();
+  }
+
+  private void run() {
+    try {
+      while (true) {
+        String first = lines.take();
+        pause.await(COLLECT_MS, TimeUnit.MILLISECONDS);
+        writeBatch(first);
+      }
+    } catch (InterruptedException e) {
+      writeRest();
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void writeBatch(String first) {
+    List<String> batch = new ArrayList<>();
+    batch.add(first);
+    lines.drainTo(batch);
+    long lost = dropped.getAndSet(0);
+    if (lost > 0) {
+      batch.add(LogLine.event("log_lines_dropped").with("lines", lost).toString());
+    }
+    out.println(String.join("\n", batch));
+    out.flush();
+  }
+
+  private void writeRest() {
+    String first = lines.poll();
+    if (first != null) {
+      writeBatch(first);
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
@@ -0,0 +1,240 @@
+package org.limpetdoor.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.limpetdoor.core.effect.ForwardCall;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.ForwardEnded;
+import org.limpetdoor.core.event.ForwardStarted;
+import org.limpetdoor.core.gateway.ForwardResult;
+
+/**
+ * One exchange with an engine. It reports its end once. Used by the traffic thread only.
+ *
+ * <p>Answers that are not streamed are passed on when they are whole, so that a broken one can
+ * still be replaced.
+ */
+final class EngineAttempt {
+  /** Largest whole answer that is kept in memory, in bytes. */
+  private static final int MAX_ANSWER_BYTES = 32 << 20;
+
+  private static final int MISDIRECTED_REQUEST = 421;
+
+  /** Receives events of the traffic side. */
+  interface Reports {
+    /** Submits an event, made from its time in monotonic milliseconds. */
+    void submit(Function<Long, Event> event);
+  }
+
+  private final ForwardCall forward;
+  private final OpenCall call;
+  private final CallDialect dialect;
+  private final Reports reports;
+  private final EventLoop loop;
+  private final EventSplitter splitter = new EventSplitter();
+  private EngineChannel channel;
+  private HttpResponse answerHead;
+  private ByteBuf whole = Unpooled.EMPTY_BUFFER;
+  private ScheduledFuture<?> silenceCheck;
+  private long lastByteNs;
+  private boolean streaming;
+  private boolean startReported;
+  private boolean ended;
+
+  EngineAttempt(
+      ForwardCall forward, OpenCall call, CallDialect dialect, Reports reports, EventLoop loop) {
+    this.forward = forward;
+    this.call = call;
+    this.dialect = dialect;
+    this.reports = reports;
+    this.loop = loop;
+  }
+
+  int number() {
+    return forward.attempt();
+  }
+
+  ForwardCall forward() {
+    return forward;
+  }
+
+  OpenCall call() {
+    return call;
+  }
+
+  HttpResponse answerHead() {
+    return answerHead;
+  }
+
+  /** Returns the kept answer that was not streamed. */
+  byte[] wholeAnswer() {
+    return ByteBufUtil.getBytes(whole);
+  }
+
+  boolean hasEnded() {
+    return ended;
+  }
+
+  /** The request is being written on a channel. */
+  void sentOn(EngineChannel value) {
+    channel = value;
+    lastByteNs = System.nanoTime();
+    scheduleSilenceCheck(forward.firstByteTimeoutMs());
+  }
+
+  void connectFailed() {
+    end(ForwardResult.CONNECT_FAILED);
+  }
+
+  /** Returns whether the answer belongs to this call; others are skipped. */
+  boolean accepts(HttpResponse head) {
+    return !dialect.answersOther(head, call.spec().label());
+  }
+
+  void answerBegins(HttpResponse head) {
+    answerHead = head;
+    lastByteNs = System.nanoTime();
+    boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
+    streaming = forward.streamed() && success && dialect.signed(head);
+  }
+
+  void answerPart(ByteBuf part) {
+    if (ended) {
+      return;
+    }
+    lastByteNs = System.nanoTime();
+    if (streaming) {
+      streamPart(part);
+    } else if (whole.readableBytes() + part.readableBytes() > MAX_ANSWER_BYTES) {
+      fail(ForwardResult.INVALID_ANSWER);
+    } else {
+      whole = Unpooled.wrappedBuffer(whole, part.retain());
+    }
+  }
+
+  /** The answer is complete as the engine framed it. */
+  void answerEnds() {
+    if (ended) {
+      return;
+    }
+    if (streaming) {
+      streamEnds();
+    } else {
+      wholeEnds();
+    }
+  }
+
+  /** The connection or the form of the answer broke. */
+  void broken(ForwardResult result) {
+    end(result);
+  }
+
+  /** Ends without a report; the reducer knows already. */
+  void abandon() {
+    if (ended) {
+      return;
+    }
+    close();
+    if (channel != null) {
+      channel.abort();
+    }
+  }
+
+  /** Called when the caller takes bytes again, or takes none for now. */
+  void callerWritable(boolean writable) {
+    if (channel != null && !ended) {
+      channel.setReading(writable);
+    }
+  }
+
+  private void streamPart(ByteBuf part) {
+    ByteBuf events = splitter.take(part);
+    if (!events.isReadable()) {
+      events.release();
+      return;
+    }
+    call.passEvents(this, events, splitter.lastId());
+    if (!startReported) {
+      startReported = true;
+      reports.submit(atMs -> new ForwardStarted(atMs, forward.call(), forward.attempt()));
+    }
+  }
+
+  private void streamEnds() {
+    if (splitter.hasRest() || !call.headPassed()) {
+      end(ForwardResult.INVALID_ANSWER);
+      return;
+    }
+    call.caller().endStream();
+    end(ForwardResult.COMPLETED);
+  }
+
+  private void wholeEnds() {
+    HttpStatusClass statusClass = answerHead.status().codeClass();
+    if (dialect.notRun(answerHead)) {
+      boolean misdirected = answerHead.status().code() == MISDIRECTED_REQUEST;
+      end(misdirected ? ForwardResult.MISDIRECTED : ForwardResult.BUSY);
+      return;
+    }
+    if (!dialect.signed(answerHead) || StatusPromise.promisesNotRun(answerHead.status().code())) {
+      end(ForwardResult.INVALID_ANSWER);
+      return;
+    }
+    if (statusClass == HttpStatusClass.SERVER_ERROR || call.headPassed()) {
+      call.keep(this);
+      end(ForwardResult.ERROR_ANSWER);
+      return;
+    }
+    call.caller().writeWhole(answerHead, wholeAnswer());
+    end(ForwardResult.COMPLETED);
+  }
+
+  private void fail(ForwardResult result) {
+    EngineChannel used = channel;
+    end(result);
+    if (used != null) {
+      used.abort();
+    }
+  }
+
+  private void end(ForwardResult result) {
+    if (ended) {
+      return;
+    }
+    close();
+    boolean delivered = call.headPassed();
+    reports.submit(
+        atMs -> new ForwardEnded(atMs, forward.call(), forward.attempt(), result, delivered));
+  }
+
+  private void close() {
+    ended = true;
+    splitter.release();
+    if (silenceCheck != null) {
+      silenceCheck.cancel(false);
+    }
+  }
+
+  private void scheduleSilenceCheck(long delayMs) {
+    if (delayMs > 0) {
+      silenceCheck = loop.schedule(this::checkSilence, delayMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void checkSilence() {
+    long boundMs = startReported ? forward.gapTimeoutMs() : forward.firstByteTimeoutMs();
+    long silentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastByteNs);
+    if (silentMs >= boundMs) {
+      fail(ForwardResult.SILENT);
+    } else {
+      scheduleSilenceCheck(boundMs - silentMs);
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
@@ -0,0 +1,239 @@
+package org.limpetdoor.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
+import org.limpetdoor.core.gateway.ForwardResult;
+import org.limpetdoor.core.id.BackendId;
+
+/**
+ * A connection to an engine, which serves one call at a time. An answer that names another call is
+ * skipped, since an engine may send an extra answer late. Used by the traffic thread only.
+ */
+final class EngineChannel extends ChannelInboundHandlerAdapter {
+  /** Idle time after which a connection is not used again if the engine states none. */
+  private static final long DEFAULT_IDLE_MS = 4_000;
+
+  /** Part of the stated idle timeout that is used, so that a call does not meet the close. */
+  private static final double IDLE_SHARE = 0.6;
+
+  private static final long MS_PER_S = 1_000;
+
+  /** Takes connections back that can be used again. */
+  interface Home {
+    /** The connection serves no call any more and may serve another one. */
+    void idle(EngineChannel channel);
+
+    /** The connection has ended. */
+    void gone(EngineChannel channel);
+  }
+
+  private final BackendId engine;
+  private final Home home;
+  private Channel channel;
+  private EngineAttempt attempt;
+  private ChannelFuture written;
+  private boolean inAnswer;
+  private boolean skipping;
+  private boolean reusable;
+  private boolean reset;
+  private long idleSinceNs;
+  private long idleLimitMs = DEFAULT_IDLE_MS;
+
+  EngineChannel(BackendId engine, Home home) {
+    this.engine = engine;
+    this.home = home;
+  }
+
+  BackendId engine() {
+    return engine;
+  }
+
+  /** Returns whether a call may be sent without meeting the close of an idle connection. */
+  boolean usable(long maxIdleMs) {
+    return channel.isActive() && idleMs() < Math.min(maxIdleMs, idleLimitMs);
+  }
+
+  long idleMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSinceNs);
+  }
+
+  boolean idledOut() {
+    return idleMs() >= idleLimitMs;
+  }
+
+  void send(EngineAttempt next, CallDialect dialect) {
+    attempt = next;
+    inAnswer = false;
+    skipping = false;
+    OpenCall call = next.call();
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            call.head().method(),
+            call.head().uri(),
+            Unpooled.wrappedBuffer(call.body()));
+    HopHeaders.copyEndToEnd(call.head().headers(), request.headers());
+    dialect.writeHeaders(
+        call.head().headers(), request.headers(), next.forward(), call.lastEventId());
+    boolean hasBody =
+        call.body().length > 0 || call.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+    if (hasBody) {
+      request.headers().set(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+    }
+    written = channel.writeAndFlush(request);
+    next.sentOn(this);
+  }
+
+  /** Closes the connection, which makes the engine drop the call. */
+  void abort() {
+    attempt = null;
+    channel.close();
+  }
+
+  void close() {
+    channel.close();
+  }
+
+  void setReading(boolean reading) {
+    channel.config().setAutoRead(reading);
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    channel = context.channel();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    try {
+      read(message);
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    home.gone(this);
+    if (attempt != null) {
+      EngineAttempt lost = attempt;
+      attempt = null;
+      lost.broken(ForwardResult.CONNECTION_LOST);
+    }
+  }
+
+  /** A reset; the end of the connection follows. An answer without length is then not whole. */
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    reset = true;
+    context.close();
+  }
+
+  private void read(Object message) {
+    if (attempt == null) {
+      // Bytes that no call waits for belong to no call.
+      channel.close();
+      return;
+    }
+    if (message instanceof HttpResponse head) {
+      headRead(head);
+    }
+    if (message instanceof HttpContent content) {
+      contentRead(content);
+    }
+  }
+
+  private void headRead(HttpResponse head) {
+    if (head.decoderResult().isFailure()) {
+      breakOff();
+      return;
+    }
+    boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    skipping = informational || !attempt.accepts(head);
+    if (skipping) {
+      return;
+    }
+    inAnswer = true;
+    reusable = HttpUtil.isKeepAlive(head) && isFramed(head);
+    noteIdleLimit(head);
+    attempt.answerBegins(head);
+  }
+
+  private void contentRead(HttpContent content) {
+    boolean last = content instanceof LastHttpContent;
+    if (skipping) {
+      skipping = !last;
+      return;
+    }
+    if (content.decoderResult().isFailure() || !inAnswer || (last && reset)) {
+      breakOff();
+      return;
+    }
+    ByteBuf bytes = content.content();
+    if (bytes.isReadable()) {
+      attempt.answerPart(bytes);
+    }
+    if (last && attempt != null) {
+      EngineAttempt whole = attempt;
+      attempt = null;
+      whole.answerEnds();
+      free();
+    }
+  }
+
+  private void breakOff() {
+    EngineAttempt broken = attempt;
+    attempt = null;
+    channel.close();
+    if (broken != null) {
+      broken.broken(reset ? ForwardResult.CONNECTION_LOST : ForwardResult.INVALID_ANSWER);
+    }
+  }
+
+  /** A connection whose request is not fully written yet would mix two requests. */
+  private void free() {
+    if (reusable && written.isSuccess() && channel.isActive()) {
+      idleSinceNs = System.nanoTime();
+      channel.config().setAutoRead(true);
+      home.idle(this);
+    } else {
+      channel.close();
+    }
+  }
+
+  private void noteIdleLimit(HttpResponse head) {
+    String keepAlive = head.headers().get("Keep-Alive");
+    idleLimitMs = keepAlive == null ? DEFAULT_IDLE_MS : statedIdleMs(keepAlive);
+  }
+
+  /** Reads the timeout in whole seconds; another form counts as not stated. */
+  private static long statedIdleMs(String keepAlive) {
+    for (String part : keepAlive.split(",")) {
+      String[] pair = part.trim().split("=", 2);
+      boolean timeout = pair.length == 2 && pair[0].trim().equalsIgnoreCase("timeout");
+      if (timeout && pair[1].trim().matches("[0-9]{1,6}")) {
+        return (long) (IDLE_SHARE * MS_PER_S * Long.parseLong(pair[1].trim()));
+      }
+    }
+    return DEFAULT_IDLE_MS;
+  }
+
+  private static boolean isFramed(HttpResponse head) {
+    return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+  }
+}
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EnginePool.java
@@ -0,0 +1,117 @@
+package org.limpetdoor.gateway;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.limpetdoor.core.id.BackendId;
+
+/**
+ * Connections to engines, kept by engine and not by address, because an address may pass to another
+ * engine. The newest idle connection is used first, so that the others can end.
+ */
+final class EnginePool implements EngineChannel.Home {
+  /** Round trips take at most tens of milliseconds; more means that the engine is unreachable. */
+  private static final int CONNECT_TIMEOUT_MS = 400;
+
+  /**
+   * Idle time up to which a connection carries a call that may not be repeated. The engine's close
+   * of an older one could cross the call, and its outcome would be unknown.
+   */
+  private static final long AT_MOST_ONCE_IDLE_MS = 900;
+
+  private static final long SWEEP_INTERVAL_MS = 1_000;
+
+  private final EventLoop loop;
+  private final CallDialect dialect;
+  private final Map<BackendId, Deque<EngineChannel>> idle = new HashMap<>();
+
+  EnginePool(EventLoop loop, CallDialect dialect) {
+    this.loop = loop;
+    this.dialect = dialect;
+    loop.scheduleWithFixedDelay(
+        this::closeIdle, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Sends the request of an attempt on an idle or a new connection. */
+  void send(EngineAttempt attempt) {
+    EngineChannel free = pollIdle(attempt);
+    if (free != null) {
+      free.send(attempt, dialect);
+      return;
+    }
+    EngineChannel fresh = new EngineChannel(attempt.forward().engine(), this);
+    ChannelFuture connecting = connect(attempt.forward().address(), fresh);
+    connecting.addListener(
+        done -> {
+          if (attempt.hasEnded()) {
+            connecting.channel().close();
+          } else if (done.isSuccess()) {
+            fresh.send(attempt, dialect);
+          } else {
+            attempt.connectFailed();
+          }
+        });
+  }
+
+  @Override
+  public void idle(EngineChannel channel) {
+    idle.computeIfAbsent(channel.engine(), engine -> new ArrayDeque<>()).addLast(channel);
+  }
+
+  @Override
+  public void gone(EngineChannel channel) {
+    Deque<EngineChannel> channels = idle.get(channel.engine());
+    if (channels != null) {
+      channels.remove(channel);
+    }
+  }
+
+  private EngineChannel pollIdle(EngineAttempt attempt) {
+    Deque<EngineChannel> channels = idle.get(attempt.forward().engine());
+    if (channels == null || channels.isEmpty()) {
+      return null;
+    }
+    long maxIdleMs = attempt.forward().atMostOnce() ? AT_MOST_ONCE_IDLE_MS : Long.MAX_VALUE;
+    return channels.peekLast().usable(maxIdleMs) ? channels.pollLast() : null;
+  }
+
+  private void closeIdle() {
+    for (Deque<EngineChannel> channels : idle.values()) {
+      while (!channels.isEmpty() && channels.peekFirst().idledOut()) {
+        channels.pollFirst().close();
+      }
+    }
+    idle.values().removeIf(Deque::isEmpty);
+  }
+
+  private ChannelFuture connect(String address, EngineChannel handler) {
+    return new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new HttpRequestEncoder())
+                    .addLast(new HttpResponseDecoder())
+                    .addLast(handler);
+              }
+            })
+        .connect(HttpExchange.socketAddress(address));
+  }
+}
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayEffects.java
@@ -0,0 +1,46 @@
+package org.limpetdoor.gateway;
+
+import java.util.function.Consumer;
+import org.limpetdoor.core.effect.ConnectPeer;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.GatewayEffect;
+import org.limpetdoor.core.effect.RecordDecision;
+import org.limpetdoor.core.effect.SendToPeer;
+import org.limpetdoor.core.effect.StopInstance;
+import org.limpetdoor.runtime.decision.LogLine;
+
+/** Hands each effect of the reducer to the part of the gateway that carries it out. */
+final class GatewayEffects {
+  private final GatewayTraffic traffic;
+  private final PeerLinks peers;
+  private final DecisionLog log;
+  private final Consumer<StopInstance.Reason> stop;
+
+  GatewayEffects(
+      GatewayTraffic traffic,
+      PeerLinks peers,
+      DecisionLog log,
+      Consumer<StopInstance.Reason> stop) {
+    this.traffic = traffic;
+    this.peers = peers;
+    this.log = log;
+    this.stop = stop;
+  }
+
+  /** Carries out an effect. Effects of the product's other front end do not come here. */
+  void carryOut(Effect effect) {
+    if (effect instanceof GatewayEffect gateway) {
+      traffic.apply(gateway);
+    } else if (effect instanceof RecordDecision record) {
+      log.record(record.decision());
+    } else if (effect instanceof SendToPeer message) {
+      peers.send(message);
+    } else if (effect instanceof ConnectPeer dial) {
+      peers.connect(dial);
+    } else if (effect instanceof StopInstance end) {
+      stop.accept(end.reason());
+    } else {
+      log.write(LogLine.event("effect_unexpected").with("effect", effect));
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
@@ -0,0 +1,176 @@
+package org.limpetdoor.gateway;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.limpetdoor.core.NodeReducer;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.StopInstance;
+import org.limpetdoor.core.event.DrainRequested;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.GatewayStarted;
+import org.limpetdoor.core.event.TimerFired;
+import org.limpetdoor.format.peer.HandshakeFrame.PeerIdentity;
+import org.limpetdoor.runtime.ControlLoop;
+import org.limpetdoor.runtime.MonotonicClock;
+import org.limpetdoor.runtime.decision.LogLine;
+import org.limpetdoor.runtime.peer.PeerTransport;
+import org.limpetdoor.runtime.peer.PeerTransportSettings;
+
+/**
+ * One gateway: the control thread, the traffic thread with all connections, and the log writer.
+ *
+ * <p>What is specific to a platform is handed in: how callers and engines speak, how engines are
+ * ordered, and how the placement duty is dealt.
+ */
+public final class GatewayServer implements AutoCloseable {
+  private static final int STATUS_OK = 200;
+  private static final int STATUS_UNAVAILABLE = 503;
+
+  /** Time for the last bytes to leave the sockets after the last call has ended. */
+  private static final long FLUSH_MS = 150;
+
+  private final GatewayOptions options;
+  private final MonotonicClock clock = MonotonicClock.startingNow();
+  private final PrometheusMeterRegistry metrics =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final DecisionLog log = new DecisionLog(System.out, metrics);
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final CompletableFuture<StopInstance.Reason> stopped = new CompletableFuture<>();
+  private final GatewayTraffic traffic;
+  private final ControlLoop<NodeState, Event, Effect> control;
+  private final PeerLinks peers;
+
+  /** Parts of a platform that a gateway uses. */
+  public interface Platform {
+    /** Returns how callers and engines speak. */
+    CallDialect dialect();
+
+    /** Returns the control interface of engines. */
+    EngineClient engines(HttpExchange exchange);
+
+    /** Returns who deals the placement duty. */
+    DutyClient duty(HttpExchange exchange);
+  }
+
+  private GatewayServer(GatewayOptions options, Platform platform) {
+    this.options = options;
+    EventLoop loop = (EventLoop) group.next();
+    HttpExchange exchange = new HttpExchange(loop);
+    this.traffic =
+        new GatewayTraffic(
+            loop,
+            platform.dialect(),
+            platform.engines(exchange),
+            platform.duty(exchange),
+            clock,
+            this::submit);
+    this.peers = new PeerLinks(this::submit);
+    this.control =
+        new ControlLoop<>(
+            "control",
+            NodeState.initial(options.self()),
+            new NodeReducer(),
+            clock,
+            TimerFired::new,
+            new GatewayEffects(traffic, peers, log, stopped::complete)::carryOut);
+    this.control.failure().thenAccept(failure -> stopped.complete(StopInstance.Reason.TIMED_OUT));
+  }
+
+  /**
+   * Starts a gateway.
+   *
+   * @param options addresses and bounds
+   * @param platform parts of the platform
+   */
+  public static GatewayServer start(GatewayOptions options, Platform platform) {
+    GatewayServer server = new GatewayServer(options, platform);
+    server.open();
+    return server;
+  }
+
+  /** Submits an event to the control thread. */
+  public void submit(Function<Long, Event> event) {
+    control.submit(event);
+  }
+
+  /** Returns the thread that all connections belong to. */
+  public EventLoop trafficThread() {
+    return (EventLoop) group.next();
+  }
+
+  /** Returns the state after the last event. */
+  public NodeState state() {
+    return control.state();
+  }
+
+  /** Returns the clock of all events. */
+  public MonotonicClock clock() {
+    return clock;
+  }
+
+  /** Writes a line to the log, or counts it if the log cannot keep up. */
+  public void log(LogLine line) {
+    log.write(line);
+  }
+
+  /** Begins a graceful shutdown; the future completes when the process may end. */
+  public CompletableFuture<StopInstance.Reason> drain() {
+    traffic.beginDrain();
+    submit(atMs -> new DrainRequested(atMs, options.bounds().drainTimeoutMs()));
+    return stopped;
+  }
+
+  /** Returns the end of the gateway, whoever requests it. */
+  public CompletableFuture<StopInstance.Reason> stopped() {
+    return stopped;
+  }
+
+  @Override
+  public void close() {
+    log(LogLine.event("instance_stopped").with("instance", options.self().id()));
+    trafficThread().execute(traffic::closeCallers);
+    group.shutdownGracefully(0, FLUSH_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    control.close();
+    log.close();
+    metrics.close();
+  }
+
+  private void open() {
+    control.start();
+    submit(atMs -> new GatewayStarted(atMs, options.bounds()));
+    Channel callers = Listeners.callers(group, options.callers(), traffic);
+    Listeners.questions(group, options.readiness(), this::answer);
+    Listeners.questions(
+        group, options.metrics(), path -> new QuestionHandler.Answer(STATUS_OK, metrics.scrape()));
+    PeerIdentity identity =
+        new PeerIdentity(options.self().id(), options.self().incarnation(), options.self().zone());
+    peers.use(
+        PeerTransport.start(
+            PeerTransportSettings.of(identity, options.peers(), options.peerSecret()),
+            peers,
+            group));
+    log(
+        LogLine.event("instance_started")
+            .with("instance", options.self().id())
+            .with("zone", options.self().zone())
+            .with("callers", callers.localAddress()));
+  }
+
+  private QuestionHandler.Answer answer(String path) {
+    NodeState state = control.state();
+    boolean asked = path.startsWith(options.readinessPath());
+    boolean ready = asked && state.gateway().ready() && !state.draining();
+    return new QuestionHandler.Answer(
+        ready ? STATUS_OK : STATUS_UNAVAILABLE, ready ? "ready" : "not ready");
+  }
+}
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -0,0 +1,231 @@
+package org.limpetdoor.gateway;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpRequest;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.limpetdoor.core.effect.AbandonForward;
+import org.limpetdoor.core.effect.BreakOffCall;
+import org.limpetdoor.core.effect.ForwardCall;
+import org.limpetdoor.core.effect.GatewayEffect;
+import org.limpetdoor.core.effect.GatewayEffectHandler;
+import org.limpetdoor.core.effect.GiveEngineOrder;
+import org.limpetdoor.core.effect.InspectEngine;
+import org.limpetdoor.core.effect.JoinDuty;
+import org.limpetdoor.core.effect.LeaveDuty;
+import org.limpetdoor.core.effect.PassAnswer;
+import org.limpetdoor.core.effect.ReplyToCall;
+import org.limpetdoor.core.effect.UseCallerLimits;
+import org.limpetdoor.core.event.CallArrived;
+import org.limpetdoor.core.event.DutyAnswered;
+import org.limpetdoor.core.event.EngineInspected;
+import org.limpetdoor.core.event.EngineOrderEnded;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
+import org.limpetdoor.runtime.MonotonicClock;
+
+/**
+ * Open calls and their connections, and the effects that concern them. All methods but {@link
+ * #apply} and {@link #beginDrain} run on the traffic thread.
+ */
+final class GatewayTraffic implements GatewayEffectHandler, EngineAttempt.Reports {
+  private static final Logger LOG = System.getLogger(GatewayTraffic.class.getName());
+
+  private static final long SWEEP_INTERVAL_MS = 1_000;
+
+  private final EventLoop loop;
+  private final CallDialect dialect;
+  private final EngineClient engines;
+  private final DutyClient duty;
+  private final MonotonicClock clock;
+  private final EngineAttempt.Reports reports;
+  private final EnginePool pool;
+  private final Map<Long, OpenCall> calls = new HashMap<>();
+  private final Set<CallerChannel> callers = new LinkedHashSet<>();
+  private CallerLimits limits = CallerLimits.DEFAULT;
+  private long nextCall = 1;
+  private boolean draining;
+
+  GatewayTraffic(
+      EventLoop loop,
+      CallDialect dialect,
+      EngineClient engines,
+      DutyClient duty,
+      MonotonicClock clock,
+      EngineAttempt.Reports reports) {
+    this.loop = loop;
+    this.dialect = dialect;
+    this.engines = engines;
+    this.duty = duty;
+    this.clock = clock;
+    this.reports = reports;
+    this.pool = new EnginePool(loop, dialect);
+    loop.scheduleWithFixedDelay(
+        this::closeIdleCallers, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Carries out an effect on the traffic thread. */
+  void apply(GatewayEffect effect) {
+    loop.execute(() -> effect.applyTo(this));
+  }
+
+  /** Ends each connection with its next answer from now on. */
+  void beginDrain() {
+    loop.execute(() -> draining = true);
+  }
+
+  boolean draining() {
+    return draining;
+  }
+
+  CallerLimits limits() {
+    return limits;
+  }
+
+  /** Opens a call that was read whole. */
+  OpenCall open(HttpRequest head, byte[] body, CallerChannel caller) {
+    OpenCall call = new OpenCall(dialect.read(nextCall++, head, body), head, body, caller);
+    calls.put(call.spec().id(), call);
+    submit(atMs -> new CallArrived(atMs, call.spec()));
+    return call;
+  }
+
+  void forget(long id) {
+    calls.remove(id);
+  }
+
+  void callerConnected(CallerChannel caller) {
+    callers.add(caller);
+  }
+
+  void callerGone(CallerChannel caller) {
+    callers.remove(caller);
+  }
+
+  void callerWritable(OpenCall call, boolean writable) {
+    call.callerWritable(writable);
+  }
+
+  @Override
+  public void submit(Function<Long, Event> event) {
+    reports.submit(event);
+  }
+
+  @Override
+  public void forwardCall(ForwardCall effect) {
+    OpenCall call = calls.get(effect.call());
+    if (call == null) {
+      return;
+    }
+    EngineAttempt attempt = new EngineAttempt(effect, call, dialect, this, loop);
+    call.attemptBegins(attempt);
+    pool.send(attempt);
+  }
+
+  @Override
+  public void abandonForward(AbandonForward effect) {
+    attempts(effect.call(), effect.attempt()).ifPresent(EngineAttempt::abandon);
+  }
+
+  @Override
+  public void passAnswer(PassAnswer effect) {
+    OpenCall call = calls.get(effect.call());
+    if (call == null) {
+      return;
+    }
+    Optional<EngineAttempt> kept = call.kept(effect.attempt());
+    if (call.headPassed() || kept.isEmpty()) {
+      calls.remove(effect.call());
+      call.caller().breakOff();
+      return;
+    }
+    call.caller().writeWhole(kept.get().answerHead(), kept.get().wholeAnswer());
+  }
+
+  @Override
+  public void replyToCall(ReplyToCall effect) {
+    OpenCall call = calls.get(effect.call());
+    if (call != null) {
+      call.caller().reply(effect.reply(), effect.retryAfterMs());
+    }
+  }
+
+  @Override
+  public void breakOffCall(BreakOffCall effect) {
+    OpenCall call = calls.remove(effect.call());
+    if (call != null) {
+      call.caller().breakOff();
+    }
+  }
+
+  @Override
+  public void joinDuty(JoinDuty effect) {
+    long requestedAtMs = clock.nowMs();
+    duty.join(effect.generation(), effect.ttlMs())
+        .thenAccept(
+            dealt ->
+                dealt.ifPresent(
+                    word ->
+                        submit(
+                            atMs ->
+                                new DutyAnswered(
+                                    atMs, requestedAtMs, word.generation(), word.held()))));
+  }
+
+  @Override
+  public void leaveDuty(LeaveDuty effect) {
+    duty.leave();
+  }
+
+  @Override
+  public void giveEngineOrder(GiveEngineOrder effect) {
+    engines
+        .give(effect.order(), effect.address())
+        .thenAccept(
+            result ->
+                submit(
+                    atMs ->
+                        new EngineOrderEnded(
+                            atMs, effect.order().engine(), effect.order().number(), result)));
+  }
+
+  @Override
+  public void inspectEngine(InspectEngine effect) {
+    engines
+        .inspect(effect.engine().value(), effect.address())
+        .thenAccept(
+            inventory -> submit(atMs -> new EngineInspected(atMs, effect.engine(), inventory)));
+  }
+
+  @Override
+  public void useCallerLimits(UseCallerLimits effect) {
+    limits = effect.limits();
+  }
+
+  /** Closes the connections of callers that have no open call. */
+  void closeCallers() {
+    for (CallerChannel caller : Set.copyOf(callers)) {
+      caller.close();
+    }
+    LOG.log(Level.DEBUG, "event=callers_closed");
+  }
+
+  private Optional<EngineAttempt> attempts(long id, int number) {
+    return Optional.ofNullable(calls.get(id)).flatMap(call -> call.attempt(number));
+  }
+
+  private void closeIdleCallers() {
+    for (CallerChannel caller : Set.copyOf(callers)) {
+      if (caller.idleMs() > limits.idleTimeoutMs()) {
+        caller.close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/HopHeaders.java
@@ -0,0 +1,50 @@
+package org.limpetdoor.gateway;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** Copies headers without those that concern one connection only (RFC 9110, section 7.6.1). */
+final class HopHeaders {
+  private static final Set<String> HOP_BY_HOP =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "expect",
+          "content-length");
+
+  private HopHeaders() {}
+
+  static void copyEndToEnd(HttpHeaders from, HttpHeaders to) {
+    Set<String> named = namedByConnection(from);
+    for (Map.Entry<String, String> header : from) {
+      String name = header.getKey().toLowerCase(Locale.ROOT);
+      if (!HOP_BY_HOP.contains(name) && !named.contains(name)) {
+        to.add(header.getKey(), header.getValue());
+      }
+    }
+  }
+
+  private static Set<String> namedByConnection(HttpHeaders from) {
+    if (!from.contains(HttpHeaderNames.CONNECTION)) {
+      return Set.of();
+    }
+    Set<String> named = new HashSet<>();
+    for (String value : from.getAll(HttpHeaderNames.CONNECTION)) {
+      for (String token : value.split(",")) {
+        named.add(token.trim().toLowerCase(Locale.ROOT));
+      }
+    }
+    return named;
+  }
+}
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/HttpExchange.java
@@ -0,0 +1,235 @@
+package org.limpetdoor.gateway;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Small calls to the store and to the control interfaces of engines. A call that is not answered in
+ * time closes its connection, because an answer that is lost leaves the connection silent.
+ */
+public final class HttpExchange {
+  /** Round trips take at most tens of milliseconds; more means that the address is unreachable. */
+  private static final int CONNECT_TIMEOUT_MS = 1_000;
+
+  /** Largest answer; a page of the store has at most 1 MB, more in base64. */
+  private static final int MAX_ANSWER_BYTES = 8 << 20;
+
+  private final EventLoop loop;
+  private final Map<String, Deque<Channel>> idle = new HashMap<>();
+
+  /** Creates a client whose connections belong to the given thread. */
+  public HttpExchange(EventLoop loop) {
+    this.loop = loop;
+  }
+
+  /**
+   * One request.
+   *
+   * @param method HTTP method
+   * @param uri path and query
+   * @param contentType type of the body; empty without body
+   * @param body the body
+   * @param headers headers that the request carries besides
+   */
+  // The bytes are written once and never compared.
+  @SuppressWarnings("ArrayRecordComponent")
+  public record Outgoing(
+      HttpMethod method,
+      String uri,
+      String contentType,
+      byte[] body,
+      Map<String, String> headers) {}
+
+  /**
+   * One answer.
+   *
+   * @param status HTTP status
+   * @param body whole body
+   */
+  // The bytes are read once and never compared.
+  @SuppressWarnings("ArrayRecordComponent")
+  public record Answer(int status, byte[] body) {}
+
+  /**
+   * Sends a request. The future completes on the traffic thread; it fails with an {@link
+   * ExchangeFailedException} if there is no whole answer in time.
+   *
+   * @param address address as {@code ip:port}
+   * @param request the request
+   * @param timeoutMs longest time to the end of the answer, in milliseconds
+   */
+  public CompletableFuture<Answer> send(String address, Outgoing request, long timeoutMs) {
+    CompletableFuture<Answer> answer = new CompletableFuture<>();
+    if (loop.inEventLoop()) {
+      start(address, request, timeoutMs, answer);
+    } else {
+      loop.execute(() -> start(address, request, timeoutMs, answer));
+    }
+    return answer;
+  }
+
+  private void start(
+      String address, Outgoing request, long timeoutMs, CompletableFuture<Answer> answer) {
+    Channel channel = pollIdle(address);
+    if (channel != null) {
+      write(channel, address, request, timeoutMs, answer);
+      return;
+    }
+    ChannelFuture connecting = connect(address);
+    connecting.addListener(
+        done -> {
+          if (done.isSuccess()) {
+            write(connecting.channel(), address, request, timeoutMs, answer);
+          } else {
+            answer.completeExceptionally(new ExchangeFailedException(address, false, done.cause()));
+          }
+        });
+  }
+
+  private void write(
+      Channel channel,
+      String address,
+      Outgoing request,
+      long timeoutMs,
+      CompletableFuture<Answer> answer) {
+    FullHttpRequest message =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            request.method(),
+            request.uri(),
+            Unpooled.wrappedBuffer(request.body()));
+    message.headers().set(HttpHeaderNames.HOST, address);
+    message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+    if (!request.contentType().isEmpty()) {
+      message.headers().set(HttpHeaderNames.CONTENT_TYPE, request.contentType());
+    }
+    request.headers().forEach(message.headers()::set);
+    ScheduledFuture<?> timeout =
+        loop.schedule(
+            () -> {
+              answer.completeExceptionally(new ExchangeFailedException(address, true, null));
+              channel.close();
+            },
+            timeoutMs,
+            TimeUnit.MILLISECONDS);
+    channel.pipeline().get(AnswerHandler.class).expect(answer, timeout);
+    channel.writeAndFlush(message);
+  }
+
+  private Channel pollIdle(String address) {
+    Deque<Channel> channels = idle.getOrDefault(address, new ArrayDeque<>());
+    while (!channels.isEmpty()) {
+      Channel channel = channels.pollLast();
+      if (channel.isActive()) {
+        return channel;
+      }
+    }
+    idle.remove(address);
+    return null;
+  }
+
+  private ChannelFuture connect(String address) {
+    return new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new HttpClientCodec())
+                    .addLast(new HttpObjectAggregator(MAX_ANSWER_BYTES))
+                    .addLast(new AnswerHandler(address));
+              }
+            })
+        .connect(socketAddress(address));
+  }
+
+  /** Returns the socket address of {@code ip:port}. */
+  static InetSocketAddress socketAddress(String address) {
+    int colon = address.lastIndexOf(':');
+    return new InetSocketAddress(
+        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+  }
+
+  private final class AnswerHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final String address;
+    private CompletableFuture<Answer> expected;
+    private ScheduledFuture<?> timeout;
+
+    AnswerHandler(String address) {
+      this.address = address;
+    }
+
+    void expect(CompletableFuture<Answer> answer, ScheduledFuture<?> deadline) {
+      expected = answer;
+      timeout = deadline;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse message) {
+      if (expected == null || message.decoderResult().isFailure()) {
+        context.close();
+        return;
+      }
+      CompletableFuture<Answer> answer = expected;
+      expected = null;
+      timeout.cancel(false);
+      if (HttpUtil.isKeepAlive(message)) {
+        idle.computeIfAbsent(address, key -> new ArrayDeque<>()).addLast(context.channel());
+      } else {
+        context.close();
+      }
+      answer.complete(new Answer(message.status().code(), ByteBufUtil.getBytes(message.content())));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      Deque<Channel> channels = idle.get(address);
+      if (channels != null) {
+        channels.remove(context.channel());
+      }
+      if (expected != null) {
+        timeout.cancel(false);
+        expected.completeExceptionally(new ExchangeFailedException(address, true, null));
+        expected = null;
+      }
+    }
+
+    /** The end of the connection follows, which fails the call. */
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      context.close();
+    }
+  }
+}
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
@@ -0,0 +1,78 @@
+package org.limpetdoor.gateway;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.function.Function;
+
+/** Opens the addresses of a gateway. */
+final class Listeners {
+  /** New connections that may wait to be accepted; a full queue delays callers by seconds. */
+  private static final int BACKLOG = 1_024;
+
+  private static final int MAX_QUESTION_BYTES = 4_096;
+
+  private Listeners() {}
+
+  /** Opens the address of callers. */
+  static Channel callers(EventLoopGroup group, InetSocketAddress address, GatewayTraffic traffic) {
+    return open(
+        group,
+        address,
+        new ChannelInitializer<>() {
+          @Override
+          protected void initChannel(SocketChannel channel) {
+            HttpDecoderConfig config =
+                new HttpDecoderConfig()
+                    .setMaxInitialLineLength(traffic.limits().maxHeaderBytes())
+                    .setMaxHeaderSize(traffic.limits().maxHeaderBytes());
+            channel
+                .pipeline()
+                .addLast(new HttpServerCodec(config))
+                .addLast(new CallerChannel(traffic));
+          }
+        });
+  }
+
+  /** Opens an address at which small questions are answered. */
+  static Channel questions(
+      EventLoopGroup group,
+      InetSocketAddress address,
+      Function<String, QuestionHandler.Answer> answers) {
+    return open(
+        group,
+        address,
+        new ChannelInitializer<>() {
+          @Override
+          protected void initChannel(SocketChannel channel) {
+            channel
+                .pipeline()
+                .addLast(new HttpServerCodec())
+                .addLast(new HttpObjectAggregator(MAX_QUESTION_BYTES))
+                .addLast(new QuestionHandler(answers));
+          }
+        });
+  }
+
+  private static Channel open(
+      EventLoopGroup group, InetSocketAddress address, ChannelInitializer<SocketChannel> child) {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(child)
+        .bind(address)
+        .syncUninterruptibly()
+        .channel();
+  }
+}
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/PeerLinks.java
@@ -0,0 +1,73 @@
+package org.limpetdoor.gateway;
+
+import java.util.function.Function;
+import org.limpetdoor.core.effect.ConnectPeer;
+import org.limpetdoor.core.effect.SendToPeer;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.PeerLinkDown;
+import org.limpetdoor.core.event.PeerLinkUp;
+import org.limpetdoor.core.event.PeerMessageReceived;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.membership.PeerMessage;
+import org.limpetdoor.format.peer.HandshakeFrame.PeerIdentity;
+import org.limpetdoor.format.peer.MalformedFrameException;
+import org.limpetdoor.format.peer.PeerMessageCodec;
+import org.limpetdoor.runtime.peer.LinkError;
+import org.limpetdoor.runtime.peer.PeerListener;
+import org.limpetdoor.runtime.peer.PeerTransport;
+
+/** Carries messages between the reducer and the links to peers. */
+final class PeerLinks implements PeerListener {
+  private final EngineAttempt.Reports reports;
+  private PeerTransport transport;
+
+  PeerLinks(EngineAttempt.Reports reports) {
+    this.reports = reports;
+  }
+
+  /** Sets the transport; effects that come before are dropped, as there are no links yet. */
+  void use(PeerTransport value) {
+    transport = value;
+  }
+
+  void connect(ConnectPeer effect) {
+    if (transport != null) {
+      transport.connect(HttpExchange.socketAddress(effect.address()));
+    }
+  }
+
+  void send(SendToPeer effect) {
+    if (transport != null) {
+      transport.send(effect.peer(), PeerMessageCodec.encode(effect.message()));
+    }
+  }
+
+  @Override
+  public void linkUp(PeerIdentity peer) {
+    submit(atMs -> new PeerLinkUp(atMs, peer.instance()));
+  }
+
+  @Override
+  public void linkDown(InstanceId peer, LinkError error) {
+    submit(atMs -> new PeerLinkDown(atMs, peer));
+  }
+
+  /** A dial that failed is tried again by the reducer, which hears nothing of it. */
+  @Override
+  public void linkFailed(String address, LinkError error) {}
+
+  @Override
+  public boolean messageReceived(InstanceId peer, byte[] payload) {
+    try {
+      PeerMessage message = PeerMessageCodec.decode(payload);
+      submit(atMs -> new PeerMessageReceived(atMs, peer, message));
+      return true;
+    } catch (MalformedFrameException e) {
+      return false;
+    }
+  }
+
+  private void submit(Function<Long, Event> event) {
+    reports.submit(event);
+  }
+}
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/QuestionHandler.java
@@ -0,0 +1,55 @@
+package org.limpetdoor.gateway;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Function;
+
+/** Answers small questions of operators and the load balancer. */
+final class QuestionHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+  /**
+   * An answer.
+   *
+   * @param status HTTP status
+   * @param text body
+   */
+  record Answer(int status, String text) {}
+
+  private final Function<String, Answer> answers;
+
+  /** Creates a handler that answers by the path of the question. */
+  QuestionHandler(Function<String, Answer> answers) {
+    this.answers = answers;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, FullHttpRequest question) {
+    Answer answer = answers.apply(question.uri());
+    FullHttpResponse message =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(answer.status()),
+            Unpooled.copiedBuffer(answer.text(), StandardCharsets.UTF_8));
+    message.headers().set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
+    message.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+    ChannelFuture written = context.writeAndFlush(message);
+    if (!HttpUtil.isKeepAlive(question)) {
+      written.addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    context.close();
+  }
+}
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/PeerTransport.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/PeerTransport.java
@@ -34,15 +34,21 @@
 
   private final PeerTransportSettings settings;
   private final PeerListener listener;
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoopGroup group;
+  private final boolean ownsGroup;
   private final SecureRandom random = new SecureRandom();
   private final Map<InstanceId, Channel> links = new ConcurrentHashMap<>();
   private final Channel server;
 
-  private PeerTransport(PeerTransportSettings settings, PeerListener listener) {
+  private PeerTransport(
+      PeerTransportSettings settings,
+      PeerListener listener,
+      EventLoopGroup group,
+      boolean ownsGroup) {
     this.settings = settings;
     this.listener = listener;
+    this.group = group;
+    this.ownsGroup = ownsGroup;
     this.server =
         new ServerBootstrap()
             .group(group)
@@ -53,9 +59,16 @@
             .channel();
   }
 
-  /** Starts to accept links. */
+  /** Starts to accept links on a thread of its own. */
   public static PeerTransport start(PeerTransportSettings settings, PeerListener listener) {
-    return new PeerTransport(settings, listener);
+    EventLoopGroup own = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    return new PeerTransport(settings, listener, own, true);
+  }
+
+  /** Starts to accept links on traffic threads that exist; they outlive the transport. */
+  public static PeerTransport start(
+      PeerTransportSettings settings, PeerListener listener, EventLoopGroup group) {
+    return new PeerTransport(settings, listener, group, false);
   }
 
   /** Returns the address that links are accepted on. */
@@ -100,7 +113,9 @@
   public void close() {
     server.close().syncUninterruptibly();
     links.values().forEach(Channel::close);
-    group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    if (ownsGroup) {
+      group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
   }
 
   private ChannelInitializer<SocketChannel> initializer(LinkRole role, String label) {
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeInstance.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeInstance.java
@@ -18,6 +18,7 @@
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.EffectHandler;
 import org.limpetdoor.core.effect.FinishRequest;
+import org.limpetdoor.core.effect.GatewayEffect;
 import org.limpetdoor.core.effect.RaiseQueueAgeAlarm;
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.effect.RefuseRequest;
@@ -186,6 +187,11 @@
     throw unexpected(effect);
   }
 
+  @Override
+  public void gateway(GatewayEffect effect) {
+    throw new IllegalArgumentException("scenarios hold no calls forwarded by route: " + effect);
+  }
+
   @Override
   public void sendToPeer(SendToPeer effect) {
     throw unexpected(effect);
