--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -305,7 +305,7 @@
                   return result == ForwardResult.MISDIRECTED
                       ? call.spec()
                           .model()
-                          .map(key -> blamed.withHeld(blamed.held().minus(key), 0))
+                          .map(key -> blamed.withoutHeld(key))
                           .orElse(blamed.withDraining())
                       : blamed;
                 });
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineEntry.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineEntry.java
@@ -26,4 +26,10 @@
     boolean draining,
     long startedAtMs,
     long ordersAccepted,
-    PSet<ModelKey> held) {}
+    PSet<ModelKey> held) {
+  /** Returns the entry of the same engine when it is about to leave. */
+  EngineEntry withDraining() {
+    return new EngineEntry(
+        id, service, address, zone, slots, true, startedAtMs, ordersAccepted, held);
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
@@ -39,7 +39,7 @@
         new RecordDecision(new EngineOrderDecision(order, Optional.of(event.result())));
     Transition<NodeState, Effect> noted = Transition.of(node, decision);
     return switch (event.result()) {
-      case ACCEPTED -> noted.then(next -> accepted(next, order, slot.answered(true)));
+      case ACCEPTED -> noted.then(next -> accepted(next, order, slot.accepted(order)));
       case ALREADY_DONE -> noted.then(next -> alreadyDone(next, order, slot));
       case CONFLICT, REFUSED, UNKNOWN ->
           noted.then(
@@ -79,7 +79,7 @@
     OrderSlot slot = state.placement().slot(event.engine());
     NodeState noted =
         settled && slot.open().isEmpty()
-            ? withSlot(held, event.engine(), slot.verified(inventory.ordersAccepted()))
+            ? withSlot(held, event.engine(), slot.verified(inventory))
             : held;
     return Planning.plan(noted).then(CallEvents::serveWaiting);
   }
@@ -115,9 +115,11 @@
 
   private static OrderSlot settled(NodeState node, OrderSlot slot, EngineState engine) {
     EngineOrder change = slot.change().orElseThrow();
+    EngineEntry entry = engine.entry();
     boolean wanted = change.action() == Action.LOAD;
-    if (engine.holds(change.target()) == wanted) {
-      return slot.withoutChange();
+    boolean current = entry.ordersAccepted() >= slot.ordersAccepted() - slot.adapters().size();
+    if (current && entry.held().contains(change.target()) == wanted) {
+      return slot.changed();
     }
     boolean late = node.nowMs() > slot.changeUntilMs() + CHANGE_SLACK_MS;
     return late ? slot.unverified(node.nowMs()) : slot;
@@ -138,9 +140,9 @@
   private static Transition<NodeState, Effect> adapterAccepted(
       NodeState node, EngineOrder order, OrderSlot slot) {
     if (order.action() == Action.UNLOAD) {
-      return Holdings.changed(
-              withSlot(node, order.engine(), slot), order.engine(), order.target(), false)
-          .then(Planning::plan);
+      // It is in use and dropped later, which only the engine can tell.
+      NodeState unverified = withSlot(node, order.engine(), slot.unverified(node.nowMs()));
+      return Holdings.changed(unverified, order.engine(), order.target(), false);
     }
     long dueMs = node.nowMs() + ADAPTER_LOAD_MS;
     String key =
@@ -154,12 +156,10 @@
         next.withTimers(next.timers().plus(new Timer(dueMs, TimerKind.ADAPTER_DUE, key))));
   }
 
-  /** An adapter that is dropped at once counts as an order; a load that already holds does not. */
   private static Transition<NodeState, Effect> alreadyDone(
       NodeState node, EngineOrder order, OrderSlot slot) {
     boolean loaded = order.action() == Action.LOAD;
-    boolean counted = !loaded && order.target().adapter().isPresent();
-    NodeState next = withSlot(node, order.engine(), slot.answered(counted));
+    NodeState next = withSlot(node, order.engine(), slot.alreadyDone(order));
     return Holdings.changed(next, order.engine(), order.target(), loaded).then(Planning::plan);
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineState.java
@@ -1,6 +1,7 @@
 package org.limpetdoor.core.gateway;
 
 import org.limpetdoor.core.Timed;
+import org.pcollections.HashTreePSet;
 import org.pcollections.PSet;
 
 /**
@@ -9,6 +10,7 @@
  * @param entry its last entry in the list
  * @param held models and adapters that it holds, by the newest word
  * @param heldAsOfOrders orders that it had accepted when it held them
+ * @param dropping models that it was ordered to drop and may still list
  * @param inFlight calls of this instance at the engine
  * @param avoidUntilMs time until which it gets calls only if there is no other engine
  * @param failures failures in a row that speak against it
@@ -21,6 +23,7 @@
     EngineEntry entry,
     PSet<ModelKey> held,
     long heldAsOfOrders,
+    PSet<ModelKey> dropping,
     int inFlight,
     long avoidUntilMs,
     int failures,
@@ -40,10 +43,23 @@
 
   static EngineState of(EngineEntry entry) {
     return new EngineState(
-        entry, entry.held(), entry.ordersAccepted(), 0, 0, 0, 0, 0, Timed.NEVER_MS);
+        entry,
+        entry.held(),
+        entry.ordersAccepted(),
+        HashTreePSet.empty(),
+        0,
+        0,
+        0,
+        0,
+        0,
+        Timed.NEVER_MS);
   }
 
-  /** Follows a new entry. Another start of the engine forgets all that was known. */
+  /**
+   * Follows a new entry. Another start of the engine forgets all that was known. An entry does not
+   * tell of an adapter that is complete when the engine wrote it before, so adapters that are known
+   * stay until the engine has accepted further orders.
+   */
   EngineState withEntry(EngineEntry next) {
     if (next.startedAtMs() > entry.startedAtMs()) {
       return of(next).withInFlight(inFlight);
@@ -51,24 +67,66 @@
     if (next.startedAtMs() < entry.startedAtMs()) {
       return this;
     }
-    boolean newer = next.ordersAccepted() >= heldAsOfOrders;
+    EngineState listed = withListed(next);
+    if (next.ordersAccepted() < heldAsOfOrders) {
+      return listed;
+    }
+    if (next.ordersAccepted() > heldAsOfOrders) {
+      return listed.withHeld(next.held(), next.ordersAccepted());
+    }
+    PSet<ModelKey> merged = next.held();
+    for (ModelKey key : held) {
+      boolean kept = key.adapter().isPresent() && next.held().contains(key.base());
+      merged = kept ? merged.plus(key) : merged;
+    }
+    PSet<ModelKey> stillDropping = HashTreePSet.empty();
+    for (ModelKey key : dropping) {
+      stillDropping = next.held().contains(key) ? stillDropping.plus(key) : stillDropping;
+      merged = ModelKey.without(merged, key);
+    }
+    return listed.withMerged(merged, stillDropping);
+  }
+
+  /** Follows what the engine itself told, or the list with more orders than were known. */
+  EngineState withHeld(PSet<ModelKey> value, long asOfOrders) {
     return new EngineState(
-        next,
-        newer ? next.held() : held,
-        Math.max(heldAsOfOrders, next.ordersAccepted()),
+        entry,
+        value,
+        Math.max(heldAsOfOrders, asOfOrders),
+        HashTreePSet.empty(),
         inFlight,
         avoidUntilMs,
         failures,
         failureShare,
         latencyMs,
-        Timed.NEVER_MS);
+        unlistedAtMs);
   }
 
-  EngineState withHeld(PSet<ModelKey> value, long asOfOrders) {
+  /** Follows an order that the holder of the placement duty gave. */
+  EngineState changed(ModelKey key, boolean holds, long asOfOrders) {
+    PSet<ModelKey> next = holds ? held.plus(key) : ModelKey.without(held, key);
+    boolean model = key.adapter().isEmpty();
+    PSet<ModelKey> drops = model && !holds ? dropping.plus(key) : dropping.minus(key);
     return new EngineState(
         entry,
-        value,
+        next,
         Math.max(heldAsOfOrders, asOfOrders),
+        drops,
+        inFlight,
+        avoidUntilMs,
+        failures,
+        failureShare,
+        latencyMs,
+        unlistedAtMs);
+  }
+
+  /** Notes that the engine does not hold what it was asked for. */
+  EngineState withoutHeld(ModelKey key) {
+    return new EngineState(
+        entry,
+        held.minus(key),
+        heldAsOfOrders,
+        dropping,
         inFlight,
         avoidUntilMs,
         failures,
@@ -82,6 +140,7 @@
         entry,
         held,
         heldAsOfOrders,
+        dropping,
         Math.max(0, value),
         avoidUntilMs,
         failures,
@@ -95,6 +154,7 @@
         entry,
         held,
         heldAsOfOrders,
+        dropping,
         inFlight,
         avoidUntilMs,
         failures,
@@ -104,21 +164,11 @@
   }
 
   EngineState withDraining() {
-    EngineEntry draining =
-        new EngineEntry(
-            entry.id(),
-            entry.service(),
-            entry.address(),
-            entry.zone(),
-            entry.slots(),
-            true,
-            entry.startedAtMs(),
-            entry.ordersAccepted(),
-            entry.held());
     return new EngineState(
-        draining,
+        entry.withDraining(),
         held,
         heldAsOfOrders,
+        dropping,
         inFlight,
         avoidUntilMs,
         failures,
@@ -127,6 +177,34 @@
         unlistedAtMs);
   }
 
+  private EngineState withMerged(PSet<ModelKey> merged, PSet<ModelKey> stillDropping) {
+    return new EngineState(
+        entry,
+        merged,
+        heldAsOfOrders,
+        stillDropping,
+        inFlight,
+        avoidUntilMs,
+        failures,
+        failureShare,
+        latencyMs,
+        unlistedAtMs);
+  }
+
+  private EngineState withListed(EngineEntry next) {
+    return new EngineState(
+        next,
+        held,
+        heldAsOfOrders,
+        dropping,
+        inFlight,
+        avoidUntilMs,
+        failures,
+        failureShare,
+        latencyMs,
+        Timed.NEVER_MS);
+  }
+
   /** Notes an answer after the given time. */
   EngineState answered(long tookMs) {
     double latency = latencyMs == 0 ? tookMs : latencyMs + SMOOTHING * (tookMs - latencyMs);
@@ -161,6 +239,15 @@
 
   private EngineState with(long avoidMs, int failed, double share, double latency) {
     return new EngineState(
-        entry, held, heldAsOfOrders, inFlight, avoidMs, failed, share, latency, unlistedAtMs);
+        entry,
+        held,
+        heldAsOfOrders,
+        dropping,
+        inFlight,
+        avoidMs,
+        failed,
+        share,
+        latency,
+        unlistedAtMs);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Holdings.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Holdings.java
@@ -7,7 +7,6 @@
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.membership.PeerMessage.HoldingChanged;
-import org.pcollections.PSet;
 
 /** Follows what engines hold, ahead of the list of engines. */
 final class Holdings {
@@ -45,23 +44,8 @@
                 message.engine(),
                 engine ->
                     engine.entry().startedAtMs() == message.startedAtMs()
-                        ? engine.withHeld(changed(engine.held(), message), message.ordersAccepted())
+                        ? engine.changed(message.key(), message.held(), message.ordersAccepted())
                         : engine);
     return CallEvents.serveWaiting(node.withGateway(state.withEngines(engines)));
   }
-
-  /** A model that is dropped takes its adapters along. */
-  private static PSet<ModelKey> changed(PSet<ModelKey> held, HoldingChanged message) {
-    if (message.held()) {
-      return held.plus(message.key());
-    }
-    PSet<ModelKey> left = held.minus(message.key());
-    if (message.key().adapter().isPresent()) {
-      return left;
-    }
-    for (ModelKey key : held) {
-      left = key.base().equals(message.key()) ? left.minus(key) : left;
-    }
-    return left;
-  }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ModelKey.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ModelKey.java
@@ -1,6 +1,7 @@
 package org.limpetdoor.core.gateway;
 
 import java.util.Optional;
+import org.pcollections.PSet;
 
 /**
  * A model, or an adapter of a model.
@@ -24,6 +25,18 @@
     return adapter.isEmpty() ? this : of(model);
   }
 
+  /** Returns a set without a key; a model that is dropped takes its adapters along. */
+  static PSet<ModelKey> without(PSet<ModelKey> keys, ModelKey dropped) {
+    PSet<ModelKey> left = keys.minus(dropped);
+    if (dropped.adapter().isPresent()) {
+      return left;
+    }
+    for (ModelKey key : keys) {
+      left = key.base().equals(dropped) ? left.minus(key) : left;
+    }
+    return left;
+  }
+
   @Override
   public String toString() {
     return adapter.map(name -> model + "/" + name).orElse(model);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
@@ -118,13 +118,13 @@
             .min(
                 Comparator.comparingDouble(
                     engine ->
-                        adapterCount(node, engine) / (double) spec.adapterCapacity()
+                        slot(node, engine).adapterCount() / (double) spec.adapterCapacity()
                             + Chooser.load(node, engine)));
     if (chosen.isEmpty()) {
       return Transition.of(node);
     }
     EngineState engine = chosen.get();
-    if (adapterCount(node, engine) < spec.adapterCapacity()) {
+    if (slot(node, engine).adapterCount() < spec.adapterCapacity()) {
       return order(node, engine, Action.LOAD, key);
     }
     return idleAdapter(node, engine)
@@ -136,17 +136,16 @@
     return slot.open().filter(order -> order.target().equals(key)).isPresent();
   }
 
-  private static int adapterCount(NodeState node, EngineState engine) {
-    OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
-    long held = engine.held().stream().filter(key -> key.adapter().isPresent()).count();
-    return (int) held + slot.adapters().size();
+  private static OrderSlot slot(NodeState node, EngineState engine) {
+    return node.gateway().placement().slot(engine.entry().id());
   }
 
   /** Returns the adapter of an engine that was asked for least recently. */
   private static Optional<ModelKey> idleAdapter(NodeState node, EngineState engine) {
     Placement placement = node.gateway().placement();
-    return engine.held().stream()
-        .filter(key -> key.adapter().isPresent())
+    OrderSlot slot = slot(node, engine);
+    return slot.contents().stream()
+        .filter(key -> key.adapter().isPresent() && !slot.adapters().containsKey(key))
         .filter(key -> node.nowMs() - placement.demandOf(key).lastMs() > ADAPTER_IDLE_MS)
         .min(
             Comparator.comparingLong((ModelKey key) -> placement.demandOf(key).lastMs())
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Supply.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Supply.java
@@ -115,12 +115,13 @@
   private boolean mayTake(EngineState engine, ModelSpec model) {
     OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
     boolean free = engine.usable() && slot.free() && !slot.changing();
-    return free && !engine.holds(ModelKey.of(model.name()));
+    return free && !slot.contents().contains(ModelKey.of(model.name()));
   }
 
   private double usedMb(EngineState engine) {
     double used = 0;
-    for (ModelKey key : engine.held()) {
+    OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
+    for (ModelKey key : slot.contents()) {
       ModelSpec model = spec.models().get(key.model());
       // A model that the configuration does not name is taken to fill the engine.
       double unknownMb = spec.weightsMb();
@@ -130,8 +131,7 @@
     }
     double adapterReserveMb =
         spec.models().values().stream().mapToDouble(ModelSpec::adapterMb).max().orElse(0);
-    long adapters = engine.held().stream().filter(key -> key.adapter().isPresent()).count();
-    return used + adapterReserveMb * Math.max(0, spec.adapterCapacity() - adapters);
+    return used + adapterReserveMb * Math.max(0, spec.adapterCapacity() - slot.adapterCount());
   }
 
   private int replicas(String model) {
