Resume silent streams only when another engine takes them, and make room for one model at a time

Silence is now an event of its own, and the reducer keeps the attempt unless another engine takes the call. Adapter drops that are answered 202 stay in the ledger until the engine confirms them.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/DrainEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/DrainEvents.java
@@ -13,7 +13,7 @@
    * Time for which forwarded calls are still accepted. The load balancer asks once a second and
    * sends callers elsewhere after two answers that say not ready.
    */
-  private static final long LINGER_MS = 2_600;
+  private static final long LINGER_MS = 2_900;
 
   private DrainEvents() {}
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -22,6 +22,7 @@
 import org.limpetdoor.core.event.EnginesRead;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.ForwardEnded;
+import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.event.ForwardStarted;
 import org.limpetdoor.core.event.GatewayStarted;
 import org.limpetdoor.core.event.InstanceStarted;
@@ -95,6 +96,8 @@
   CALL_ABANDONED(CallAbandoned.class, CallEvents::abandoned),
   /** {@link ForwardStarted}. */
   FORWARD_STARTED(ForwardStarted.class, CallEvents::started),
+  /** {@link ForwardSilent}. */
+  FORWARD_SILENT(ForwardSilent.class, CallEvents::silent),
   /** {@link ForwardEnded}. */
   FORWARD_ENDED(ForwardEnded.class, CallEvents::ended),
   /** {@link RoutesRead}. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -21,6 +21,7 @@
         EngineOrderEnded,
         EnginesRead,
         ForwardEnded,
+        ForwardSilent,
         ForwardStarted,
         GatewayStarted,
         InstanceStarted,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -15,6 +15,7 @@
 import org.limpetdoor.core.event.CallAbandoned;
 import org.limpetdoor.core.event.CallArrived;
 import org.limpetdoor.core.event.ForwardEnded;
+import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.event.ForwardStarted;
 import org.limpetdoor.core.gateway.Call.Attempt;
 import org.limpetdoor.core.gateway.Chooser.Choice;
@@ -77,6 +78,31 @@
                     state.engines().update(attempt.engine(), engine -> engine.answered(tookMs)))));
   }
 
+  /**
+   * Sends a call elsewhere whose engine is silent. If that is not possible the attempt goes on,
+   * because silence alone is no reason to end an answer.
+   */
+  public static Transition<NodeState, Effect> silent(NodeState node, ForwardSilent event) {
+    Optional<Call> found = withAttempt(node, event.call(), event.attempt());
+    if (found.isEmpty()) {
+      return Transition.of(node);
+    }
+    Attempt attempt = found.get().active().orElseThrow();
+    Call call = found.get().withAttemptEnded(ForwardResult.SILENT, false);
+    if (!mayRetry(node, call, ForwardResult.SILENT)) {
+      return Transition.of(node);
+    }
+    NodeState noted = note(release(node, attempt), call, attempt, ForwardResult.SILENT);
+    Choice choice = Chooser.choose(noted, call);
+    if (choice.verdict() != Verdict.CHOSEN) {
+      return Transition.of(node);
+    }
+    return Transition.<NodeState, Effect>of(
+            charge(noted, call, ForwardResult.SILENT),
+            new AbandonForward(event.call(), event.attempt()))
+        .then(next -> send(next, call, choice));
+  }
+
   /** Ends an attempt: the call is finished, goes on at another engine, or fails. */
   public static Transition<NodeState, Effect> ended(NodeState node, ForwardEnded event) {
     Optional<Call> found = withAttempt(node, event.call(), event.attempt());
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -25,9 +25,7 @@
     LoadDigest digest =
         new LoadDigest(
             state.version(),
-            state.duty().acts(node.nowMs(), state.settings().leaseMs())
-                ? state.duty().generation()
-                : 0,
+            state.duty().acts(node.nowMs()) ? state.duty().generation() : 0,
             inFlight(state),
             state.arrivals(),
             state.suspects().unsent());
@@ -62,6 +60,19 @@
     return Transition.of(node);
   }
 
+  /** Forgets what a peer that shuts down has in flight, and that it may give orders. */
+  public static NodeState peerLeft(NodeState node, InstanceId peer) {
+    GatewayState state = node.gateway();
+    PeerLoad known = state.peers().get(peer);
+    if (known == null) {
+      return node;
+    }
+    return node.withGateway(
+        state
+            .withPeers(state.peers().minus(peer))
+            .withDuty(state.duty().rivalLeft(known.digest().fencingNumber())));
+  }
+
   private static NodeState digestReceived(NodeState node, InstanceId peer, LoadDigest digest) {
     GatewayState state = node.gateway();
     GatewayState noted =
@@ -69,8 +80,13 @@
             .withPeers(state.peers().plus(peer, new PeerLoad(digest, node.nowMs())))
             .withPlacement(state.placement().withArrivals(digest.arrivals(), node.nowMs()))
             .withSuspects(state.suspects().withPeerLosses(digest.lostEngines(), node.nowMs()));
+    GatewayState rivalled =
+        digest.fencingNumber() > 0
+            ? noted.withDuty(state.duty().rivalHeard(digest.fencingNumber(), node.nowMs()))
+            : noted;
     boolean known = state.peers().containsKey(peer);
-    return node.withGateway(known ? noted : Budgets.resize(noted, noted.peers().size() + 1));
+    return node.withGateway(
+        known ? rivalled : Budgets.resize(rivalled, rivalled.peers().size() + 1));
   }
 
   private static PMap<BackendId, Integer> inFlight(GatewayState state) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
@@ -17,7 +17,12 @@
     GatewayState state = node.gateway();
     Duty before = state.duty();
     Duty duty =
-        before.answered(node.nowMs(), event.requestedAtMs(), event.generation(), event.held());
+        before.answered(
+            node.nowMs(),
+            event.requestedAtMs(),
+            event.generation(),
+            event.held(),
+            state.settings().leaseMs());
     boolean begins = duty.held() && duty.heldSinceMs() != before.heldSinceMs();
     Placement placement = begins ? state.placement().unverified() : state.placement();
     NodeState next = node.withGateway(state.withDuty(duty).withPlacement(placement));
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
@@ -50,7 +50,7 @@
                   Transition.of(
                       next.withGateway(
                           next.gateway()
-                              .withDuty(next.gateway().duty().fenced())
+                              .withDuty(next.gateway().duty().released())
                               .withPlacement(next.gateway().placement().unverified()))));
     };
   }
@@ -70,17 +70,9 @@
     NodeState held =
         node.withGateway(
             state.withEngines(
-                state
-                    .engines()
-                    .update(
-                        event.engine(),
-                        known -> known.withHeld(inventory.held(), inventory.ordersAccepted()))));
-    boolean settled = !inventory.busy() && inventory.pending().isEmpty();
+                state.engines().update(event.engine(), known -> known.withInventory(inventory))));
     OrderSlot slot = state.placement().slot(event.engine());
-    NodeState noted =
-        settled && slot.open().isEmpty()
-            ? withSlot(held, event.engine(), slot.verified(inventory))
-            : held;
+    NodeState noted = withSlot(held, event.engine(), slot.inspected(inventory));
     return Planning.plan(noted).then(CallEvents::serveWaiting);
   }
 
@@ -114,14 +106,14 @@
   }
 
   private static OrderSlot settled(NodeState node, OrderSlot slot, EngineState engine) {
-    EngineOrder change = slot.change().orElseThrow();
-    EngineEntry entry = engine.entry();
-    boolean wanted = change.action() == Action.LOAD;
-    boolean current = entry.ordersAccepted() >= slot.ordersAccepted() - slot.adapters().size();
-    if (current && entry.held().contains(change.target()) == wanted) {
+    OrderSlot.Change change = slot.change().orElseThrow();
+    EngineOrder order = change.order();
+    boolean wanted = order.action() == Action.LOAD;
+    boolean current = engine.entry().ordersAccepted() > order.expectedOrders();
+    if (current && engine.entry().held().contains(order.target()) == wanted) {
       return slot.changed();
     }
-    boolean late = node.nowMs() > slot.changeUntilMs() + CHANGE_SLACK_MS;
+    boolean late = node.nowMs() > change.untilMs() + CHANGE_SLACK_MS;
     return late ? slot.unverified(node.nowMs()) : slot;
   }
 
@@ -140,9 +132,9 @@
   private static Transition<NodeState, Effect> adapterAccepted(
       NodeState node, EngineOrder order, OrderSlot slot) {
     if (order.action() == Action.UNLOAD) {
-      // It is in use and dropped later, which only the engine can tell.
-      NodeState unverified = withSlot(node, order.engine(), slot.unverified(node.nowMs()));
-      return Holdings.changed(unverified, order.engine(), order.target(), false);
+      OrderSlot leaving = slot.withLeaving(order.target(), node.nowMs());
+      return Holdings.changed(
+          withSlot(node, order.engine(), leaving), order.engine(), order.target(), false);
     }
     long dueMs = node.nowMs() + ADAPTER_LOAD_MS;
     String key =
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineState.java
@@ -87,7 +87,7 @@
     return listed.withMerged(merged, stillDropping);
   }
 
-  /** Follows what the engine itself told, or the list with more orders than were known. */
+  /** Follows a word of the engine that knows more orders. */
   EngineState withHeld(PSet<ModelKey> value, long asOfOrders) {
     return new EngineState(
         entry,
@@ -102,6 +102,12 @@
         unlistedAtMs);
   }
 
+  /** Follows what the engine itself told, unless newer orders are known. */
+  EngineState withInventory(EngineInventory inventory) {
+    boolean newer = inventory.ordersAccepted() >= heldAsOfOrders;
+    return newer ? withHeld(inventory.held(), inventory.ordersAccepted()) : this;
+  }
+
   /** Follows an order that the holder of the placement duty gave. */
   EngineState changed(ModelKey key, boolean holds, long asOfOrders) {
     PSet<ModelKey> next = holds ? held.plus(key) : ModelKey.without(held, key);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
@@ -16,7 +16,7 @@
   CONNECTION_LOST(true, Blame.BROKEN, true),
   /** The bytes of the answer are no valid answer to the call. */
   INVALID_ANSWER(true, Blame.ERROR, true),
-  /** The engine was silent for longer than allowed. */
+  /** The engine was silent for longer than expected, and the call goes on at another one. */
   SILENT(true, Blame.UNREACHABLE, true);
 
   /** What a result says about the engine. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
@@ -6,8 +6,11 @@
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.LeaveDuty;
+import org.limpetdoor.core.effect.SendToPeer;
 import org.limpetdoor.core.event.GatewayStarted;
+import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.membership.PeerEvents;
+import org.limpetdoor.core.membership.PeerMessage.Leaving;
 
 /** Reduces the regular look at the duty, peers, engines and placement. */
 public final class GatewayTick {
@@ -33,11 +36,18 @@
         .then(state -> Planning.plan(EngineOrders.settle(state)));
   }
 
-  /** Gives the duty back at a graceful shutdown. */
+  /** Gives the duty back at a graceful shutdown, and tells the peers. */
   public static Transition<NodeState, Effect> leave(NodeState node) {
-    return node.gateway().duty().generation() > 0
-        ? Transition.of(node, new LeaveDuty())
-        : Transition.of(node);
+    if (node.gateway().duty().generation() == 0) {
+      return Transition.of(node);
+    }
+    NodeState released =
+        node.withGateway(node.gateway().withDuty(node.gateway().duty().released()));
+    Transition<NodeState, Effect> result = Transition.of(released, new LeaveDuty());
+    for (InstanceId peer : node.gateway().peers().keySet()) {
+      result = result.with(new SendToPeer(peer, new Leaving()));
+    }
+    return result;
   }
 
   private static NodeState fade(NodeState node) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/OrderSlot.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/OrderSlot.java
@@ -15,9 +15,10 @@
  * @param ordersAccepted orders that the engine has accepted, which the next order names
  * @param contents models and adapters that take room: held, being loaded, or not confirmed to be
  *     dropped. Entries of the list lag behind, so they do not change it.
+ * @param leaving adapters that the engine drops when their last call has ended
  * @param open order that was sent and not answered
  * @param change model that is being loaded or dropped
- * @param changeUntilMs when the change should be complete, in monotonic milliseconds
+ * @param successor model that is to be loaded in the room of the one that is dropped
  * @param adapters adapters that are being loaded, with the time at which they should be complete
  * @param nextInspectionMs earliest time of the next question to the engine
  */
@@ -25,9 +26,10 @@
     boolean verified,
     long ordersAccepted,
     PSet<ModelKey> contents,
+    PSet<ModelKey> leaving,
     Optional<EngineOrder> open,
-    Optional<EngineOrder> change,
-    long changeUntilMs,
+    Optional<Change> change,
+    Optional<String> successor,
     PMap<ModelKey, Long> adapters,
     long nextInspectionMs) {
   /** An engine that was not asked yet. */
@@ -36,27 +38,34 @@
           false,
           0,
           HashTreePSet.empty(),
+          HashTreePSet.empty(),
+          Optional.empty(),
           Optional.empty(),
           Optional.empty(),
-          0,
           HashTreePMap.empty(),
           0);
 
   /** Interval of questions to an engine that does not answer or is busy, in milliseconds. */
   private static final long INSPECTION_INTERVAL_MS = 700;
 
+  /** Time after which an adapter that was in use is asked after, in milliseconds. */
+  private static final long LEAVING_CHECK_MS = 600;
+
+  /**
+   * A model that is being loaded or dropped.
+   *
+   * @param order the order
+   * @param untilMs when it should be complete, in monotonic milliseconds
+   */
+  record Change(EngineOrder order, long untilMs) {}
+
   /** Returns whether an order about a model or adapter may be sent. */
   boolean free() {
-    return verified && open.isEmpty();
-  }
-
-  /** Returns whether the engine loads or drops a model. */
-  boolean changing() {
-    return change.isPresent();
+    return verified && open.isEmpty() && change.isEmpty();
   }
 
   boolean inspectionDue(long nowMs) {
-    return !verified && nowMs >= nextInspectionMs;
+    return (!verified || !leaving.isEmpty()) && nowMs >= nextInspectionMs;
   }
 
   long adapterCount() {
@@ -68,29 +77,62 @@
         verified,
         ordersAccepted,
         contents,
+        leaving,
         open,
         change,
-        changeUntilMs,
+        successor,
         adapters,
         nowMs + INSPECTION_INTERVAL_MS);
   }
 
-  /** Follows what the engine told while nothing was under way. */
-  OrderSlot verified(EngineInventory inventory) {
+  /**
+   * Follows what the engine told. Its word is some hundred milliseconds old, so one that knows
+   * fewer orders than were accepted says nothing.
+   */
+  OrderSlot inspected(EngineInventory inventory) {
+    if (inventory.ordersAccepted() < ordersAccepted || open.isPresent()) {
+      return this;
+    }
+    PSet<ModelKey> present = inventory.held().plusAll(inventory.pending());
+    if (verified) {
+      PSet<ModelKey> gone = leaving.minusAll(present);
+      return new OrderSlot(
+          verified,
+          ordersAccepted,
+          contents.minusAll(gone),
+          leaving.minusAll(gone),
+          open,
+          change,
+          successor,
+          adapters,
+          nextInspectionMs);
+    }
+    if (inventory.busy()) {
+      return this;
+    }
     return new OrderSlot(
         true,
         inventory.ordersAccepted(),
-        inventory.held().plusAll(inventory.pending()),
+        present,
+        HashTreePSet.empty(),
         Optional.empty(),
         Optional.empty(),
-        0,
+        successor,
         HashTreePMap.empty(),
         nextInspectionMs);
   }
 
   OrderSlot unverified(long nowMs) {
     return new OrderSlot(
-        false, ordersAccepted, contents, Optional.empty(), change, changeUntilMs, adapters, nowMs);
+        false,
+        ordersAccepted,
+        contents,
+        leaving,
+        Optional.empty(),
+        Optional.empty(),
+        successor,
+        adapters,
+        nowMs);
   }
 
   OrderSlot sent(EngineOrder order) {
@@ -98,9 +140,10 @@
         verified,
         ordersAccepted,
         contents,
+        leaving,
         Optional.of(order),
         change,
-        changeUntilMs,
+        successor,
         adapters,
         nextInspectionMs);
   }
@@ -112,9 +155,10 @@
         verified,
         ordersAccepted + 1,
         taken,
+        leaving,
         Optional.empty(),
         change,
-        changeUntilMs,
+        successor,
         adapters,
         nextInspectionMs);
   }
@@ -132,16 +176,31 @@
         verified,
         ordersAccepted,
         contents,
+        leaving,
         open,
-        Optional.of(order),
-        untilMs,
+        Optional.of(new Change(order, untilMs)),
+        successor,
+        adapters,
+        nextInspectionMs);
+  }
+
+  /** The room of the model that is dropped is meant for another one. */
+  OrderSlot withSuccessor(Optional<String> model) {
+    return new OrderSlot(
+        verified,
+        ordersAccepted,
+        contents,
+        leaving,
+        open,
+        change,
+        model,
         adapters,
         nextInspectionMs);
   }
 
   /** The change under way is complete. */
   OrderSlot changed() {
-    EngineOrder order = change.orElseThrow();
+    EngineOrder order = change.orElseThrow().order();
     OrderSlot ended = withoutChange();
     return order.action() == Action.LOAD ? ended : ended.withoutContent(order.target());
   }
@@ -151,9 +210,10 @@
         verified,
         ordersAccepted,
         contents,
+        leaving,
         open,
         change,
-        changeUntilMs,
+        successor,
         adapters.plus(adapter, readyAtMs),
         nextInspectionMs);
   }
@@ -163,21 +223,37 @@
         verified,
         ordersAccepted,
         contents,
+        leaving,
         open,
         change,
-        changeUntilMs,
+        successor,
         adapters.minus(adapter),
         nextInspectionMs);
   }
 
+  /** The engine drops an adapter when its last call has ended. */
+  OrderSlot withLeaving(ModelKey adapter, long nowMs) {
+    return new OrderSlot(
+        verified,
+        ordersAccepted,
+        contents,
+        leaving.plus(adapter),
+        open,
+        change,
+        successor,
+        adapters,
+        nowMs + LEAVING_CHECK_MS);
+  }
+
   private OrderSlot withAnswer(int orders) {
     return new OrderSlot(
         verified,
         ordersAccepted + orders,
         contents,
+        leaving,
         Optional.empty(),
         change,
-        changeUntilMs,
+        successor,
         adapters,
         nextInspectionMs);
   }
@@ -187,9 +263,10 @@
         verified,
         ordersAccepted,
         contents,
+        leaving,
         open,
         Optional.empty(),
-        changeUntilMs,
+        successor,
         adapters,
         nextInspectionMs);
   }
@@ -199,22 +276,23 @@
         verified,
         ordersAccepted,
         contents.plus(key),
+        leaving,
         open,
         change,
-        changeUntilMs,
+        successor,
         adapters,
         nextInspectionMs);
   }
 
-  /** A model that is dropped takes its adapters along. */
   private OrderSlot withoutContent(ModelKey key) {
     return new OrderSlot(
         verified,
         ordersAccepted,
         ModelKey.without(contents, key),
+        ModelKey.without(leaving, key),
         open,
         change,
-        changeUntilMs,
+        successor,
         adapters,
         nextInspectionMs);
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
@@ -42,7 +42,7 @@
   /** Gives the orders that are due. An instance that does not hold the duty gives none. */
   static Transition<NodeState, Effect> plan(NodeState node) {
     GatewayState state = node.gateway();
-    if (!state.duty().acts(node.nowMs(), state.settings().leaseMs()) || state.table().isEmpty()) {
+    if (!state.duty().acts(node.nowMs()) || state.table().isEmpty()) {
       return Transition.of(node);
     }
     Transition<NodeState, Effect> result = Transition.of(node);
@@ -107,9 +107,8 @@
       if (underWay) {
         return Transition.of(node);
       }
-      boolean dropsModel =
-          slot.change().filter(order -> order.target().equals(key.base())).isPresent();
-      if (engine.usable() && engine.holds(key.base()) && slot.free() && !dropsModel) {
+      boolean mayTake = slot.adapterCount() < spec.adapterCapacity() || slot.leaving().isEmpty();
+      if (engine.usable() && engine.holds(key.base()) && slot.free() && mayTake) {
         holders.add(engine);
       }
     }
@@ -146,6 +145,7 @@
     OrderSlot slot = slot(node, engine);
     return slot.contents().stream()
         .filter(key -> key.adapter().isPresent() && !slot.adapters().containsKey(key))
+        .filter(key -> !slot.leaving().contains(key))
         .filter(key -> node.nowMs() - placement.demandOf(key).lastMs() > ADAPTER_IDLE_MS)
         .min(
             Comparator.comparingLong((ModelKey key) -> placement.demandOf(key).lastMs())
@@ -154,23 +154,57 @@
 
   private static Transition<NodeState, Effect> models(
       NodeState node, String service, EngineSpec spec) {
-    Supply supply = Supply.of(node, service, spec);
-    if (supply.loading() >= MAX_CONCURRENT_LOADS || node.gateway().placement().loadTokens() < 1) {
-      return Transition.of(node);
-    }
+    Transition<NodeState, Effect> result = successors(node, service);
+    Supply supply = Supply.of(result.state(), service, spec);
     Optional<ModelSpec> needed = supply.mostNeeded(BUSY_REPLICA_PER_S);
-    if (needed.isEmpty()) {
-      return Transition.of(node);
+    if (needed.isEmpty() || !mayLoad(result.state(), supply.loading())) {
+      return result;
     }
     ModelSpec model = needed.get();
     Optional<EngineState> room = supply.roomFor(model);
     if (room.isPresent()) {
-      return order(node, room.get(), Action.LOAD, ModelKey.of(model.name()));
+      return result.then(next -> order(next, room.get(), Action.LOAD, ModelKey.of(model.name())));
     }
     return supply
         .victimFor(model, SWAP_GAIN, MODEL_IDLE_MS)
-        .map(victim -> order(node, victim.engine(), Action.UNLOAD, ModelKey.of(victim.model())))
-        .orElse(Transition.of(node));
+        .map(victim -> result.then(next -> makeRoom(next, victim, model)))
+        .orElse(result);
+  }
+
+  /** Loads the models for which room was made. */
+  private static Transition<NodeState, Effect> successors(NodeState node, String service) {
+    Transition<NodeState, Effect> result = Transition.of(node);
+    for (EngineState engine : node.gateway().engines().ofService(service)) {
+      OrderSlot slot = slot(node, engine);
+      boolean due = slot.free() && slot.successor().isPresent();
+      if (due && result.state().gateway().placement().loadTokens() >= 1) {
+        ModelKey model = ModelKey.of(slot.successor().get());
+        result =
+            result
+                .then(next -> withSuccessor(next, engine, Optional.empty()))
+                .then(next -> order(next, engine, Action.LOAD, model));
+      }
+    }
+    return result;
+  }
+
+  private static Transition<NodeState, Effect> makeRoom(
+      NodeState node, Supply.Victim victim, ModelSpec successor) {
+    return withSuccessor(node, victim.engine(), Optional.of(successor.name()))
+        .then(next -> order(next, victim.engine(), Action.UNLOAD, ModelKey.of(victim.model())));
+  }
+
+  private static Transition<NodeState, Effect> withSuccessor(
+      NodeState node, EngineState engine, Optional<String> model) {
+    GatewayState state = node.gateway();
+    OrderSlot slot = slot(node, engine).withSuccessor(model);
+    return Transition.of(
+        node.withGateway(
+            state.withPlacement(state.placement().withSlot(engine.entry().id(), slot))));
+  }
+
+  private static boolean mayLoad(NodeState node, int loading) {
+    return loading < MAX_CONCURRENT_LOADS && node.gateway().placement().loadTokens() >= 1;
   }
 
   private static Transition<NodeState, Effect> order(
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Supply.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Supply.java
@@ -32,6 +32,12 @@
   /** Load that a model counts as that calls wait for and no engine holds. */
   private static final double UNREACHABLE_PER_S = 1_000;
 
+  /** Rate from which an adapter counts as asked for, in calls a second. */
+  private static final double ADAPTER_ASKED_PER_S = 0.15;
+
+  /** Load that a replica counts as when all its room for adapters is asked for. */
+  private static final double FULL_ADAPTERS_PER_S = 8;
+
   /** Load that a model counts as that no engine holds and nobody asks for. */
   private static final double ABSENT_PER_S = 6;
 
@@ -59,7 +65,9 @@
           counts.merge(key.model(), 1, Integer::sum);
         }
       }
-      Optional<String> loaded = model(change, Action.LOAD);
+      Optional<String> loaded =
+          model(change, Action.LOAD)
+              .or(() -> node.gateway().placement().slot(engine.entry().id()).successor());
       if (loaded.isPresent()) {
         loading++;
         counts.merge(loaded.get(), 1, Integer::sum);
@@ -102,7 +110,7 @@
         continue;
       }
       for (ModelKey key : engine.held()) {
-        double loss = loss(key, idleMs);
+        double loss = loss(key, model, idleMs);
         if (key.adapter().isEmpty() && loss * gain < need && loss < bestLoss) {
           best = new Victim(engine, key.model());
           bestLoss = loss;
@@ -114,7 +122,7 @@
 
   private boolean mayTake(EngineState engine, ModelSpec model) {
     OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
-    boolean free = engine.usable() && slot.free() && !slot.changing();
+    boolean free = engine.usable() && slot.free() && slot.successor().isEmpty();
     return free && !slot.contents().contains(ModelKey.of(model.name()));
   }
 
@@ -143,29 +151,44 @@
     double perS = node.gateway().placement().demandOf(key).perS();
     int count = replicas(model.name());
     if (count > 0) {
-      return perS / count;
+      return Math.max(perS, adapterLoad(model.name())) / count;
     }
-    boolean wanted =
-        node.gateway().placement().wants().keySet().stream()
-            .anyMatch(want -> want.base().equals(key));
-    return wanted ? UNREACHABLE_PER_S + perS : ABSENT_PER_S + perS;
+    return isWanted(key) ? UNREACHABLE_PER_S + perS : ABSENT_PER_S + perS;
+  }
+
+  /** Calls that the adapters asked for count as, since each replica has room for a few only. */
+  private double adapterLoad(String model) {
+    long asked =
+        node.gateway().placement().demand().entrySet().stream()
+            .filter(entry -> entry.getKey().adapter().isPresent())
+            .filter(entry -> entry.getKey().model().equals(model))
+            .filter(entry -> entry.getValue().perS() > ADAPTER_ASKED_PER_S)
+            .count();
+    return FULL_ADAPTERS_PER_S * asked / Math.max(1, spec.adapterCapacity());
+  }
+
+  private boolean isWanted(ModelKey model) {
+    return node.gateway().placement().wants().keySet().stream()
+        .anyMatch(want -> want.base().equals(model));
   }
 
   /** Calls a second that each replica gets that is left when one makes way. */
-  private double loss(ModelKey key, long idleMs) {
+  private double loss(ModelKey key, ModelSpec successor, long idleMs) {
     Demand demand = node.gateway().placement().demandOf(key);
     int left = replicas(key.model()) - 1;
     if (left > 0) {
-      return demand.perS() / left;
+      return Math.max(demand.perS(), adapterLoad(key.model())) / left;
     }
     boolean idle = node.nowMs() - demand.lastMs() > idleMs;
-    return idle ? ABSENT_PER_S : UNREACHABLE_PER_S;
+    boolean unreachable =
+        replicas(successor.name()) == 0 && isWanted(ModelKey.of(successor.name()));
+    return idle && unreachable ? ABSENT_PER_S : UNREACHABLE_PER_S;
   }
 
   private static Optional<EngineOrder> change(NodeState node, EngineState engine) {
     OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
     Optional<EngineOrder> open = slot.open().filter(order -> order.target().adapter().isEmpty());
-    return slot.change().or(() -> open);
+    return slot.change().map(OrderSlot.Change::order).or(() -> open);
   }
 
   private static Optional<String> model(Optional<EngineOrder> order, Action action) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerEvents.java
@@ -40,7 +40,9 @@
     }
     NodeState heard = withLink(state, event.peer(), link.heard(state.nowMs()));
     if (event.message() instanceof Leaving) {
-      return Transition.of(heard.withMembership(heard.membership().withLeaving(event.peer())));
+      return Transition.of(
+          Digests.peerLeft(
+              heard.withMembership(heard.membership().withLeaving(event.peer())), event.peer()));
     }
     return Digests.received(heard, event.peer(), event.message());
   }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
@@ -41,7 +42,7 @@
   private final Deque<Object> ahead = new ArrayDeque<>();
   private Channel channel;
   private HttpRequest head;
-  private ByteBuf body = Unpooled.EMPTY_BUFFER;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private OpenCall call;
   private boolean keepAlive = true;
   private long lastUsedNs = System.nanoTime();
@@ -55,8 +56,9 @@
     return call != null ? 0 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastUsedNs);
   }
 
-  boolean hasOpenCall() {
-    return call != null;
+  /** Returns whether no part of a call has arrived that is not answered. */
+  boolean isIdle() {
+    return call == null && head == null;
   }
 
   void close() {
@@ -130,8 +132,6 @@
     traffic.callerGone(this);
     ahead.forEach(ReferenceCountUtil::release);
     ahead.clear();
-    body.release();
-    body = Unpooled.EMPTY_BUFFER;
     if (call != null) {
       long id = call.spec().id();
       call.callerLeft();
@@ -194,18 +194,15 @@
       reject(HttpResponseStatus.BAD_REQUEST);
       return;
     }
-    if (body.readableBytes() + content.content().readableBytes()
-        > traffic.limits().maxBodyBytes()) {
+    ByteBuf part = content.content();
+    if (body.size() + part.readableBytes() > traffic.limits().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       return;
     }
-    if (content.content().isReadable()) {
-      body = Unpooled.wrappedBuffer(body, content.content().retain());
-    }
+    body.writeBytes(ByteBufUtil.getBytes(part));
     if (content instanceof LastHttpContent) {
-      byte[] bytes = ByteBufUtil.getBytes(body);
-      body.release();
-      body = Unpooled.EMPTY_BUFFER;
+      byte[] bytes = body.toByteArray();
+      body.reset();
       HttpRequest whole = head;
       head = null;
       call = traffic.open(whole, bytes, this);
@@ -214,6 +211,7 @@
 
   private void reject(HttpResponseStatus status) {
     head = null;
+    body.reset();
     keepAlive = false;
     write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status));
   }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
@@ -12,6 +12,7 @@
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.ForwardEnded;
+import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.event.ForwardStarted;
 import org.limpetdoor.core.gateway.ForwardResult;
 
@@ -25,6 +26,9 @@
   /** Largest whole answer that is kept in memory, in bytes. */
   private static final int MAX_ANSWER_BYTES = 32 << 20;
 
+  /** Whole answers have about 1 kB; longer ones grow. The memory is freed with the object. */
+  private static final int INITIAL_ANSWER_BYTES = 1_024;
+
   private static final int MISDIRECTED_REQUEST = 421;
 
   /** Receives events of the traffic side. */
@@ -41,7 +45,7 @@
   private final EventSplitter splitter = new EventSplitter();
   private EngineChannel channel;
   private HttpResponse answerHead;
-  private ByteBuf whole = Unpooled.EMPTY_BUFFER;
+  private final ByteBuf whole = Unpooled.buffer(INITIAL_ANSWER_BYTES);
   private ScheduledFuture<?> silenceCheck;
   private long lastByteNs;
   private boolean streaming;
@@ -115,7 +119,7 @@
     } else if (whole.readableBytes() + part.readableBytes() > MAX_ANSWER_BYTES) {
       fail(ForwardResult.INVALID_ANSWER);
     } else {
-      whole = Unpooled.wrappedBuffer(whole, part.retain());
+      whole.writeBytes(part);
     }
   }
 
@@ -231,10 +235,11 @@
   private void checkSilence() {
     long boundMs = startReported ? forward.gapTimeoutMs() : forward.firstByteTimeoutMs();
     long silentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastByteNs);
-    if (silentMs >= boundMs) {
-      fail(ForwardResult.SILENT);
-    } else {
+    if (silentMs < boundMs) {
       scheduleSilenceCheck(boundMs - silentMs);
+      return;
     }
+    reports.submit(atMs -> new ForwardSilent(atMs, forward.call(), forward.attempt()));
+    scheduleSilenceCheck(boundMs);
   }
 }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
@@ -138,7 +138,7 @@
   @Override
   public void close() {
     log(LogLine.event("instance_stopped").with("instance", options.self().id()));
-    trafficThread().execute(traffic::closeCallers);
+    trafficThread().execute(() -> traffic.closeCallers(true));
     group.shutdownGracefully(0, FLUSH_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
     control.close();
     log.close();
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -2,8 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpRequest;
-import java.lang.System.Logger;
-import java.lang.System.Logger.Level;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -36,8 +34,6 @@
  * #apply} and {@link #beginDrain} run on the traffic thread.
  */
 final class GatewayTraffic implements GatewayEffectHandler, EngineAttempt.Reports {
-  private static final Logger LOG = System.getLogger(GatewayTraffic.class.getName());
-
   private static final long SWEEP_INTERVAL_MS = 1_000;
 
   private final EventLoop loop;
@@ -76,9 +72,13 @@
     loop.execute(() -> effect.applyTo(this));
   }
 
-  /** Ends each connection with its next answer from now on. */
+  /** Ends idle connections now and the others with their next answer. */
   void beginDrain() {
-    loop.execute(() -> draining = true);
+    loop.execute(
+        () -> {
+          draining = true;
+          closeCallers(false);
+        });
   }
 
   boolean draining() {
@@ -209,12 +209,13 @@
     limits = effect.limits();
   }
 
-  /** Closes the connections of callers that have no open call. */
-  void closeCallers() {
+  /** Closes connections of callers: all of them, or those without an open call. */
+  void closeCallers(boolean all) {
     for (CallerChannel caller : Set.copyOf(callers)) {
-      caller.close();
+      if (all || caller.isIdle()) {
+        caller.close();
+      }
     }
-    LOG.log(Level.DEBUG, "event=callers_closed");
   }
 
   private Optional<EngineAttempt> attempts(long id, int number) {
