Check room before a load, and tell peers which adapters are in use

An adapter that was loaded 8 ms before was the least recently used one, because its calls had not been counted; loads and calls in flight count now.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -27,6 +27,7 @@
             state.version(),
             state.duty().acts(node.nowMs()) ? state.duty().generation() : 0,
             inFlight(state),
+            state.adaptersInUse(),
             state.arrivals(),
             state.suspects().unsent());
     Placement placement = state.placement().withArrivals(state.arrivals(), node.nowMs());
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayState.java
@@ -5,7 +5,9 @@
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.request.RetryBudget;
 import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
+import org.pcollections.PSet;
 import org.pcollections.TreePSet;
 
 /**
@@ -98,6 +100,16 @@
     return table.map(RouteTable::version).orElse(-1L);
   }
 
+  /** Returns the adapters of which calls are in flight. */
+  PSet<ModelKey> adaptersInUse() {
+    PSet<ModelKey> used = HashTreePSet.empty();
+    for (Call call : calls.values()) {
+      Optional<ModelKey> key = call.active().isPresent() ? call.spec().model() : Optional.empty();
+      used = key.flatMap(ModelKey::adapter).isPresent() ? used.plus(key.get()) : used;
+    }
+    return used;
+  }
+
   GatewayState withSettings(GatewaySettings value) {
     return new GatewayState(
         value,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
@@ -102,6 +102,12 @@
     return new Placement(next, wants, slots, loadTokens, refilledAtMs, nextOrder);
   }
 
+  /** Notes that a model or adapter is about to be used, so that it does not make way at once. */
+  Placement touched(ModelKey key, long nowMs) {
+    PMap<ModelKey, Demand> touched = demand.plus(key, new Demand(demandOf(key).perS(), nowMs));
+    return new Placement(touched, wants, slots, loadTokens, refilledAtMs, nextOrder);
+  }
+
   /** Lets the demand fade and forgets what nobody asks for any more. */
   Placement faded(long elapsedMs, long nowMs) {
     double factor = Math.exp(-elapsedMs / DEMAND_TAU_MS);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
@@ -146,15 +146,26 @@
     return slot.contents().stream()
         .filter(key -> key.adapter().isPresent() && !slot.adapters().containsKey(key))
         .filter(key -> !slot.leaving().contains(key))
+        .filter(key -> !inUse(node, key))
         .filter(key -> node.nowMs() - placement.demandOf(key).lastMs() > ADAPTER_IDLE_MS)
         .min(
             Comparator.comparingLong((ModelKey key) -> placement.demandOf(key).lastMs())
                 .thenComparing(ModelKey::toString));
   }
 
+  /** Returns whether this instance or a peer has calls of an adapter in flight. */
+  private static boolean inUse(NodeState node, ModelKey adapter) {
+    GatewayState state = node.gateway();
+    return state.adaptersInUse().contains(adapter)
+        || state.peers().values().stream()
+            .anyMatch(
+                peer ->
+                    peer.usable(node.nowMs()) && peer.digest().adaptersInUse().contains(adapter));
+  }
+
   private static Transition<NodeState, Effect> models(
       NodeState node, String service, EngineSpec spec) {
-    Transition<NodeState, Effect> result = successors(node, service);
+    Transition<NodeState, Effect> result = successors(node, service, spec);
     Supply supply = Supply.of(result.state(), service, spec);
     Optional<ModelSpec> needed = supply.mostNeeded(BUSY_REPLICA_PER_S);
     if (needed.isEmpty() || !mayLoad(result.state(), supply.loading())) {
@@ -171,18 +182,29 @@
         .orElse(result);
   }
 
-  /** Loads the models for which room was made. */
-  private static Transition<NodeState, Effect> successors(NodeState node, String service) {
+  /**
+   * Loads the models for which room was made. If the room is not there, because the order to drop
+   * was refused or lost, the model is left to the next plan.
+   */
+  private static Transition<NodeState, Effect> successors(
+      NodeState node, String service, EngineSpec spec) {
+    Supply supply = Supply.of(node, service, spec);
     Transition<NodeState, Effect> result = Transition.of(node);
     for (EngineState engine : node.gateway().engines().ofService(service)) {
       OrderSlot slot = slot(node, engine);
-      boolean due = slot.free() && slot.successor().isPresent();
-      if (due && result.state().gateway().placement().loadTokens() >= 1) {
-        ModelKey model = ModelKey.of(slot.successor().get());
+      if (!slot.free() || slot.successor().isEmpty()) {
+        continue;
+      }
+      Optional<ModelSpec> model = slot.successor().map(spec.models()::get);
+      boolean room = model.filter(m -> supply.hasRoom(engine, m)).isPresent();
+      if (!room) {
+        result = result.then(next -> withSuccessor(next, engine, Optional.empty()));
+      } else if (result.state().gateway().placement().loadTokens() >= 1) {
+        ModelKey key = ModelKey.of(slot.successor().get());
         result =
             result
                 .then(next -> withSuccessor(next, engine, Optional.empty()))
-                .then(next -> order(next, engine, Action.LOAD, model));
+                .then(next -> order(next, engine, Action.LOAD, key));
       }
     }
     return result;
@@ -225,7 +247,8 @@
         fromStore
             ? placement.withLoadTokens(placement.loadTokens() - 1, placement.refilledAtMs())
             : placement;
-    Placement sent = counted.withNextOrder().withSlot(engine.entry().id(), slot.sent(order));
+    Placement touched = action == Action.LOAD ? counted.touched(target, node.nowMs()) : counted;
+    Placement sent = touched.withNextOrder().withSlot(engine.entry().id(), slot.sent(order));
     return Transition.<NodeState, Effect>of(
             node.withGateway(state.withPlacement(sent)),
             new RecordDecision(new EngineOrderDecision(order, Optional.empty())))
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Supply.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Supply.java
@@ -88,7 +88,7 @@
   Optional<EngineState> roomFor(ModelSpec model) {
     return engines.stream()
         .filter(engine -> mayTake(engine, model))
-        .filter(engine -> usedMb(engine) + model.weightsMb() <= spec.weightsMb())
+        .filter(engine -> hasRoom(engine, model))
         .min(
             Comparator.comparingDouble((EngineState engine) -> Chooser.load(node, engine))
                 .thenComparing(engine -> engine.entry().id()));
@@ -111,7 +111,8 @@
       }
       for (ModelKey key : engine.held()) {
         double loss = loss(key, model, idleMs);
-        if (key.adapter().isEmpty() && loss * gain < need && loss < bestLoss) {
+        boolean fits = key.adapter().isEmpty() && fitsInsteadOf(engine, key, model);
+        if (fits && loss * gain < need && loss < bestLoss) {
           best = new Victim(engine, key.model());
           bestLoss = loss;
         }
@@ -120,6 +121,18 @@
     return Optional.ofNullable(best);
   }
 
+  /** Returns whether an engine has memory for another model besides what takes room there. */
+  boolean hasRoom(EngineState engine, ModelSpec model) {
+    return usedMb(engine) + model.weightsMb() <= spec.weightsMb();
+  }
+
+  /** A small model that makes way does not give room for a large one. */
+  private boolean fitsInsteadOf(EngineState engine, ModelKey victim, ModelSpec model) {
+    ModelSpec leaving = spec.models().get(victim.model());
+    double freedMb = leaving == null ? 0 : leaving.weightsMb();
+    return usedMb(engine) - freedMb + model.weightsMb() <= spec.weightsMb();
+  }
+
   private boolean mayTake(EngineState engine, ModelSpec model) {
     OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
     boolean free = engine.usable() && slot.free() && slot.successor().isEmpty();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
@@ -6,6 +6,7 @@
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.CustomerId;
 import org.pcollections.PMap;
+import org.pcollections.PSet;
 
 /** What one instance tells another. Each message may be lost or arrive twice. */
 public sealed interface PeerMessage {
@@ -74,6 +75,7 @@
    * @param configurationVersion version of the routes in force, or -1
    * @param fencingNumber fencing number of its orders if it holds the placement duty, or 0
    * @param inFlight calls at each engine
+   * @param adaptersInUse adapters of which calls are in flight
    * @param arrivals calls of each model since the last digest
    * @param lostEngines engines lost by each call since the last digest, by fingerprint
    */
@@ -81,6 +83,7 @@
       long configurationVersion,
       long fencingNumber,
       PMap<BackendId, Integer> inFlight,
+      PSet<ModelKey> adaptersInUse,
       PMap<ModelKey, Integer> arrivals,
       PMap<Long, Integer> lostEngines)
       implements PeerMessage {}
--- /dev/null
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayWorld.java
@@ -0,0 +1,174 @@
+package org.limpetdoor.core.gateway;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import org.limpetdoor.core.NodeReducer;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.NodeState.Self;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.event.CallArrived;
+import org.limpetdoor.core.event.EnginesRead;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.ForwardEnded;
+import org.limpetdoor.core.event.GatewayStarted;
+import org.limpetdoor.core.event.RoutesRead;
+import org.limpetdoor.core.event.StoreContactChanged;
+import org.limpetdoor.core.event.TimerFired;
+import org.limpetdoor.core.gateway.Route.WeightedService;
+import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
+import org.limpetdoor.core.gateway.ServiceSpec.EngineSpec;
+import org.limpetdoor.core.gateway.ServiceSpec.ModelSpec;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.id.ZoneId;
+import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PMap;
+
+/** One gateway on virtual time. It keeps all effects. */
+final class GatewayWorld {
+  static final String HOST = "shop.example";
+  static final ModelKey SMALL = ModelKey.of("small");
+  static final GatewaySettings SETTINGS = new GatewaySettings(7_000, 0.2, 50, 3_000, 2_300);
+
+  private final NodeReducer reducer = new NodeReducer();
+  private final List<Effect> effects = new ArrayList<>();
+  private NodeState state =
+      NodeState.initial(new Self(new InstanceId("node-1"), 1, new ZoneId("zone-a")));
+  private long nowMs = 1_000;
+  private long nextCall = 1;
+  private boolean hasSmallModel;
+
+  GatewayWorld() {
+    reduce(new GatewayStarted(nowMs, SETTINGS));
+    reduce(new StoreContactChanged(nowMs, true));
+  }
+
+  long nowMs() {
+    return nowMs;
+  }
+
+  GatewayState gateway() {
+    return state.gateway();
+  }
+
+  NodeState node() {
+    return state;
+  }
+
+  void reduce(Event event) {
+    Transition<NodeState, Effect> transition = reducer.reduce(state, event);
+    state = transition.state();
+    effects.addAll(transition.effects());
+  }
+
+  /** Lets time pass; timers fire in order. */
+  void advance(long ms) {
+    long untilMs = nowMs + ms;
+    while (state.nextDeadlineMs() <= untilMs) {
+      nowMs = Math.max(nowMs, state.nextDeadlineMs());
+      reduce(new TimerFired(nowMs));
+    }
+    nowMs = untilMs;
+  }
+
+  /** Returns the effects of a type since the last question, and forgets all. */
+  <E extends Effect> List<E> take(Class<E> type) {
+    List<E> found = effects.stream().filter(type::isInstance).map(type::cast).toList();
+    effects.clear();
+    return found;
+  }
+
+  void routes(long version, Route... routes) {
+    PMap<String, ModelSpec> models = HashTreePMap.empty();
+    for (String name : List.of("m1", "m2", "m3")) {
+      models = models.plus(name, new ModelSpec(name, 40_000, 2_000, 10));
+    }
+    if (hasSmallModel) {
+      models = models.plus(SMALL.model(), new ModelSpec(SMALL.model(), 2_000, 1_000, 10));
+    }
+    EngineSpec spec = new EngineSpec(100_000, 83_000, 2, 2, models);
+    Collection<ServiceSpec> services =
+        List.of(
+            new ServiceSpec("llm", 100, Optional.of(spec)),
+            new ServiceSpec("plain", 100, Optional.empty()));
+    reduce(
+        new RoutesRead(
+            nowMs,
+            RouteTable.of(version, List.of(routes), services, CallerLimits.DEFAULT),
+            RoutesRead.Source.STORE));
+  }
+
+  /** Adds a model that fits beside two others to the configurations from now on. */
+  void withSmallModel() {
+    hasSmallModel = true;
+  }
+
+  void engines(EngineEntry... entries) {
+    reduce(new EnginesRead(nowMs, List.of(entries), List.of(), false));
+  }
+
+  long call(String path, Optional<ModelKey> model, int timeLeftMs) {
+    long id = nextCall++;
+    reduce(
+        new CallArrived(
+            nowMs,
+            new CallSpec(id, "c" + id, HOST, path, Optional.of(timeLeftMs), model, 100, 0, 7)));
+    return id;
+  }
+
+  void ends(long call, int attempt, ForwardResult result) {
+    reduce(new ForwardEnded(nowMs, call, attempt, result, false));
+  }
+
+  static Route route(String prefix, CallKind kind, int maxAttempts) {
+    return new Route(
+        "r" + prefix,
+        HOST,
+        prefix,
+        kind,
+        2_000,
+        200,
+        maxAttempts,
+        1,
+        kind == CallKind.STREAM,
+        150,
+        List.of(new WeightedService("plain", 1)));
+  }
+
+  static Route modelRoute(String prefix) {
+    return new Route(
+        "m" + prefix,
+        HOST,
+        prefix,
+        CallKind.STREAM,
+        10_000,
+        400,
+        2,
+        1,
+        true,
+        150,
+        List.of(new WeightedService("llm", 1)));
+  }
+
+  static EngineEntry plain(String id) {
+    return entry(id, "plain", 1, 0);
+  }
+
+  static EngineEntry entry(
+      String id, String service, long startedAtMs, long orders, ModelKey... held) {
+    return new EngineEntry(
+        new BackendId(id),
+        service,
+        "10.0.0." + Math.floorMod(id.hashCode(), 200) + ":80",
+        new ZoneId("zone-a"),
+        4,
+        false,
+        startedAtMs,
+        orders,
+        HashTreePSet.from(List.of(held)));
+  }
+}
--- /dev/null
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
@@ -0,0 +1,237 @@
+package org.limpetdoor.core.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.effect.ForwardCall;
+import org.limpetdoor.core.effect.GiveEngineOrder;
+import org.limpetdoor.core.effect.InspectEngine;
+import org.limpetdoor.core.event.DutyAnswered;
+import org.limpetdoor.core.event.EngineInspected;
+import org.limpetdoor.core.event.EngineOrderEnded;
+import org.limpetdoor.core.gateway.EngineOrder.Action;
+import org.limpetdoor.core.id.BackendId;
+import org.pcollections.HashTreePSet;
+
+class PlacementTest {
+  private static final ModelKey M1 = ModelKey.of("m1");
+  private static final ModelKey M2 = ModelKey.of("m2");
+  private static final ModelKey M3 = ModelKey.of("m3");
+
+  private final GatewayWorld world = new GatewayWorld();
+
+  private static ModelKey adapter(int number) {
+    return ModelKey.of("m1", "a" + number);
+  }
+
+  /** Makes the instance the holder of the duty and lets the lease pass. */
+  private void becomeHolder() {
+    for (int i = 0; i < 8; i++) {
+      world.reduce(new DutyAnswered(world.nowMs(), world.nowMs(), 5, true));
+      world.advance(500);
+    }
+    world.reduce(new DutyAnswered(world.nowMs(), world.nowMs(), 5, true));
+  }
+
+  private void inspected(String engine, long orders, boolean busy, ModelKey... held) {
+    EngineInventory inventory =
+        new EngineInventory(
+            1, orders, busy, HashTreePSet.from(List.of(held)), HashTreePSet.empty());
+    world.reduce(new EngineInspected(world.nowMs(), new BackendId(engine), Optional.of(inventory)));
+  }
+
+  private EngineOrder answer(EngineOrderResult result) {
+    EngineOrder order = world.take(GiveEngineOrder.class).get(0).order();
+    world.reduce(new EngineOrderEnded(world.nowMs(), order.engine(), order.number(), result));
+    return order;
+  }
+
+  private void oneEngine(ModelKey... held) {
+    world.routes(1, GatewayWorld.modelRoute("/m/"));
+    world.engines(GatewayWorld.entry("g1", "llm", 1, 3, held));
+    becomeHolder();
+    inspected("g1", 3, false, held);
+  }
+
+  /** Guards against orders of an instance that does not hold the duty. */
+  @Test
+  void givesNoOrdersWithoutTheDuty() {
+    world.routes(1, GatewayWorld.modelRoute("/m/"));
+    world.engines(GatewayWorld.entry("g1", "llm", 1, 0, M1));
+
+    world.call("/m/x", Optional.of(adapter(1)), 10_000);
+    world.advance(900);
+
+    assertThat(world.take(GiveEngineOrder.class)).isEmpty();
+  }
+
+  /** Guards against orders that rest on an entry of the list, which lags behind. */
+  @Test
+  void asksAnEngineBeforeTheFirstOrder() {
+    world.routes(1, GatewayWorld.modelRoute("/m/"));
+    world.engines(GatewayWorld.entry("g1", "llm", 1, 3, M1));
+    becomeHolder();
+    world.call("/m/x", Optional.of(adapter(1)), 10_000);
+    world.advance(900);
+
+    assertThat(world.take(InspectEngine.class)).isNotEmpty();
+    inspected("g1", 3, true, M1);
+    assertThat(world.take(GiveEngineOrder.class)).isEmpty();
+  }
+
+  /** Guards against a call that waits longer than the load of its adapter. */
+  @Test
+  void loadsAWantedAdapterAndServesTheCall() {
+    oneEngine(M1, M2);
+    long id = world.call("/m/x", Optional.of(adapter(1)), 10_000);
+
+    EngineOrder order = answer(EngineOrderResult.ACCEPTED);
+    world.advance(10);
+
+    assertThat(order.target()).isEqualTo(adapter(1));
+    assertThat(order.expectedOrders()).isEqualTo(3);
+    assertThat(order.fencingNumber()).isEqualTo(5);
+    assertThat(world.take(ForwardCall.class).get(0).call()).isEqualTo(id);
+  }
+
+  /** Guards against more adapters than an engine has room for, which crashes it. */
+  @Test
+  void dropsAnIdleAdapterBeforeItLoadsBeyondTheCapacity() {
+    oneEngine(M1, M2, adapter(1), adapter(2));
+    world.call("/m/x", Optional.of(adapter(3)), 10_000);
+
+    EngineOrder first = answer(EngineOrderResult.ALREADY_DONE);
+    EngineOrder second = answer(EngineOrderResult.ACCEPTED);
+
+    assertThat(first.action()).isEqualTo(Action.UNLOAD);
+    assertThat(second.action()).isEqualTo(Action.LOAD);
+    assertThat(second.target()).isEqualTo(adapter(3));
+    assertThat(second.expectedOrders()).isEqualTo(4);
+  }
+
+  /** Guards against room that is counted as free while an adapter in use is still there. */
+  @Test
+  void waitsForAnAdapterInUseToLeave() {
+    oneEngine(M1, M2, adapter(1), adapter(2));
+    world.call("/m/x", Optional.of(adapter(3)), 10_000);
+
+    answer(EngineOrderResult.ACCEPTED);
+    world.advance(300);
+
+    assertThat(world.take(GiveEngineOrder.class)).isEmpty();
+  }
+
+  /** Guards against a second order while the answer to the first one is unknown. */
+  @Test
+  void asksAnEngineAfterALostAnswer() {
+    oneEngine(M1, M2);
+    world.call("/m/x", Optional.of(adapter(1)), 10_000);
+
+    answer(EngineOrderResult.UNKNOWN);
+
+    assertThat(world.take(GiveEngineOrder.class)).isEmpty();
+    world.advance(300);
+    assertThat(world.take(InspectEngine.class)).isNotEmpty();
+  }
+
+  /** Guards against a report that is older than the last order. */
+  @Test
+  void ignoresAReportThatKnowsFewerOrders() {
+    oneEngine(M1, M2, adapter(1), adapter(2));
+    world.call("/m/x", Optional.of(adapter(3)), 10_000);
+    answer(EngineOrderResult.ACCEPTED);
+
+    inspected("g1", 3, false, M1, M2);
+
+    assertThat(world.take(GiveEngineOrder.class)).isEmpty();
+  }
+
+  /** Guards against orders with a fencing number that an engine has seen exceeded. */
+  @Test
+  void givesNoOrdersAfterAnEngineSawAHigherNumber() {
+    oneEngine(M1, M2);
+    world.call("/m/x", Optional.of(adapter(1)), 10_000);
+
+    answer(EngineOrderResult.FENCED);
+    world.advance(600);
+
+    assertThat(world.take(GiveEngineOrder.class)).isEmpty();
+  }
+
+  /** Guards against several replicas that make way for the same model. */
+  @Test
+  void makesRoomOnceForAWantedModel() {
+    world.routes(1, GatewayWorld.modelRoute("/m/"));
+    world.engines(
+        GatewayWorld.entry("g1", "llm", 1, 0, M1, M2),
+        GatewayWorld.entry("g2", "llm", 1, 0, M1, M2));
+    becomeHolder();
+    inspected("g1", 0, false, M1, M2);
+    inspected("g2", 0, false, M1, M2);
+    world.advance(1_000);
+    world.reduce(new DutyAnswered(world.nowMs(), world.nowMs(), 5, true));
+    world.call("/m/x", Optional.of(M3), 10_000);
+    world.advance(600);
+
+    List<EngineOrder> orders =
+        world.take(GiveEngineOrder.class).stream().map(GiveEngineOrder::order).toList();
+
+    assertThat(orders).hasSize(1);
+    assertThat(orders.get(0).action()).isEqualTo(Action.UNLOAD);
+  }
+
+  /** Guards against a large model that is ordered into the room of a small one. */
+  @Test
+  void makesRoomOnlyWhereTheModelFitsAfterwards() {
+    world.withSmallModel();
+    world.routes(1, GatewayWorld.modelRoute("/m/"));
+    world.engines(
+        GatewayWorld.entry("g1", "llm", 1, 0, M1, M2, GatewayWorld.SMALL),
+        GatewayWorld.entry("g2", "llm", 1, 0, M1, M2, GatewayWorld.SMALL));
+    becomeHolder();
+    for (String engine : List.of("g1", "g2")) {
+      inspected(engine, 0, false, M1, M2, GatewayWorld.SMALL);
+    }
+    world.advance(1_000);
+    world.reduce(new DutyAnswered(world.nowMs(), world.nowMs(), 5, true));
+    world.call("/m/x", Optional.of(M3), 10_000);
+
+    EngineOrder order = answer(EngineOrderResult.ACCEPTED);
+
+    assertThat(order.action()).isEqualTo(Action.UNLOAD);
+    assertThat(order.target()).isNotEqualTo(GatewayWorld.SMALL);
+  }
+
+  /** Guards against a load without room after the order to make room was refused. */
+  @Test
+  void loadsNothingIfTheRoomWasNotMade() {
+    oneEngine(M1, M2);
+    world.engines(GatewayWorld.entry("g2", "llm", 1, 0, M1, M2));
+    inspected("g2", 0, false, M1, M2);
+    world.advance(1_000);
+    world.reduce(new DutyAnswered(world.nowMs(), world.nowMs(), 5, true));
+    world.call("/m/x", Optional.of(M3), 10_000);
+    EngineOrder refused = answer(EngineOrderResult.CONFLICT);
+    world.advance(300);
+
+    inspected(refused.engine().value(), 3, false, M1, M2);
+
+    for (GiveEngineOrder next : world.take(GiveEngineOrder.class)) {
+      assertThat(next.order().action()).isEqualTo(Action.UNLOAD);
+    }
+  }
+
+  /** Guards against an adapter that is dropped just after it was loaded for a waiting call. */
+  @Test
+  void keepsAnAdapterThatIsInUse() {
+    oneEngine(M1, M2, adapter(1), adapter(2));
+    world.call("/m/x", Optional.of(adapter(1)), 10_000);
+    world.call("/m/x", Optional.of(adapter(3)), 10_000);
+
+    EngineOrder order = answer(EngineOrderResult.ALREADY_DONE);
+
+    assertThat(order.target()).isEqualTo(adapter(2));
+  }
+}
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.limpetdoor.core.LimpetdoorException;
 import org.limpetdoor.core.gateway.ModelKey;
 import org.limpetdoor.core.id.BackendId;
@@ -18,7 +20,9 @@
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
+import org.pcollections.PSet;
 
 /** Encodes messages between instances as MessagePack: a kind number and the fields in order. */
 public final class PeerMessageCodec {
@@ -98,6 +102,10 @@
           packer.packString(entry.getKey().value());
           packer.packInt(entry.getValue());
         }
+        packer.packArrayHeader(digest.adaptersInUse().size());
+        for (ModelKey adapter : digest.adaptersInUse()) {
+          packKey(packer, adapter);
+        }
         packer.packMapHeader(digest.arrivals().size());
         for (Map.Entry<ModelKey, Integer> entry : digest.arrivals().entrySet()) {
           packKey(packer, entry.getKey());
@@ -116,9 +124,10 @@
         long fence = unpacker.unpackLong();
         PMap<BackendId, Integer> inFlight =
             unpackMap(unpacker, u -> new BackendId(u.unpackString()));
+        PSet<ModelKey> adaptersInUse = unpackKeys(unpacker);
         PMap<ModelKey, Integer> arrivals = unpackMap(unpacker, Kind::unpackKey);
         PMap<Long, Integer> lost = unpackMap(unpacker, MessageUnpacker::unpackLong);
-        return new LoadDigest(version, fence, inFlight, arrivals, lost);
+        return new LoadDigest(version, fence, inFlight, adaptersInUse, arrivals, lost);
       }
     },
     MODEL_WANTED(ModelWanted.class) {
@@ -189,6 +198,15 @@
       return HashTreePMap.from(map);
     }
 
+    private static PSet<ModelKey> unpackKeys(MessageUnpacker unpacker) throws IOException {
+      int size = unpacker.unpackArrayHeader();
+      Set<ModelKey> keys = new HashSet<>();
+      for (int i = 0; i < size; i++) {
+        keys.add(unpackKey(unpacker));
+      }
+      return HashTreePSet.from(keys);
+    }
+
     private static void packKey(MessageBufferPacker packer, ModelKey key) throws IOException {
       packer.packString(key.model());
       packer.packString(key.adapter().orElse(""));
--- /dev/null
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
@@ -0,0 +1,53 @@
+package org.limpetdoor.format.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.gateway.ModelKey;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.membership.PeerMessage;
+import org.limpetdoor.core.membership.PeerMessage.Heartbeat;
+import org.limpetdoor.core.membership.PeerMessage.HoldingChanged;
+import org.limpetdoor.core.membership.PeerMessage.Leaving;
+import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
+import org.limpetdoor.core.membership.PeerMessage.ModelWanted;
+import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
+
+class PeerMessageCodecTest {
+  private static final List<PeerMessage> MESSAGES =
+      List.of(
+          new Heartbeat(3, -1),
+          new Leaving(),
+          new LoadDigest(
+              7,
+              41,
+              HashTreePMap.singleton(new BackendId("g1"), 3),
+              HashTreePSet.singleton(ModelKey.of("m1", "a2")),
+              HashTreePMap.singleton(ModelKey.of("m1", "a1"), 2),
+              HashTreePMap.singleton(-5L, 1)),
+          new ModelWanted("llm", ModelKey.of("m1")),
+          new HoldingChanged(new BackendId("g1"), 1, 9, ModelKey.of("m1", "a1"), true));
+
+  /** Guards against fields that are written and read in another order. */
+  @Test
+  void decodesWhatItEncodes() {
+    for (PeerMessage message : MESSAGES) {
+      assertThat(PeerMessageCodec.decode(PeerMessageCodec.encode(message))).isEqualTo(message);
+    }
+  }
+
+  /** Guards against a frame that breaks the traffic thread instead of its link. */
+  @Test
+  void refusesTruncatedAndUnknownFrames() {
+    for (PeerMessage message : MESSAGES) {
+      byte[] bytes = PeerMessageCodec.encode(message);
+      byte[] cut = Arrays.copyOf(bytes, bytes.length - 1);
+      assertThrows(MalformedFrameException.class, () -> PeerMessageCodec.decode(cut));
+    }
+    assertThrows(MalformedFrameException.class, () -> PeerMessageCodec.decode(new byte[] {99}));
+  }
+}
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DecisionLog.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DecisionLog.java
@@ -30,12 +30,15 @@
   /** Time for which the writer collects lines, in milliseconds, to save wake-ups and writes. */
   private static final long COLLECT_MS = 200;
 
+  /** Time for the last lines to be written at a shutdown, in milliseconds. */
+  private static final long CLOSE_TIMEOUT_MS = 200;
+
   private final BlockingQueue<String> lines;
   private final AtomicLong dropped = new AtomicLong();
   private final PrintStream out;
   private final Counter droppedCounter;
   private final MeterRegistry metrics;
-  private final CountDownLatch pause = new CountDownLatch(1);
+  private final CountDownLatch closing = new CountDownLatch(1);
   private final Thread writer;
   private long usualCalls;
 
@@ -72,12 +75,13 @@
     }
   }
 
+  /** Writes what is queued and ends; a reader that has stopped is not waited for. */
   @Override
   public void close() {
-    pause.countDown();
-    writer.interrupt();
+    closing.countDown();
+    write(LogLine.event("log_closed"));
     try {
-      writer.join(COLLECT_MS);
+      writer.join(CLOSE_TIMEOUT_MS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -117,13 +121,13 @@
 
   private void run() {
     try {
-      while (true) {
+      boolean last = false;
+      while (!last) {
         String first = lines.take();
-        pause.await(COLLECT_MS, TimeUnit.MILLISECONDS);
+        last = closing.await(COLLECT_MS, TimeUnit.MILLISECONDS);
         writeBatch(first);
       }
     } catch (InterruptedException e) {
-      writeRest();
       Thread.currentThread().interrupt();
     }
   }
@@ -139,11 +143,4 @@
     out.println(String.join("\n", batch));
     out.flush();
   }
-
-  private void writeRest() {
-    String first = lines.poll();
-    if (first != null) {
-      writeBatch(first);
-    }
-  }
 }
--- /dev/null
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/DecisionLogTest.java
@@ -0,0 +1,91 @@
+package org.limpetdoor.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.decision.CallDecision;
+import org.limpetdoor.core.decision.CallDecision.Subject;
+import org.limpetdoor.core.gateway.Reply;
+import org.limpetdoor.core.id.BackendId;
+
+class DecisionLogTest {
+  private static final Subject CALL = new Subject("c1", "r1", "llm", "m1", 1);
+
+  private final SimpleMeterRegistry metrics = new SimpleMeterRegistry();
+
+  /** Blocks the writer until the latch opens, like a reader that has stopped. */
+  private static PrintStream stopped(CountDownLatch writing, CountDownLatch resume) {
+    return new PrintStream(
+        new OutputStream() {
+          @Override
+          public void write(int b) {
+            writing.countDown();
+            try {
+              resume.await();
+            } catch (InterruptedException e) {
+              Thread.currentThread().interrupt();
+            }
+          }
+        },
+        true,
+        StandardCharsets.UTF_8);
+  }
+
+  /** Guards against a control thread that waits for a reader of the log that has stopped. */
+  @Test
+  void countsLinesInsteadOfBlocking() throws InterruptedException {
+    CountDownLatch writing = new CountDownLatch(1);
+    CountDownLatch resume = new CountDownLatch(1);
+    try (DecisionLog log = new DecisionLog(stopped(writing, resume), metrics, 8)) {
+      log.record(CallDecision.failed(CALL, Reply.NO_ENGINE, false));
+      assertThat(writing.await(30, TimeUnit.SECONDS)).isTrue();
+
+      for (int i = 0; i < 100; i++) {
+        log.record(CallDecision.failed(CALL, Reply.NO_ENGINE, false));
+      }
+
+      assertThat(metrics.counter("limpetdoor.log.dropped.lines").count()).isAtLeast(92.0);
+      resume.countDown();
+    }
+  }
+
+  /** Guards against a volume that grows with the load, and against failures that are left out. */
+  @Test
+  void samplesUsualCallsAndWritesAllFailures() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try (DecisionLog log =
+        new DecisionLog(new PrintStream(out, true, StandardCharsets.UTF_8), metrics)) {
+      for (int i = 0; i < 40; i++) {
+        log.record(CallDecision.routed(CALL, new BackendId("g1"), 3));
+        log.record(CallDecision.failed(CALL, Reply.TIMED_OUT, false));
+      }
+    }
+
+    String text = out.toString(StandardCharsets.UTF_8);
+    long routed = text.lines().filter(line -> line.startsWith("event=call_routed")).count();
+    long failed = text.lines().filter(line -> line.startsWith("event=call_refused")).count();
+    assertThat(routed).isEqualTo(40 / DecisionLog.SAMPLE_ONE_IN);
+    assertThat(failed).isEqualTo(40);
+  }
+
+  /** Guards against a caller who forges a line with the identifier of a call. */
+  @Test
+  void escapesWhatCallersSend() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    Subject forged = new Subject("c1\nevent=call_ended call=c2", "r1", "llm", "m1", 1);
+    try (DecisionLog log =
+        new DecisionLog(new PrintStream(out, true, StandardCharsets.UTF_8), metrics)) {
+      log.record(CallDecision.failed(forged, Reply.TIMED_OUT, false));
+    }
+
+    long lines = out.toString(StandardCharsets.UTF_8).lines().count();
+    assertThat(lines).isEqualTo(2);
+  }
+}
