Spread prompts and replicas, and pass the duty on without a wait after a failure

Small models are now consolidated so that large ones get replicas, idle models may make way, unread prompts count as load, and instances prefer different engines. The new holder waits only after a holder that is alive (before: 3.3 s after each change).

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -75,7 +75,9 @@
             state
                 .withCall(call.withStarted())
                 .withEngines(
-                    state.engines().update(attempt.engine(), engine -> engine.answered(tookMs)))));
+                    state
+                        .engines()
+                        .update(attempt.engine(), engine -> started(engine, call, tookMs)))));
   }
 
   /**
@@ -92,7 +94,7 @@
     if (!mayRetry(node, call, ForwardResult.SILENT)) {
       return Transition.of(node);
     }
-    NodeState noted = note(release(node, attempt), call, attempt, ForwardResult.SILENT);
+    NodeState noted = note(release(node, call, attempt), call, attempt, ForwardResult.SILENT);
     Choice choice = Chooser.choose(noted, call);
     if (choice.verdict() != Verdict.CHOSEN) {
       return Transition.of(node);
@@ -112,7 +114,7 @@
     Call before = found.get();
     Attempt attempt = before.active().orElseThrow();
     Call call = before.withAttemptEnded(event.result(), event.delivered());
-    NodeState noted = note(release(node, attempt), call, attempt, event.result());
+    NodeState noted = note(release(node, before, attempt), call, attempt, event.result());
     Transition<NodeState, Effect> result =
         event.result().failure()
             ? afterFailure(noted, call, attempt, event.result())
@@ -223,7 +225,7 @@
                         .engines()
                         .update(
                             engine.entry().id(),
-                            known -> known.withInFlight(known.inFlight() + 1))));
+                            known -> known.withLoad(load -> load.sent(sent)))));
     CallDecision decision =
         CallDecision.routed(describe(sent), engine.entry().id(), choice.candidates());
     return Transition.<NodeState, Effect>of(next, new RecordDecision(decision))
@@ -304,37 +306,33 @@
     }
     Attempt attempt = call.active().get();
     return Transition.of(
-        release(node, attempt), new AbandonForward(call.spec().id(), attempt.number()));
+        release(node, call, attempt), new AbandonForward(call.spec().id(), attempt.number()));
   }
 
-  private static NodeState release(NodeState node, Attempt attempt) {
+  private static EngineState started(EngineState engine, Call call, long tookMs) {
+    return engine
+        .withLoad(load -> load.started(call))
+        .withHealth(health -> health.answered(tookMs));
+  }
+
+  private static NodeState release(NodeState node, Call call, Attempt attempt) {
     GatewayState state = node.gateway();
     return node.withGateway(
         state.withEngines(
             state
                 .engines()
-                .update(attempt.engine(), engine -> engine.withInFlight(engine.inFlight() - 1))));
+                .update(
+                    attempt.engine(),
+                    engine -> engine.withLoad(load -> load.ended(call, attempt.started())))));
   }
 
+  /** Notes what the end of an attempt says about the engine. */
   private static NodeState note(NodeState node, Call call, Attempt attempt, ForwardResult result) {
     GatewayState state = node.gateway();
-    boolean whole = result == ForwardResult.COMPLETED && !call.route().kind().streamed();
-    long tookMs = node.nowMs() - attempt.sentAtMs();
     EngineTable engines =
         state
             .engines()
-            .update(
-                attempt.engine(),
-                engine -> {
-                  EngineState noted = whole ? engine.answered(tookMs) : engine;
-                  EngineState blamed = noted.failed(result.blame(), node.nowMs());
-                  return result == ForwardResult.MISDIRECTED
-                      ? call.spec()
-                          .model()
-                          .map(key -> blamed.withoutHeld(key))
-                          .orElse(blamed.withDraining())
-                      : blamed;
-                });
+            .update(attempt.engine(), engine -> noted(node, engine, call, attempt, result));
     CrashLedger suspects =
         result == ForwardResult.CONNECTION_LOST
             ? state.suspects().withOwnLoss(call.spec().fingerprint(), node.nowMs())
@@ -342,6 +340,23 @@
     return node.withGateway(state.withEngines(engines).withSuspects(suspects));
   }
 
+  private static EngineState noted(
+      NodeState node, EngineState engine, Call call, Attempt attempt, ForwardResult result) {
+    if (result == ForwardResult.COMPLETED) {
+      long tookMs = node.nowMs() - attempt.sentAtMs();
+      boolean streamed = call.route().kind().streamed();
+      return streamed ? engine : engine.withHealth(health -> health.answered(tookMs));
+    }
+    if (result != ForwardResult.MISDIRECTED) {
+      return engine.withHealth(health -> health.failed(result.blame(), node.nowMs()));
+    }
+    // Without a model in question another engine has the address.
+    return call.spec()
+        .model()
+        .map(key -> engine.withHolding(holding -> holding.without(key)))
+        .orElse(engine.withDraining());
+  }
+
   private static NodeState countArrival(NodeState node, Call call) {
     GatewayState state = node.gateway();
     GatewayState budgeted =
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSpec.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSpec.java
@@ -11,7 +11,7 @@
  * @param path path without query
  * @param timeLeftMs time for which the caller waits, in milliseconds, if it said so
  * @param model model or adapter that is called, if any
- * @param tokens prompt tokens and the bound on output tokens together
+ * @param promptTokens length of the prompt, in tokens
  * @param affinityHash hash of the shared start of the prompt; 0 means no affinity
  * @param fingerprint hash of path, model and body; tells that the same request comes again
  */
@@ -22,6 +22,6 @@
     String path,
     Optional<Integer> timeLeftMs,
     Optional<ModelKey> model,
-    int tokens,
+    int promptTokens,
     long affinityHash,
     long fingerprint) {}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
@@ -26,8 +26,17 @@
   /** Largest factor by which slow answers raise the load of an engine. */
   private static final double MAX_SLOWNESS = 6;
 
-  /** Breaks ties differently for each call, so that instances do not all pick the same engine. */
-  private static final double TIE_SPREAD = 0.02;
+  /**
+   * Load that a prompt token counts as that the engine has not read. Prompts that arrive together
+   * hold the streams of an engine up for about 18 ms each, which counts as a sixth of its slots.
+   */
+  private static final double UNREAD_COST_PER_TOKEN = 0.00025;
+
+  /**
+   * Load by which engines differ for each instance, so that instances which see the same loads do
+   * not all pick the same engine.
+   */
+  private static final double HOME_SPREAD = 0.12;
 
   private Chooser() {}
 
@@ -85,11 +94,11 @@
   private static Choice best(NodeState node, Call call, List<EngineState> usable) {
     long nowMs = node.nowMs();
     List<EngineState> trusted =
-        usable.stream().filter(engine -> engine.avoidUntilMs() <= nowMs).toList();
+        usable.stream().filter(engine -> engine.health().avoidUntilMs() <= nowMs).toList();
     List<EngineState> candidates = trusted.isEmpty() ? usable : trusted;
     double meanLatencyMs =
         candidates.stream()
-            .mapToDouble(EngineState::latencyMs)
+            .mapToDouble(engine -> engine.health().latencyMs())
             .filter(ms -> ms > 0)
             .average()
             .orElse(0);
@@ -119,19 +128,21 @@
       double load,
       double meanLatencyMs,
       EngineState owner) {
-    boolean known = meanLatencyMs > 0 && engine.latencyMs() > 0;
-    double slowness = known ? engine.latencyMs() / meanLatencyMs : 1;
+    boolean known = meanLatencyMs > 0 && engine.health().latencyMs() > 0;
+    double slowness = known ? engine.health().latencyMs() / meanLatencyMs : 1;
     double perSlot = 1.0 / Math.max(1, engine.entry().slots());
     double score = (load + perSlot) * Math.max(1, Math.min(MAX_SLOWNESS, slowness));
-    score += engine.failureShare() * FAILURE_COST;
+    score += engine.health().failureShare() * FAILURE_COST;
     score += engine.entry().zone().equals(node.self().zone()) ? 0 : REMOTE_COST;
     score -= engine.equals(owner) ? AFFINITY_BONUS : 0;
-    return score + TIE_SPREAD * fraction(call.spec().id(), engine);
+    score += engine.load().unreadTokens() * UNREAD_COST_PER_TOKEN;
+    long home = node.self().id().value().hashCode();
+    return score + HOME_SPREAD * fraction(home, engine);
   }
 
   /** Returns the load of an engine from own and peers' calls, as a share of its slots. */
   static double load(NodeState node, EngineState engine) {
-    int inFlight = engine.inFlight();
+    int inFlight = engine.load().inFlight();
     for (PeerLoad peer : node.gateway().peers().values()) {
       inFlight += peer.inFlight(engine.entry().id(), node.nowMs());
     }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -9,6 +9,7 @@
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.membership.PeerLink;
 import org.limpetdoor.core.membership.PeerMessage;
+import org.limpetdoor.core.membership.PeerMessage.DutyDropped;
 import org.limpetdoor.core.membership.PeerMessage.HoldingChanged;
 import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
 import org.limpetdoor.core.membership.PeerMessage.ModelWanted;
@@ -58,6 +59,11 @@
     if (message instanceof ModelWanted wanted) {
       return Wants.wanted(node, wanted.service(), wanted.key());
     }
+    if (message instanceof DutyDropped dropped) {
+      GatewayState state = node.gateway();
+      return Transition.of(
+          node.withGateway(state.withDuty(state.duty().rivalLeft(dropped.fencingNumber()))));
+    }
     return Transition.of(node);
   }
 
@@ -83,7 +89,7 @@
             .withSuspects(state.suspects().withPeerLosses(digest.lostEngines(), node.nowMs()));
     GatewayState rivalled =
         digest.fencingNumber() > 0
-            ? noted.withDuty(state.duty().rivalHeard(digest.fencingNumber(), node.nowMs()))
+            ? noted.withDuty(state.duty().rivalHeard(peer, digest.fencingNumber(), node.nowMs()))
             : noted;
     boolean known = state.peers().containsKey(peer);
     return node.withGateway(
@@ -93,8 +99,8 @@
   private static PMap<BackendId, Integer> inFlight(GatewayState state) {
     PMap<BackendId, Integer> counts = HashTreePMap.empty();
     for (EngineState engine : state.engines().byId().values()) {
-      if (engine.inFlight() > 0) {
-        counts = counts.plus(engine.entry().id(), engine.inFlight());
+      if (engine.load().inFlight() > 0) {
+        counts = counts.plus(engine.entry().id(), engine.load().inFlight());
       }
     }
     return counts;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
@@ -1,5 +1,9 @@
 package org.limpetdoor.core.gateway;
 
+import java.util.Optional;
+import org.limpetdoor.core.event.DutyAnswered;
+import org.limpetdoor.core.id.InstanceId;
+
 /**
  * The duty to order models and adapters, which one instance holds at a time. The store deals it;
  * its generation is the fencing number of orders.
@@ -24,25 +28,32 @@
   static final Duty NONE = new Duty(0, false, 0, 0, 0, 0, Rival.NONE);
 
   /** Time without a word after which the store deals the duty to another instance. */
-  static final long TTL_MS = 2_000;
+  static final long TTL_MS = 1_500;
 
   /** Interval of the words to the store; two may be lost before the duty lapses. */
-  static final long JOIN_INTERVAL_MS = 600;
+  static final long JOIN_INTERVAL_MS = 450;
 
   /** Margin for clock rates and for orders on their way when the duty lapses, in milliseconds. */
   static final long MARGIN_MS = 300;
 
+  /**
+   * Changes of the group, such as instances that left with the holder, after which the holder that
+   * was heard last is still taken to be the one before.
+   */
+  private static final long MAX_GENERATIONS_MISSED = 4;
+
   /** Stands for a time so long ago that it does not matter. */
   private static final long LONG_AGO_MS = -1_000_000;
 
   /**
    * Another holder, as its digests told.
    *
+   * @param peer its name; empty if none was heard
    * @param fencingNumber its last fencing number
    * @param heardAtMs when it last told that it holds the duty, in monotonic milliseconds
    */
-  record Rival(long fencingNumber, long heardAtMs) {
-    static final Rival NONE = new Rival(0, 0);
+  record Rival(Optional<InstanceId> peer, long fencingNumber, long heardAtMs) {
+    static final Rival NONE = new Rival(Optional.empty(), 0, 0);
   }
 
   /** Returns whether this instance may give orders now. */
@@ -51,23 +62,25 @@
   }
 
   /**
-   * Follows the store. Two holders may not take turns within a lease, so a new one waits. If the
-   * store named no other holder since the last one that was heard, the wait begins with its last
-   * word.
+   * Follows the store. Two holders may not take turns within a lease, so a new one waits, unless
+   * the one before it is known and silent: it has failed or lost the others, and gives no orders.
    */
-  Duty answered(long nowMs, long requestedAtMs, long newGeneration, boolean dealt, long leaseMs) {
-    if (newGeneration < generation) {
+  Duty answered(DutyAnswered word, long nowMs, long leaseMs, boolean rivalSilent) {
+    if (word.generation() < generation) {
       return this;
     }
-    boolean begins = dealt && (!held || nowMs >= validUntilMs);
-    boolean directly = rival.fencingNumber() > 0 && newGeneration <= rival.fencingNumber() + 1;
-    long quietSinceMs = directly ? rival.heardAtMs() : nowMs;
+    boolean begins = word.held() && (!held || nowMs >= validUntilMs);
+    boolean successor =
+        rival.fencingNumber() > 0
+            && word.generation() <= rival.fencingNumber() + MAX_GENERATIONS_MISSED;
+    long lastOrderMs = successor ? rival.heardAtMs() : nowMs;
+    long waitMs = successor && rivalSilent ? 0 : leaseMs + MARGIN_MS;
     return new Duty(
-        newGeneration,
-        dealt,
+        word.generation(),
+        word.held(),
         begins ? nowMs : heldSinceMs,
-        dealt ? requestedAtMs + TTL_MS - MARGIN_MS : 0,
-        begins ? quietSinceMs + leaseMs + MARGIN_MS : actsFromMs,
+        word.held() ? word.requestedAtMs() + TTL_MS - MARGIN_MS : 0,
+        begins ? lastOrderMs + waitMs : actsFromMs,
         nextJoinAtMs,
         rival);
   }
@@ -83,15 +96,20 @@
   }
 
   /** Notes that a peer tells that it holds the duty. */
-  Duty rivalHeard(long fencingNumber, long nowMs) {
+  Duty rivalHeard(InstanceId peer, long fencingNumber, long nowMs) {
     boolean newer = fencingNumber >= rival.fencingNumber();
-    return newer ? withRival(new Rival(fencingNumber, nowMs)) : this;
+    return newer ? withRival(new Rival(Optional.of(peer), fencingNumber, nowMs)) : this;
   }
 
   /** Notes that a peer gives no orders any more; its last ones do not matter then. */
   Duty rivalLeft(long fencingNumber) {
     boolean last = fencingNumber > 0 && fencingNumber == rival.fencingNumber();
-    return last ? withRival(new Rival(fencingNumber, LONG_AGO_MS)) : this;
+    return last ? withRival(new Rival(rival.peer(), fencingNumber, LONG_AGO_MS)) : this;
+  }
+
+  /** Returns whether the duty was held and lapsed, because the store did not answer. */
+  boolean lapsed(long nowMs) {
+    return held && nowMs >= validUntilMs;
   }
 
   private Duty withRival(Rival value) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
@@ -6,7 +6,10 @@
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.JoinDuty;
 import org.limpetdoor.core.effect.RecordDecision;
+import org.limpetdoor.core.effect.SendToPeer;
 import org.limpetdoor.core.event.DutyAnswered;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.membership.PeerMessage.DutyDropped;
 
 /** Reduces who holds the placement duty. */
 public final class DutyEvents {
@@ -16,13 +19,7 @@
   public static Transition<NodeState, Effect> answered(NodeState node, DutyAnswered event) {
     GatewayState state = node.gateway();
     Duty before = state.duty();
-    Duty duty =
-        before.answered(
-            node.nowMs(),
-            event.requestedAtMs(),
-            event.generation(),
-            event.held(),
-            state.settings().leaseMs());
+    Duty duty = before.answered(event, node.nowMs(), state.settings().leaseMs(), rivalSilent(node));
     boolean begins = duty.held() && duty.heldSinceMs() != before.heldSinceMs();
     Placement placement = begins ? state.placement().unverified() : state.placement();
     NodeState next = node.withGateway(state.withDuty(duty).withPlacement(placement));
@@ -32,8 +29,35 @@
             next, new RecordDecision(GatewayDecision.duty(duty.held(), duty.generation())));
   }
 
+  /** Returns whether the holder before is heard no more, so that it has failed or is cut off. */
+  private static boolean rivalSilent(NodeState node) {
+    GatewayState state = node.gateway();
+    return state.duty().rival().peer().map(peer -> !state.heard(peer, node.nowMs())).orElse(false);
+  }
+
+  /** Tells the peers that this instance gives no orders, if the store has ceased to answer it. */
+  private static Transition<NodeState, Effect> dropIfLapsed(NodeState node) {
+    GatewayState state = node.gateway();
+    if (!state.duty().lapsed(node.nowMs())) {
+      return Transition.of(node);
+    }
+    long fence = state.duty().generation();
+    Transition<NodeState, Effect> result =
+        Transition.of(
+            node.withGateway(state.withDuty(state.duty().released())),
+            new RecordDecision(GatewayDecision.duty(false, fence)));
+    for (InstanceId peer : state.peers().keySet()) {
+      result = result.with(new SendToPeer(peer, new DutyDropped(fence)));
+    }
+    return result;
+  }
+
   /** Asks the store for the duty, or keeps it. A draining instance lets it go. */
   static Transition<NodeState, Effect> tick(NodeState node) {
+    return dropIfLapsed(node).then(DutyEvents::join);
+  }
+
+  private static Transition<NodeState, Effect> join(NodeState node) {
     GatewayState state = node.gateway();
     if (node.draining() || node.nowMs() < state.duty().nextJoinAtMs()) {
       return Transition.of(node);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
@@ -70,7 +70,11 @@
     NodeState held =
         node.withGateway(
             state.withEngines(
-                state.engines().update(event.engine(), known -> known.withInventory(inventory))));
+                state
+                    .engines()
+                    .update(
+                        event.engine(),
+                        known -> known.withHolding(holding -> holding.told(inventory)))));
     OrderSlot slot = state.placement().slot(event.engine());
     NodeState noted = withSlot(held, event.engine(), slot.inspected(inventory));
     return Planning.plan(noted).then(CallEvents::serveWaiting);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineState.java
@@ -1,234 +1,79 @@
 package org.limpetdoor.core.gateway;
 
+import java.util.function.UnaryOperator;
 import org.limpetdoor.core.Timed;
-import org.pcollections.HashTreePSet;
 import org.pcollections.PSet;
 
 /**
  * What this instance knows of an engine.
  *
  * @param entry its last entry in the list
- * @param held models and adapters that it holds, by the newest word
- * @param heldAsOfOrders orders that it had accepted when it held them
- * @param dropping models that it was ordered to drop and may still list
- * @param inFlight calls of this instance at the engine
- * @param avoidUntilMs time until which it gets calls only if there is no other engine
- * @param failures failures in a row that speak against it
- * @param failureShare share of recent calls that it failed, from 0 to 1
- * @param latencyMs smoothed time to the answer, in milliseconds; 0 if unknown
+ * @param holding models and adapters that it holds
+ * @param load calls of this instance at the engine
+ * @param health how it has served them
  * @param unlistedAtMs when its entry was removed while the store may have lost entries, or {@link
  *     Timed#NEVER_MS}
  */
 record EngineState(
-    EngineEntry entry,
-    PSet<ModelKey> held,
-    long heldAsOfOrders,
-    PSet<ModelKey> dropping,
-    int inFlight,
-    long avoidUntilMs,
-    int failures,
-    double failureShare,
-    double latencyMs,
-    long unlistedAtMs) {
-  /** Weight of the newest observation in the smoothed figures. */
-  private static final double SMOOTHING = 0.1;
+    EngineEntry entry, Holding holding, Load load, EngineHealth health, long unlistedAtMs) {
 
-  /** First time for which an engine that cannot be reached is avoided; doubled for each more. */
-  private static final long FIRST_AVOID_MS = 500;
+  /**
+   * Calls of this instance at an engine.
+   *
+   * @param inFlight calls that have not ended
+   * @param unreadTokens prompt tokens of those that the engine has not answered yet
+   */
+  record Load(int inFlight, long unreadTokens) {
+    static final Load NONE = new Load(0, 0);
+
+    Load sent(Call call) {
+      return new Load(inFlight + 1, unreadTokens + call.spec().promptTokens());
+    }
 
-  private static final int MAX_DOUBLINGS = 3;
+    Load started(Call call) {
+      return new Load(inFlight, Math.max(0, unreadTokens - call.spec().promptTokens()));
+    }
 
-  /** Time for which an engine that said that it is full is avoided, in milliseconds. */
-  private static final long FULL_AVOID_MS = 100;
+    Load ended(Call call, boolean started) {
+      Load read = started ? this : started(call);
+      return new Load(Math.max(0, read.inFlight - 1), read.unreadTokens);
+    }
+  }
 
   static EngineState of(EngineEntry entry) {
-    return new EngineState(
-        entry,
-        entry.held(),
-        entry.ordersAccepted(),
-        HashTreePSet.empty(),
-        0,
-        0,
-        0,
-        0,
-        0,
-        Timed.NEVER_MS);
+    Holding holding = Holding.of(entry.held(), entry.ordersAccepted());
+    return new EngineState(entry, holding, Load.NONE, EngineHealth.UNKNOWN, Timed.NEVER_MS);
   }
 
-  /**
-   * Follows a new entry. Another start of the engine forgets all that was known. An entry does not
-   * tell of an adapter that is complete when the engine wrote it before, so adapters that are known
-   * stay until the engine has accepted further orders.
-   */
+  /** Follows a new entry. Another start of the engine forgets all that was known. */
   EngineState withEntry(EngineEntry next) {
-    if (next.startedAtMs() > entry.startedAtMs()) {
-      return of(next).withInFlight(inFlight);
-    }
     if (next.startedAtMs() < entry.startedAtMs()) {
       return this;
     }
-    EngineState listed = withListed(next);
-    if (next.ordersAccepted() < heldAsOfOrders) {
-      return listed;
-    }
-    if (next.ordersAccepted() > heldAsOfOrders) {
-      return listed.withHeld(next.held(), next.ordersAccepted());
-    }
-    PSet<ModelKey> merged = next.held();
-    for (ModelKey key : held) {
-      boolean kept = key.adapter().isPresent() && next.held().contains(key.base());
-      merged = kept ? merged.plus(key) : merged;
-    }
-    PSet<ModelKey> stillDropping = HashTreePSet.empty();
-    for (ModelKey key : dropping) {
-      stillDropping = next.held().contains(key) ? stillDropping.plus(key) : stillDropping;
-      merged = ModelKey.without(merged, key);
+    if (next.startedAtMs() > entry.startedAtMs()) {
+      return of(next).withLoad(unused -> load);
     }
-    return listed.withMerged(merged, stillDropping);
+    return new EngineState(next, holding.listed(next), load, health, Timed.NEVER_MS);
   }
 
-  /** Follows a word of the engine that knows more orders. */
-  EngineState withHeld(PSet<ModelKey> value, long asOfOrders) {
-    return new EngineState(
-        entry,
-        value,
-        Math.max(heldAsOfOrders, asOfOrders),
-        HashTreePSet.empty(),
-        inFlight,
-        avoidUntilMs,
-        failures,
-        failureShare,
-        latencyMs,
-        unlistedAtMs);
+  EngineState withHolding(UnaryOperator<Holding> change) {
+    return new EngineState(entry, change.apply(holding), load, health, unlistedAtMs);
   }
 
-  /** Follows what the engine itself told, unless newer orders are known. */
-  EngineState withInventory(EngineInventory inventory) {
-    boolean newer = inventory.ordersAccepted() >= heldAsOfOrders;
-    return newer ? withHeld(inventory.held(), inventory.ordersAccepted()) : this;
+  EngineState withLoad(UnaryOperator<Load> change) {
+    return new EngineState(entry, holding, change.apply(load), health, unlistedAtMs);
   }
 
-  /** Follows an order that the holder of the placement duty gave. */
-  EngineState changed(ModelKey key, boolean holds, long asOfOrders) {
-    PSet<ModelKey> next = holds ? held.plus(key) : ModelKey.without(held, key);
-    boolean model = key.adapter().isEmpty();
-    PSet<ModelKey> drops = model && !holds ? dropping.plus(key) : dropping.minus(key);
-    return new EngineState(
-        entry,
-        next,
-        Math.max(heldAsOfOrders, asOfOrders),
-        drops,
-        inFlight,
-        avoidUntilMs,
-        failures,
-        failureShare,
-        latencyMs,
-        unlistedAtMs);
-  }
-
-  /** Notes that the engine does not hold what it was asked for. */
-  EngineState withoutHeld(ModelKey key) {
-    return new EngineState(
-        entry,
-        held.minus(key),
-        heldAsOfOrders,
-        dropping,
-        inFlight,
-        avoidUntilMs,
-        failures,
-        failureShare,
-        latencyMs,
-        unlistedAtMs);
-  }
-
-  EngineState withInFlight(int value) {
-    return new EngineState(
-        entry,
-        held,
-        heldAsOfOrders,
-        dropping,
-        Math.max(0, value),
-        avoidUntilMs,
-        failures,
-        failureShare,
-        latencyMs,
-        unlistedAtMs);
+  EngineState withHealth(UnaryOperator<EngineHealth> change) {
+    return new EngineState(entry, holding, load, change.apply(health), unlistedAtMs);
   }
 
   EngineState withUnlistedAtMs(long value) {
-    return new EngineState(
-        entry,
-        held,
-        heldAsOfOrders,
-        dropping,
-        inFlight,
-        avoidUntilMs,
-        failures,
-        failureShare,
-        latencyMs,
-        value);
+    return new EngineState(entry, holding, load, health, value);
   }
 
   EngineState withDraining() {
-    return new EngineState(
-        entry.withDraining(),
-        held,
-        heldAsOfOrders,
-        dropping,
-        inFlight,
-        avoidUntilMs,
-        failures,
-        failureShare,
-        latencyMs,
-        unlistedAtMs);
-  }
-
-  private EngineState withMerged(PSet<ModelKey> merged, PSet<ModelKey> stillDropping) {
-    return new EngineState(
-        entry,
-        merged,
-        heldAsOfOrders,
-        stillDropping,
-        inFlight,
-        avoidUntilMs,
-        failures,
-        failureShare,
-        latencyMs,
-        unlistedAtMs);
-  }
-
-  private EngineState withListed(EngineEntry next) {
-    return new EngineState(
-        next,
-        held,
-        heldAsOfOrders,
-        dropping,
-        inFlight,
-        avoidUntilMs,
-        failures,
-        failureShare,
-        latencyMs,
-        Timed.NEVER_MS);
-  }
-
-  /** Notes an answer after the given time. */
-  EngineState answered(long tookMs) {
-    double latency = latencyMs == 0 ? tookMs : latencyMs + SMOOTHING * (tookMs - latencyMs);
-    return with(0, 0, failureShare * (1 - SMOOTHING), latency);
-  }
-
-  /** Notes a failure. */
-  EngineState failed(ForwardResult.Blame blame, long nowMs) {
-    return switch (blame) {
-      case NONE, MISSING -> this;
-      case FULL ->
-          with(Math.max(avoidUntilMs, nowMs + FULL_AVOID_MS), failures, failureShare, latencyMs);
-      case ERROR, BROKEN -> with(avoidUntilMs, failures, failing(), latencyMs);
-      case UNREACHABLE -> {
-        long avoidMs = FIRST_AVOID_MS << Math.min(failures, MAX_DOUBLINGS);
-        yield with(nowMs + avoidMs, failures + 1, failing(), latencyMs);
-      }
-    };
+    return new EngineState(entry.withDraining(), holding, load, health, unlistedAtMs);
   }
 
   boolean usable() {
@@ -236,24 +81,10 @@
   }
 
   boolean holds(ModelKey key) {
-    return held.contains(key);
-  }
-
-  private double failing() {
-    return failureShare + SMOOTHING * (1 - failureShare);
+    return holding.held().contains(key);
   }
 
-  private EngineState with(long avoidMs, int failed, double share, double latency) {
-    return new EngineState(
-        entry,
-        held,
-        heldAsOfOrders,
-        dropping,
-        inFlight,
-        avoidMs,
-        failed,
-        share,
-        latency,
-        unlistedAtMs);
+  PSet<ModelKey> held() {
+    return holding.held();
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayState.java
@@ -100,6 +100,12 @@
     return table.map(RouteTable::version).orElse(-1L);
   }
 
+  /** Returns whether a peer has sent a digest lately. */
+  boolean heard(InstanceId peer, long nowMs) {
+    PeerLoad load = peers.get(peer);
+    return load != null && load.usable(nowMs);
+  }
+
   /** Returns the adapters of which calls are in flight. */
   PSet<ModelKey> adaptersInUse() {
     PSet<ModelKey> used = HashTreePSet.empty();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Holdings.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Holdings.java
@@ -44,7 +44,10 @@
                 message.engine(),
                 engine ->
                     engine.entry().startedAtMs() == message.startedAtMs()
-                        ? engine.changed(message.key(), message.held(), message.ordersAccepted())
+                        ? engine.withHolding(
+                            holding ->
+                                holding.changed(
+                                    message.key(), message.held(), message.ordersAccepted()))
                         : engine);
     return CallEvents.serveWaiting(node.withGateway(state.withEngines(engines)));
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
@@ -179,7 +179,17 @@
     return supply
         .victimFor(model, SWAP_GAIN, MODEL_IDLE_MS)
         .map(victim -> result.then(next -> makeRoom(next, victim, model)))
-        .orElse(result);
+        .orElseGet(() -> consolidate(result, supply, model));
+  }
+
+  private static Transition<NodeState, Effect> consolidate(
+      Transition<NodeState, Effect> before, Supply supply, ModelSpec model) {
+    return supply
+        .consolidation(model)
+        .map(
+            move ->
+                before.then(next -> order(next, move.to(), Action.LOAD, ModelKey.of(move.model()))))
+        .orElse(before);
   }
 
   /**
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Supply.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Supply.java
@@ -49,6 +49,14 @@
    */
   record Victim(EngineState engine, String model) {}
 
+  /**
+   * A second replica that lets the first one make way.
+   *
+   * @param model the model
+   * @param to engine that has room for it
+   */
+  record Move(String model, EngineState to) {}
+
   static Supply of(NodeState node, String service, EngineSpec spec) {
     Collection<EngineState> engines = node.gateway().engines().ofService(service);
     Map<String, Integer> counts = new HashMap<>();
@@ -110,7 +118,7 @@
         continue;
       }
       for (ModelKey key : engine.held()) {
-        double loss = loss(key, model, idleMs);
+        double loss = loss(key, idleMs);
         boolean fits = key.adapter().isEmpty() && fitsInsteadOf(engine, key, model);
         if (fits && loss * gain < need && loss < bestLoss) {
           best = new Victim(engine, key.model());
@@ -121,6 +129,29 @@
     return Optional.ofNullable(best);
   }
 
+  /**
+   * Returns the only replica of a small model that keeps a large one from an engine while another
+   * engine has room for it. With a second replica there, this one can make way.
+   */
+  Optional<Move> consolidation(ModelSpec model) {
+    for (EngineState engine : engines) {
+      if (!mayTake(engine, model)) {
+        continue;
+      }
+      for (ModelKey key : engine.held()) {
+        ModelSpec small = key.adapter().isEmpty() ? spec.models().get(key.model()) : null;
+        boolean only = small != null && replicas(key.model()) == 1;
+        if (only && fitsInsteadOf(engine, key, model)) {
+          Optional<EngineState> room = roomFor(small).filter(other -> !other.equals(engine));
+          if (room.isPresent()) {
+            return Optional.of(new Move(small.name(), room.get()));
+          }
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
   /** Returns whether an engine has memory for another model besides what takes room there. */
   boolean hasRoom(EngineState engine, ModelSpec model) {
     return usedMb(engine) + model.weightsMb() <= spec.weightsMb();
@@ -186,16 +217,14 @@
   }
 
   /** Calls a second that each replica gets that is left when one makes way. */
-  private double loss(ModelKey key, ModelSpec successor, long idleMs) {
+  private double loss(ModelKey key, long idleMs) {
     Demand demand = node.gateway().placement().demandOf(key);
     int left = replicas(key.model()) - 1;
     if (left > 0) {
       return Math.max(demand.perS(), adapterLoad(key.model())) / left;
     }
     boolean idle = node.nowMs() - demand.lastMs() > idleMs;
-    boolean unreachable =
-        replicas(successor.name()) == 0 && isWanted(ModelKey.of(successor.name()));
-    return idle && unreachable ? ABSENT_PER_S : UNREACHABLE_PER_S;
+    return idle ? ABSENT_PER_S : UNREACHABLE_PER_S;
   }
 
   private static Optional<EngineOrder> change(NodeState node, EngineState engine) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
@@ -109,6 +109,14 @@
       BackendId engine, long startedAtMs, long ordersAccepted, ModelKey key, boolean held)
       implements PeerMessage {}
 
+  /**
+   * The sender held the placement duty and gives no orders any more, because the store does not
+   * answer it.
+   *
+   * @param fencingNumber its last fencing number
+   */
+  record DutyDropped(long fencingNumber) implements PeerMessage {}
+
   /** The sender is shutting down. */
   record Leaving() implements PeerMessage {}
 }
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
@@ -10,6 +10,7 @@
 import org.limpetdoor.core.gateway.ModelKey;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.membership.PeerMessage;
+import org.limpetdoor.core.membership.PeerMessage.DutyDropped;
 import org.limpetdoor.core.membership.PeerMessage.Heartbeat;
 import org.limpetdoor.core.membership.PeerMessage.HoldingChanged;
 import org.limpetdoor.core.membership.PeerMessage.Leaving;
@@ -162,6 +163,17 @@
         ModelKey key = unpackKey(unpacker);
         return new HoldingChanged(engine, startedAtMs, orders, key, unpacker.unpackBoolean());
       }
+    },
+    DUTY_DROPPED(DutyDropped.class) {
+      @Override
+      void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
+        packer.packLong(((DutyDropped) message).fencingNumber());
+      }
+
+      @Override
+      PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
+        return new DutyDropped(unpacker.unpackLong());
+      }
     };
 
     private final Class<? extends PeerMessage> type;
