--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
@@ -8,8 +8,11 @@
 
 /** Chooses the engine for a call. The cost is bounded by the engines of one service. */
 final class Chooser {
-  /** Calls beyond the slots that a model engine may hold, as its queue keeps it busy. */
-  private static final double MODEL_FILL = 1.25;
+  /**
+   * Part of the slots of a model engine that is filled. A full batch preempts streams for more
+   * urgent calls, and loads are known some hundred milliseconds late.
+   */
+  private static final double MODEL_FILL = 0.85;
 
   /** Calls beyond the slots of a plain service; its work is short, so a queue drains fast. */
   private static final double PLAIN_FILL = 2.0;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -26,7 +26,8 @@
     LoadDigest digest =
         new LoadDigest(
             state.version(),
-            state.duty().acts(node.nowMs()) ? state.duty().generation() : 0,
+            state.storeReachable(),
+            DutyEvents.acts(node) ? state.duty().generation() : 0,
             inFlight(state),
             state.adaptersInUse(),
             state.arrivals(),
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
@@ -61,6 +61,11 @@
     return held && nowMs < validUntilMs && nowMs >= actsFromMs;
   }
 
+  /** Returns whether the duty was held when the store ceased to answer. */
+  boolean maySurvive(long nowMs) {
+    return held && nowMs >= actsFromMs;
+  }
+
   /**
    * Follows the store. Two holders may not take turns within a lease, so a new one waits, unless
    * the one before it is known and silent: it has failed or lost the others, and gives no orders.
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
@@ -29,6 +29,25 @@
             next, new RecordDecision(GatewayDecision.duty(duty.held(), duty.generation())));
   }
 
+  /**
+   * Returns whether this instance may give orders now. While the store answers nobody that is
+   * heard, it cannot deal the duty to another instance, so the holder goes on; engines that check
+   * fencing numbers cover instances that are not heard.
+   */
+  static boolean acts(NodeState node) {
+    Duty duty = node.gateway().duty();
+    return duty.acts(node.nowMs()) || (duty.maySurvive(node.nowMs()) && storeIsAway(node));
+  }
+
+  private static boolean storeIsAway(NodeState node) {
+    GatewayState state = node.gateway();
+    return state.settings().fencingEnforced()
+        && !state.storeReachable()
+        && state.peers().values().stream()
+            .filter(peer -> peer.usable(node.nowMs()))
+            .noneMatch(peer -> peer.digest().storeReachable());
+  }
+
   /** Returns whether the holder before is heard no more, so that it has failed or is cut off. */
   private static boolean rivalSilent(NodeState node) {
     GatewayState state = node.gateway();
@@ -38,7 +57,7 @@
   /** Tells the peers that this instance gives no orders, if the store has ceased to answer it. */
   private static Transition<NodeState, Effect> dropIfLapsed(NodeState node) {
     GatewayState state = node.gateway();
-    if (!state.duty().lapsed(node.nowMs())) {
+    if (!state.duty().lapsed(node.nowMs()) || storeIsAway(node)) {
       return Transition.of(node);
     }
     long fence = state.duty().generation();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
@@ -42,7 +42,7 @@
   /** Gives the orders that are due. An instance that does not hold the duty gives none. */
   static Transition<NodeState, Effect> plan(NodeState node) {
     GatewayState state = node.gateway();
-    if (!state.duty().acts(node.nowMs()) || state.table().isEmpty()) {
+    if (!DutyEvents.acts(node) || state.table().isEmpty()) {
       return Transition.of(node);
     }
     Transition<NodeState, Effect> result = Transition.of(node);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Wants.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Wants.java
@@ -23,7 +23,7 @@
   /** Asks for a model or adapter that no engine of the service holds. */
   static Transition<NodeState, Effect> ask(NodeState node, String service, ModelKey key) {
     GatewayState state = node.gateway();
-    if (state.duty().acts(node.nowMs())) {
+    if (DutyEvents.acts(node)) {
       return wanted(node, service, key);
     }
     return holder(node)
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
@@ -73,6 +73,7 @@
    * What the sender has in flight and was asked for. It is sent several times a second.
    *
    * @param configurationVersion version of the routes in force, or -1
+   * @param storeReachable whether the store answers the sender
    * @param fencingNumber fencing number of its orders if it holds the placement duty, or 0
    * @param inFlight calls at each engine
    * @param adaptersInUse adapters of which calls are in flight
@@ -81,6 +82,7 @@
    */
   record LoadDigest(
       long configurationVersion,
+      boolean storeReachable,
       long fencingNumber,
       PMap<BackendId, Integer> inFlight,
       PSet<ModelKey> adaptersInUse,
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayWorld.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayWorld.java
@@ -14,6 +14,8 @@
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.ForwardEnded;
 import org.limpetdoor.core.event.GatewayStarted;
+import org.limpetdoor.core.event.PeerLinkUp;
+import org.limpetdoor.core.event.PeerMessageReceived;
 import org.limpetdoor.core.event.RoutesRead;
 import org.limpetdoor.core.event.StoreContactChanged;
 import org.limpetdoor.core.event.TimerFired;
@@ -24,6 +26,7 @@
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
 import org.pcollections.HashTreePMap;
 import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
@@ -32,7 +35,7 @@
 final class GatewayWorld {
   static final String HOST = "shop.example";
   static final ModelKey SMALL = ModelKey.of("small");
-  static final GatewaySettings SETTINGS = new GatewaySettings(7_000, 0.2, 50, 3_000, 2_300);
+  static final GatewaySettings SETTINGS = new GatewaySettings(7_000, 0.2, 50, 3_000, true, 2_300);
 
   private final NodeReducer reducer = new NodeReducer();
   private final List<Effect> effects = new ArrayList<>();
@@ -120,6 +123,22 @@
     return id;
   }
 
+  /** A peer with an established link tells of itself. */
+  void peerDigest(String peer, boolean storeReachable, long fencingNumber) {
+    InstanceId id = new InstanceId(peer);
+    LoadDigest digest =
+        new LoadDigest(
+            1,
+            storeReachable,
+            fencingNumber,
+            HashTreePMap.empty(),
+            HashTreePSet.empty(),
+            HashTreePMap.empty(),
+            HashTreePMap.empty());
+    reduce(new PeerLinkUp(nowMs, id));
+    reduce(new PeerMessageReceived(nowMs, id, digest));
+  }
+
   void ends(long call, int attempt, ForwardResult result) {
     reduce(new ForwardEnded(nowMs, call, attempt, result, false));
   }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
@@ -11,6 +11,7 @@
 import org.limpetdoor.core.event.DutyAnswered;
 import org.limpetdoor.core.event.EngineInspected;
 import org.limpetdoor.core.event.EngineOrderEnded;
+import org.limpetdoor.core.event.StoreContactChanged;
 import org.limpetdoor.core.gateway.EngineOrder.Action;
 import org.limpetdoor.core.id.BackendId;
 import org.pcollections.HashTreePSet;
@@ -234,4 +235,29 @@
 
     assertThat(order.target()).isEqualTo(adapter(2));
   }
+
+  /** Guards against a pause of placement while the store answers nobody. */
+  @Test
+  void goesOnWhileTheStoreIsAway() {
+    oneEngine(M1, M2);
+    world.reduce(new StoreContactChanged(world.nowMs(), false));
+    world.advance(4_000);
+
+    world.call("/m/x", Optional.of(adapter(1)), 10_000);
+
+    assertThat(world.take(GiveEngineOrder.class)).isNotEmpty();
+  }
+
+  /** Guards against orders of an instance that alone has lost the store. */
+  @Test
+  void ceasesIfTheStoreAnswersAPeer() {
+    oneEngine(M1, M2);
+    world.reduce(new StoreContactChanged(world.nowMs(), false));
+    world.advance(4_000);
+    world.peerDigest("node-2", true, 0);
+
+    world.call("/m/x", Optional.of(adapter(1)), 10_000);
+
+    assertThat(world.take(GiveEngineOrder.class)).isEmpty();
+  }
 }
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
@@ -97,6 +97,7 @@
       void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
         LoadDigest digest = (LoadDigest) message;
         packer.packLong(digest.configurationVersion());
+        packer.packBoolean(digest.storeReachable());
         packer.packLong(digest.fencingNumber());
         packer.packMapHeader(digest.inFlight().size());
         for (Map.Entry<BackendId, Integer> entry : digest.inFlight().entrySet()) {
@@ -122,13 +123,14 @@
       @Override
       PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
         long version = unpacker.unpackLong();
+        boolean reachable = unpacker.unpackBoolean();
         long fence = unpacker.unpackLong();
         PMap<BackendId, Integer> inFlight =
             unpackMap(unpacker, u -> new BackendId(u.unpackString()));
         PSet<ModelKey> adaptersInUse = unpackKeys(unpacker);
         PMap<ModelKey, Integer> arrivals = unpackMap(unpacker, Kind::unpackKey);
         PMap<Long, Integer> lost = unpackMap(unpacker, MessageUnpacker::unpackLong);
-        return new LoadDigest(version, fence, inFlight, adaptersInUse, arrivals, lost);
+        return new LoadDigest(version, reachable, fence, inFlight, adaptersInUse, arrivals, lost);
       }
     },
     MODEL_WANTED(ModelWanted.class) {
--- a/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
@@ -25,6 +25,7 @@
           new Leaving(),
           new LoadDigest(
               7,
+              true,
               41,
               HashTreePMap.singleton(new BackendId("g1"), 3),
               HashTreePSet.singleton(ModelKey.of("m1", "a2")),
