--- /dev/null
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
@@ -0,0 +1,347 @@
+package org.limpetdoor.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponse;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.effect.ForwardCall;
+import org.limpetdoor.core.event.CallAbandoned;
+import org.limpetdoor.core.event.CallArrived;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.ForwardEnded;
+import org.limpetdoor.core.gateway.CallSpec;
+import org.limpetdoor.core.gateway.ForwardResult;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.runtime.MonotonicClock;
+
+/** The traffic side on loopback, with an engine that answers with given bytes. */
+class GatewayTrafficTest {
+  private static final long WAIT_S = 30;
+  private static final InetSocketAddress ANY = new InetSocketAddress("127.0.0.1", 0);
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+  private final BlockingQueue<List<String>> answers = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> bodies = new LinkedBlockingQueue<>();
+  private GatewayTraffic traffic;
+  private Channel callers;
+  private Channel engine;
+
+  @BeforeEach
+  void open() {
+    EventLoop loop = (EventLoop) group.next();
+    traffic =
+        new GatewayTraffic(
+            loop,
+            new EchoDialect(),
+            null,
+            null,
+            MonotonicClock.startingNow(),
+            event -> events.add(event.apply(0L)));
+    callers = Listeners.callers(group, ANY, traffic);
+    engine = startEngine();
+  }
+
+  @AfterEach
+  void close() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+
+  /** Names calls by a header that engines echo; a mark tells what was not run. */
+  private static final class EchoDialect implements CallDialect {
+    @Override
+    public CallSpec read(long id, HttpRequest head, byte[] body) {
+      String label = head.headers().get("Call", "none");
+      return new CallSpec(id, label, "h", head.uri(), Optional.empty(), Optional.empty(), 0, 0, 0);
+    }
+
+    @Override
+    public void writeHeaders(
+        HttpHeaders from, HttpHeaders to, ForwardCall forward, Optional<String> resumeAfter) {
+      resumeAfter.ifPresent(event -> to.set("Last-Event-Id", event));
+    }
+
+    @Override
+    public boolean answersOther(HttpResponse answer, String label) {
+      return answer.headers().contains("Call") && !label.equals(answer.headers().get("Call"));
+    }
+
+    @Override
+    public boolean notRun(HttpResponse answer) {
+      return answer.headers().contains("Not-Run");
+    }
+
+    @Override
+    public boolean signed(HttpResponse answer) {
+      return answer.headers().contains("Signed");
+    }
+  }
+
+  private Channel startEngine() {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new HttpRequestDecoder(), new HttpObjectAggregator(1 << 20))
+                    .addLast(new ScriptedEngine());
+              }
+            })
+        .bind(ANY)
+        .syncUninterruptibly()
+        .channel();
+  }
+
+  /** Writes the next answer of the queue; the part {@code CLOSE} ends the connection. */
+  private final class ScriptedEngine extends SimpleChannelInboundHandler<FullHttpRequest> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      bodies.add(request.uri() + " " + request.content().toString(StandardCharsets.UTF_8));
+      for (String part : answers.remove()) {
+        if (part.equals("CLOSE")) {
+          context.close();
+        } else {
+          context.writeAndFlush(Unpooled.copiedBuffer(part, StandardCharsets.UTF_8));
+        }
+      }
+    }
+  }
+
+  private Socket caller() throws IOException {
+    InetSocketAddress address = (InetSocketAddress) callers.localAddress();
+    Socket socket = new Socket(address.getAddress(), address.getPort());
+    socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_S));
+    return socket;
+  }
+
+  private static void send(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    socket.getOutputStream().flush();
+  }
+
+  /** Reads until the text ends with a part, or to the end of the connection. */
+  private static String readUntil(Socket socket, String part) throws IOException {
+    InputStream in = socket.getInputStream();
+    StringBuilder text = new StringBuilder();
+    int next = in.read();
+    while (next >= 0) {
+      text.append((char) next);
+      next = text.toString().endsWith(part) ? -1 : in.read();
+    }
+    return text.toString();
+  }
+
+  private <E extends Event> E next(Class<E> type) throws InterruptedException {
+    Event event = events.poll(WAIT_S, TimeUnit.SECONDS);
+    while (event != null && !type.isInstance(event)) {
+      event = events.poll(WAIT_S, TimeUnit.SECONDS);
+    }
+    return type.cast(event);
+  }
+
+  private long forward(int attempt, boolean streamed) throws InterruptedException {
+    long id = attempt == 1 ? next(CallArrived.class).spec().id() : 1;
+    InetSocketAddress address = (InetSocketAddress) engine.localAddress();
+    traffic.apply(
+        new ForwardCall(
+            id,
+            attempt,
+            new BackendId("e1"),
+            "127.0.0.1:" + address.getPort(),
+            1_000,
+            0,
+            streamed,
+            false,
+            0,
+            0));
+    return id;
+  }
+
+  private static String whole(String call, String body) {
+    return "HTTP/1.1 200 OK\r\nSigned: s\r\nCall: "
+        + call
+        + "\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  private static final String STREAM_HEAD =
+      "HTTP/1.1 200 OK\r\nSigned: s\r\nCall: c1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  /** Guards against a changed path, query or body. */
+  @Test
+  void passesRequestAndAnswerOnUnchanged() throws Exception {
+    answers.add(List.of(whole("c1", "hello")));
+    try (Socket socket = caller()) {
+      send(
+          socket,
+          "POST /a/b?q=%20 HTTP/1.1\r\nHost: h\r\nCall: c1\r\nContent-Length: 4\r\n\r\nbody");
+      forward(1, false);
+
+      assertThat(readUntil(socket, "hello")).startsWith("HTTP/1.1 200 OK\r\nSigned: s\r\n");
+      assertThat(bodies.take()).isEqualTo("/a/b?q=%20 body");
+      assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.COMPLETED);
+    }
+  }
+
+  /** Guards against an extra answer of an earlier call that is passed on to the next caller. */
+  @Test
+  void skipsAnAnswerOfAnotherCall() throws Exception {
+    answers.add(List.of(whole("c0", "late"), whole("c1", "right")));
+    try (Socket socket = caller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, false);
+
+      assertThat(readUntil(socket, "right")).doesNotContain("late");
+    }
+  }
+
+  /** Guards against a truncated answer that is taken to be whole. */
+  @Test
+  void reportsATruncatedAnswerAsLost() throws Exception {
+    answers.add(
+        List.of(
+            "HTTP/1.1 200 OK\r\nSigned: s\r\nCall: c1\r\nContent-Length: 9\r\n\r\nhalf", "CLOSE"));
+    try (Socket socket = caller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, false);
+
+      assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.CONNECTION_LOST);
+    }
+  }
+
+  /** Guards against a success without the mark of an engine. */
+  @Test
+  void reportsASuccessWithoutMarkAsInvalid() throws Exception {
+    answers.add(List.of("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+    try (Socket socket = caller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, false);
+
+      assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.INVALID_ANSWER);
+    }
+  }
+
+  /** Guards against a refusal that is told as not run although the engine does not say so. */
+  @Test
+  void takesARefusalWithoutMarkAsUnknown() throws Exception {
+    answers.add(List.of("HTTP/1.1 503 x\r\nSigned: s\r\nContent-Length: 0\r\n\r\n"));
+    answers.add(List.of("HTTP/1.1 503 x\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"));
+    try (Socket socket = caller();
+        Socket other = caller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, false);
+      assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.INVALID_ANSWER);
+
+      send(other, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c2\r\n\r\n");
+      forward(1, false);
+      assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.BUSY);
+    }
+  }
+
+  /** Guards against a stream that misses or repeats an event when another engine goes on. */
+  @Test
+  void resumesAfterTheLastWholeEvent() throws Exception {
+    answers.add(List.of(STREAM_HEAD + chunk("id: 1\ndata: a\n\n") + chunk("id: 2\nda"), "CLOSE"));
+    answers.add(List.of(STREAM_HEAD + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n"));
+    try (Socket socket = caller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, true);
+      ForwardEnded lost = next(ForwardEnded.class);
+      assertThat(lost.result()).isEqualTo(ForwardResult.CONNECTION_LOST);
+      assertThat(lost.delivered()).isTrue();
+
+      forward(2, true);
+
+      String text = readUntil(socket, "0\r\n\r\n");
+      assertThat(text).contains(chunk("id: 1\ndata: a\n\n") + chunk("id: 2\ndata: b\n\n"));
+      assertThat(text.split("HTTP/1.1", -1)).hasLength(2);
+    }
+  }
+
+  /** Guards against an engine that works on for a caller that has left. */
+  @Test
+  void reportsACallerThatLeaves() throws Exception {
+    try (Socket socket = caller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      assertThat(next(CallArrived.class).spec().label()).isEqualTo("c1");
+    }
+
+    assertThat(next(CallAbandoned.class).call()).isEqualTo(1);
+  }
+
+  /** Guards against a second request on a connection that is mixed up with the first one. */
+  @Test
+  void servesPipelinedRequestsInOrder() throws Exception {
+    answers.add(List.of(whole("c1", "first")));
+    answers.add(List.of(whole("c2", "second")));
+    try (Socket socket = caller()) {
+      send(
+          socket,
+          "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\nCall: c2\r\n\r\n");
+      forward(1, false);
+      assertThat(readUntil(socket, "first")).contains("Call: c1");
+      forward(1, false);
+      assertThat(readUntil(socket, "second")).contains("Call: c2");
+    }
+  }
+
+  /** Guards against malformed requests that reach an engine or hang. */
+  @Test
+  void refusesMalformedRequests() throws Exception {
+    String longHeader = "X: " + "y".repeat(20_000);
+    List<String> requests =
+        List.of(
+            "GET /a HTTP/1.1\r\nHost: h\r\n" + longHeader + "\r\n\r\n",
+            "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999\r\n\r\n",
+            "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            "nonsense\r\n\r\n");
+    List<String> statuses = List.of("431", "413", "400", "400");
+    for (int i = 0; i < requests.size(); i++) {
+      try (Socket socket = caller()) {
+        send(socket, requests.get(i));
+        assertThat(readUntil(socket, "\r\n")).startsWith("HTTP/1.1 " + statuses.get(i));
+      }
+    }
+    assertThat(events).isEmpty();
+  }
+}
