--- /dev/null
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/CallTimeline.java
@@ -0,0 +1,82 @@
+package org.limpetdoor.cli;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.limpetdoor.runtime.decision.LogLineParser;
+
+/** Collects the lines about a call, and the changes of belief shortly before its end. */
+final class CallTimeline {
+  /** Time before the last line of a call in which a change can be its cause, in milliseconds. */
+  private static final long CAUSE_MS = 10_000;
+
+  /** Changes that can be a cause for any call. */
+  private static final Set<String> SHARED_CHANGES =
+      Set.of("dependency", "duty", "routes", "drain", "instance_started", "instance_stopped");
+
+  private final String call;
+  private final List<Entry> own = new ArrayList<>();
+  private final List<Entry> changes = new ArrayList<>();
+
+  CallTimeline(String call) {
+    this.call = call;
+  }
+
+  private record Entry(long atMs, String source, Map<String, String> pairs) {
+    String text() {
+      StringBuilder text = new StringBuilder(atMs + " " + source);
+      pairs.forEach(
+          (key, value) -> {
+            if (!key.equals("at_ms")) {
+              text.append(' ').append(key).append('=').append(value);
+            }
+          });
+      return text.toString();
+    }
+  }
+
+  /** Takes a line; others than decisions and changes are passed over. */
+  void add(String source, String line) {
+    LogLineParser.parse(line).ifPresent(pairs -> add(source, pairs));
+  }
+
+  /** Returns the lines, the newest first; empty if none names the call. */
+  List<String> lines() {
+    if (own.isEmpty()) {
+      return List.of();
+    }
+    long lastMs = own.stream().mapToLong(Entry::atMs).max().orElse(0);
+    Set<String> engines = new HashSet<>();
+    own.forEach(entry -> engines.add(entry.pairs().getOrDefault("engine", "")));
+    List<Entry> all = new ArrayList<>(own);
+    for (Entry change : changes) {
+      boolean near = change.atMs() <= lastMs && change.atMs() >= lastMs - CAUSE_MS;
+      boolean concerned =
+          SHARED_CHANGES.contains(change.pairs().get("event"))
+              || engines.contains(change.pairs().get("engine"));
+      if (near && concerned) {
+        all.add(change);
+      }
+    }
+    all.sort(Comparator.comparingLong(Entry::atMs).reversed());
+    return all.stream().map(Entry::text).toList();
+  }
+
+  private void add(String source, Map<String, String> pairs) {
+    String event = pairs.get("event");
+    Entry entry = new Entry(number(pairs.get("at_ms")), source, pairs);
+    if (call.equals(pairs.get("call"))) {
+      own.add(entry);
+    } else if (SHARED_CHANGES.contains(event) || event.startsWith("engine")) {
+      changes.add(entry);
+    }
+  }
+
+  /** A line without a valid time sorts first. */
+  private static long number(String text) {
+    return text != null && text.matches("[0-9]{1,18}") ? Long.parseLong(text) : 0;
+  }
+}
--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/CliMain.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/CliMain.java
@@ -26,6 +26,7 @@
           .withCommand(HistoryCommand.class)
           .withCommand(StatusCommand.class)
           .withCommand(ExplainCommand.class)
+          .withCommand(ExplainLogsCommand.class)
           .withCommand(DrainCommand.class)
           .withCommand(KeyDigestCommand.class)
           .build();
--- /dev/null
+++ b/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/decision/LogLineParserTest.java
@@ -0,0 +1,35 @@
+package org.limpetdoor.runtime.decision;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class LogLineParserTest {
+  /** Guards against values that are read back in another form than they were written. */
+  @Test
+  void readsWhatLogLineWrites() {
+    String line =
+        LogLine.event("call_refused").with("call", "a b=\"c\"\n\\").with("status", 503).toString();
+
+    assertThat(LogLineParser.parse(line))
+        .isEqualTo(
+            Optional.of(Map.of("event", "call_refused", "call", "a b=\"c\"\n\\", "status", "503")));
+  }
+
+  /** Guards against lines that are lost because a collector has put a time before them. */
+  @Test
+  void passesOverWhatACollectorAdds() {
+    assertThat(LogLineParser.parse("12.5 node-1 event=duty state=held").orElseThrow())
+        .containsExactly("event", "duty", "state", "held");
+  }
+
+  /** Guards against foreign lines that are taken for decisions. */
+  @Test
+  void refusesOtherLines() {
+    assertThat(LogLineParser.parse("SEVERE: no pairs")).isEqualTo(Optional.empty());
+    assertThat(LogLineParser.parse("xevent=duty")).isEqualTo(Optional.empty());
+    assertThat(LogLineParser.parse("event=duty and more")).isEqualTo(Optional.empty());
+  }
+}
