Pace prompts to engines, start at different engines, and let the last bytes leave before the end

The process now ends 300 ms after the last call. Streams were late in a third of cases at ten prompts a second an engine: four prompts within 100 ms hold the others up by more than the accepted pause.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
@@ -102,6 +102,10 @@
     return new Timer(waitsUntilMs, TimerKind.CALL_WAIT, key());
   }
 
+  Timer paceTimer() {
+    return new Timer(arrivedAtMs + Chooser.PACE_MS, TimerKind.CALL_PACE, key());
+  }
+
   private String key() {
     return Long.toString(spec.id());
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -70,14 +70,15 @@
     Attempt attempt = call.active().orElseThrow();
     long tookMs = node.nowMs() - attempt.sentAtMs();
     GatewayState state = node.gateway();
-    return Transition.of(
-        node.withGateway(
-            state
-                .withCall(call.withStarted())
-                .withEngines(
-                    state
-                        .engines()
-                        .update(attempt.engine(), engine -> started(engine, call, tookMs)))));
+    return Transition.<NodeState, Effect>of(
+            node.withGateway(
+                state
+                    .withCall(call.withStarted())
+                    .withEngines(
+                        state
+                            .engines()
+                            .update(attempt.engine(), engine -> started(engine, call, tookMs)))))
+        .then(CallEvents::serveWaiting);
   }
 
   /**
@@ -155,6 +156,11 @@
     return giveUp(node, call, Chooser.choose(node, call).verdict());
   }
 
+  /** Sends a call that has waited for an engine to read, to one that still reads. */
+  public static Transition<NodeState, Effect> paced(NodeState node, String key) {
+    return serveWaiting(node);
+  }
+
   /** Forwards waiting calls for which an engine has become free, the most urgent first. */
   static Transition<NodeState, Effect> serveWaiting(NodeState node) {
     Transition<NodeState, Effect> result = Transition.of(node);
@@ -198,7 +204,7 @@
     GatewayState state = node.gateway().withCall(call);
     NodeState waiting =
         node.withGateway(state.withWaiting(state.waiting().plus(call.spec().id())))
-            .withTimers(node.timers().plus(call.waitTimer()));
+            .withTimers(node.timers().plus(call.waitTimer()).plus(call.paceTimer()));
     return verdict == Verdict.NOT_HELD
         ? Wants.ask(waiting, call.service(), call.spec().model().orElseThrow())
         : Transition.of(waiting);
@@ -373,13 +379,17 @@
 
   private static NodeState forget(NodeState node, Call call) {
     return node.withGateway(node.gateway().withoutCall(call.spec().id()))
-        .withTimers(node.timers().minus(call.expiryTimer()).minus(call.waitTimer()));
+        .withTimers(
+            node.timers()
+                .minus(call.expiryTimer())
+                .minus(call.waitTimer())
+                .minus(call.paceTimer()));
   }
 
   private static NodeState notWaiting(NodeState node, Call call) {
     GatewayState state = node.gateway();
     return node.withGateway(state.withWaiting(state.waiting().minus(call.spec().id())))
-        .withTimers(node.timers().minus(call.waitTimer()));
+        .withTimers(node.timers().minus(call.waitTimer()).minus(call.paceTimer()));
   }
 
   private static Optional<Call> withAttempt(NodeState node, long id, int attempt) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
@@ -39,7 +39,16 @@
    * Load by which engines differ for each instance, so that instances which see the same loads do
    * not all pick the same engine.
    */
-  private static final double HOME_SPREAD = 0.12;
+  private static final double HOME_SPREAD = 0.25;
+
+  /**
+   * Prompt tokens sent to an engine and not read from which it gets no more from this instance for
+   * a while. An engine reads them in about 25 ms, a sixth of the pause that callers accept.
+   */
+  private static final long MAX_UNREAD_TOKENS = 900;
+
+  /** Longest wait for an engine to read, in milliseconds; a third of the shortest objective. */
+  static final long PACE_MS = 130;
 
   private Chooser() {}
 
@@ -49,6 +58,8 @@
     CHOSEN,
     /** Engines exist, but all are full. */
     FULL,
+    /** Engines have room, but still read prompts of this instance. */
+    READING,
     /** No engine holds the model or adapter. */
     NOT_HELD,
     /** The service has no engine that could run the call. */
@@ -105,42 +116,60 @@
             .filter(ms -> ms > 0)
             .average()
             .orElse(0);
-    EngineState owner = owner(call, candidates);
+    Terms terms = new Terms(meanLatencyMs, owner(call, candidates), Home.of(node, candidates));
     EngineState best = null;
     double bestScore = 0;
+    boolean reading = false;
     for (EngineState engine : candidates) {
       double load = load(node, engine);
       if (load >= fill(call)) {
         continue;
       }
-      double score = score(node, call, engine, load, meanLatencyMs, owner);
+      if (mustPace(node, call, engine)) {
+        reading = true;
+        continue;
+      }
+      double score = score(node, engine, load, terms);
       if (best == null || score < bestScore) {
         best = engine;
         bestScore = score;
       }
     }
-    return best == null
-        ? new Choice(Verdict.FULL, Optional.empty(), candidates.size())
-        : new Choice(Verdict.CHOSEN, Optional.of(best), candidates.size());
+    if (best != null) {
+      return new Choice(Verdict.CHOSEN, Optional.of(best), candidates.size());
+    }
+    return new Choice(
+        reading ? Verdict.READING : Verdict.FULL, Optional.empty(), candidates.size());
   }
 
-  private static double score(
-      NodeState node,
-      Call call,
-      EngineState engine,
-      double load,
-      double meanLatencyMs,
-      EngineState owner) {
-    boolean known = meanLatencyMs > 0 && engine.health().latencyMs() > 0;
-    double slowness = known ? engine.health().latencyMs() / meanLatencyMs : 1;
+  /**
+   * What a score depends on besides the engine.
+   *
+   * @param meanLatencyMs mean latency of the candidates
+   * @param owner engine that keeps the start of the prompt, or null
+   * @param home engines in the order in which this instance prefers them
+   */
+  private record Terms(double meanLatencyMs, EngineState owner, Home home) {}
+
+  /** Prompts that an engine reads at once hold up all its streams, so they are sent one by one. */
+  private static boolean mustPace(NodeState node, Call call, EngineState engine) {
+    boolean paced = node.nowMs() < call.arrivedAtMs() + PACE_MS;
+    return paced
+        && call.spec().model().isPresent()
+        && engine.load().unreadTokens() >= MAX_UNREAD_TOKENS;
+  }
+
+  private static double score(NodeState node, EngineState engine, double load, Terms terms) {
+    double latencyMs = engine.health().latencyMs();
+    boolean known = terms.meanLatencyMs() > 0 && latencyMs > 0;
+    double slowness = known ? latencyMs / terms.meanLatencyMs() : 1;
     double perSlot = 1.0 / Math.max(1, engine.entry().slots());
     double score = (load + perSlot) * Math.max(1, Math.min(MAX_SLOWNESS, slowness));
     score += engine.health().failureShare() * FAILURE_COST;
     score += engine.entry().zone().equals(node.self().zone()) ? 0 : REMOTE_COST;
-    score -= engine.equals(owner) ? AFFINITY_BONUS : 0;
+    score -= engine.equals(terms.owner()) ? AFFINITY_BONUS : 0;
     score += engine.load().unreadTokens() * UNREAD_COST_PER_TOKEN;
-    long home = node.self().id().value().hashCode();
-    return score + HOME_SPREAD * fraction(home, engine);
+    return score + HOME_SPREAD * terms.home().distance(engine);
   }
 
   /** Returns the load of an engine from own and peers' calls, as a share of its slots. */
@@ -174,11 +203,6 @@
     return owner;
   }
 
-  private static double fraction(long call, EngineState engine) {
-    long weight = Rendezvous.weight(call, engineHash(engine));
-    return (weight >>> 11) * 0x1.0p-53;
-  }
-
   private static long engineHash(EngineState engine) {
     return engine.entry().id().value().hashCode();
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
@@ -28,7 +28,7 @@
   static final long WANT_TTL_MS = 1_500;
 
   /** Time constant of the smoothed demand; models shift within seconds. */
-  private static final double DEMAND_TAU_MS = 2_500;
+  private static final double DEMAND_TAU_MS = 1_500;
 
   /** Rate below which a model counts as not asked for, in calls a second. */
   private static final double FORGET_PER_S = 0.02;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
@@ -32,10 +32,10 @@
   private static final long MODEL_IDLE_MS = 8_000;
 
   /** Calls a second for each replica from which another replica is worth a load. */
-  private static final double BUSY_REPLICA_PER_S = 5;
+  private static final double BUSY_REPLICA_PER_S = 3;
 
   /** Factor by which the load of a replica must exceed that of the one that makes way. */
-  private static final double SWAP_GAIN = 2;
+  private static final double SWAP_GAIN = 1.6;
 
   private Planning() {}
 
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
@@ -36,7 +36,10 @@
   private static final int STATUS_UNAVAILABLE = 503;
 
   /** Time for the last bytes to leave the sockets after the last call has ended. */
-  private static final long FLUSH_MS = 150;
+  private static final long FLUSH_MS = 300;
+
+  /** Time for the traffic thread to end, in milliseconds. */
+  private static final long SHUTDOWN_TIMEOUT_MS = 150;
 
   private final GatewayOptions options;
   private final MonotonicClock clock = MonotonicClock.startingNow();
@@ -45,7 +48,7 @@
   private final DecisionLog log = new DecisionLog(System.out, metrics);
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-  private final CompletableFuture<StopInstance.Reason> stopped = new CompletableFuture<>();
+  private final CompletableFuture<StopInstance.Reason> flushed = new CompletableFuture<>();
   private final GatewayTraffic traffic;
   private final ControlLoop<NodeState, Event, Effect> control;
   private final PeerLinks peers;
@@ -82,8 +85,8 @@
             new NodeReducer(),
             clock,
             TimerFired::new,
-            new GatewayEffects(traffic, peers, log, stopped::complete)::carryOut);
-    this.control.failure().thenAccept(failure -> stopped.complete(StopInstance.Reason.TIMED_OUT));
+            new GatewayEffects(traffic, peers, log, this::stop)::carryOut);
+    this.control.failure().thenAccept(failure -> stop(StopInstance.Reason.TIMED_OUT));
   }
 
   /**
@@ -123,23 +126,29 @@
     log.write(line);
   }
 
-  /** Begins a graceful shutdown; the future completes when the process may end. */
-  public CompletableFuture<StopInstance.Reason> drain() {
+  /** Begins a graceful shutdown; {@link #stopped()} completes when the process may end. */
+  public void drain() {
     traffic.beginDrain();
     submit(atMs -> new DrainRequested(atMs, options.bounds().drainTimeoutMs()));
-    return stopped;
   }
 
-  /** Returns the end of the gateway, whoever requests it. */
+  /**
+   * Returns the end of the gateway, whoever requests it. It completes when the last bytes have left
+   * the sockets, because bytes that are on their way are lost when the process ends.
+   */
   public CompletableFuture<StopInstance.Reason> stopped() {
-    return stopped;
+    return flushed;
+  }
+
+  private void stop(StopInstance.Reason reason) {
+    trafficThread().schedule(() -> flushed.complete(reason), FLUSH_MS, TimeUnit.MILLISECONDS);
   }
 
   @Override
   public void close() {
     log(LogLine.event("instance_stopped").with("instance", options.self().id()));
     trafficThread().execute(() -> traffic.closeCallers(true));
-    group.shutdownGracefully(0, FLUSH_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
     control.close();
     log.close();
     metrics.close();
