--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -52,6 +53,7 @@
   private final GatewayTraffic traffic;
   private final ControlLoop<NodeState, Event, Effect> control;
   private final PeerLinks peers;
+  private Channel callers;
 
   /** Parts of a platform that a gateway uses. */
   public interface Platform {
@@ -116,6 +118,11 @@
     return control.state();
   }
 
+  /** Returns where callers connect. */
+  public InetSocketAddress callerAddress() {
+    return (InetSocketAddress) callers.localAddress();
+  }
+
   /** Returns the clock of all events. */
   public MonotonicClock clock() {
     return clock;
@@ -157,7 +164,7 @@
   private void open() {
     control.start();
     submit(atMs -> new GatewayStarted(atMs, options.bounds()));
-    Channel callers = Listeners.callers(group, options.callers(), traffic);
+    callers = Listeners.callers(group, options.callers(), traffic);
     Listeners.questions(group, options.readiness(), this::answer);
     Listeners.questions(
         group, options.metrics(), path -> new QuestionHandler.Answer(STATUS_OK, metrics.scrape()));
