--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -28,11 +28,17 @@
   /** Shortest time for which a call may wait for an engine, in milliseconds. */
   private static final long MIN_WAIT_MS = 1_000;
 
-  /** Time after which a caller may come back when engines are full, in milliseconds. */
-  private static final long RETRY_AFTER_FULL_MS = 300;
+  /**
+   * Time after which a caller may come back when engines are full, in milliseconds. Streams run for
+   * about 1.5 s, and a caller that is refused twice is served worse than one that waits.
+   */
+  private static final long RETRY_AFTER_FULL_MS = 1_200;
 
-  /** Time after which a caller may come back when a model has to be loaded, in milliseconds. */
-  private static final long RETRY_AFTER_LOAD_MS = 1_500;
+  /**
+   * Time after which a caller may come back when a model has to be loaded, in milliseconds. A load
+   * takes up to 2.6 s, less the time for which the call has waited.
+   */
+  private static final long RETRY_AFTER_LOAD_MS = 2_200;
 
   private CallEvents() {}
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
@@ -12,7 +12,7 @@
    * Part of the slots of a model engine that is filled. A full batch preempts streams for more
    * urgent calls, and loads are known some hundred milliseconds late.
    */
-  private static final double MODEL_FILL = 0.85;
+  private static final double MODEL_FILL = 0.95;
 
   /** Calls beyond the slots of a plain service; its work is short, so a queue drains fast. */
   private static final double PLAIN_FILL = 2.0;
