--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -24,6 +24,7 @@
 import org.limpetdoor.core.event.ForwardEnded;
 import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.event.ForwardStarted;
+import org.limpetdoor.core.event.GatewaySettingsRead;
 import org.limpetdoor.core.event.GatewayStarted;
 import org.limpetdoor.core.event.InstanceStarted;
 import org.limpetdoor.core.event.InstancesListed;
@@ -90,6 +91,8 @@
   DEMAND_REPORTED(DemandReported.class, DemandEvents::reported),
   /** {@link GatewayStarted}. */
   GATEWAY_STARTED(GatewayStarted.class, GatewayTick::started),
+  /** {@link GatewaySettingsRead}. */
+  GATEWAY_SETTINGS_READ(GatewaySettingsRead.class, GatewayTick::settingsRead),
   /** {@link CallArrived}. */
   CALL_ARRIVED(CallArrived.class, CallEvents::arrived),
   /** {@link CallAbandoned}. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -23,6 +23,7 @@
         ForwardEnded,
         ForwardSilent,
         ForwardStarted,
+        GatewaySettingsRead,
         GatewayStarted,
         InstanceStarted,
         InstancesListed,
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/GatewaySettingsRead.java
@@ -0,0 +1,17 @@
+package org.limpetdoor.core.event;
+
+import org.limpetdoor.core.EventKind;
+import org.limpetdoor.core.gateway.GatewaySettings;
+
+/**
+ * The settings of a gateway were read again.
+ *
+ * @param atMs when, in monotonic milliseconds
+ * @param settings the settings
+ */
+public record GatewaySettingsRead(long atMs, GatewaySettings settings) implements Event {
+  @Override
+  public EventKind kind() {
+    return EventKind.GATEWAY_SETTINGS_READ;
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
@@ -7,6 +7,7 @@
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.LeaveDuty;
 import org.limpetdoor.core.effect.SendToPeer;
+import org.limpetdoor.core.event.GatewaySettingsRead;
 import org.limpetdoor.core.event.GatewayStarted;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.membership.PeerEvents;
@@ -24,6 +25,12 @@
     return tick(node.withGateway(node.gateway().withSettings(event.settings())));
   }
 
+  /** Applies settings that were read again; open calls keep the terms that they were sent with. */
+  public static Transition<NodeState, Effect> settingsRead(
+      NodeState node, GatewaySettingsRead event) {
+    return Transition.of(node.withGateway(node.gateway().withSettings(event.settings())));
+  }
+
   /** Looks at all that changes with time. */
   public static Transition<NodeState, Effect> tick(NodeState node) {
     Timer next = new Timer(node.nowMs() + INTERVAL_MS, TimerKind.GATEWAY_TICK, "");
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/Neighbours.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/Neighbours.java
@@ -9,11 +9,17 @@
 import org.limpetdoor.core.agreed.Shards;
 import org.limpetdoor.core.id.InstanceId;
 
-/** Chooses the peers that an instance keeps links to; the number does not grow with the fleet. */
+/** Chooses the peers that an instance keeps links to; in a large fleet the number is fixed. */
 final class Neighbours {
   /** Links that an instance opens. */
   static final int COUNT = 6;
 
+  /**
+   * Instances up to which each one links to all others, so that any two of them exchange messages
+   * directly. Replaced instances stay listed for a while and count too.
+   */
+  static final int FULL_MESH = 16;
+
   private static final Comparator<ListedInstance> BY_NAME =
       Comparator.comparing(entry -> entry.id().value());
 
@@ -33,7 +39,8 @@
     addRingNeighbours(chosen, self, region);
     byHash(self, members).forEach(entry -> chosen.add(entry.id()));
     chosen.remove(self.id());
-    return chosen.stream().limit(COUNT).toList();
+    long count = members.size() <= FULL_MESH ? FULL_MESH : COUNT;
+    return chosen.stream().limit(count).toList();
   }
 
   private static void addRingNeighbours(
