--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
@@ -21,8 +21,11 @@
   /** Time beyond its expected end after which a change is asked after, in milliseconds. */
   private static final long CHANGE_SLACK_MS = 1_500;
 
+  /** Time after which an engine that drops a model is first asked, in milliseconds. */
+  private static final long UNLOAD_MS = 400;
+
   /** Time that an engine may take to finish running calls before it drops a model. */
-  private static final long UNLOAD_MS = 4_000;
+  private static final long UNLOAD_SLACK_MS = 8_000;
 
   private EngineOrders() {}
 
@@ -76,8 +79,23 @@
                         event.engine(),
                         known -> known.withHolding(holding -> holding.told(inventory)))));
     OrderSlot slot = state.placement().slot(event.engine());
-    NodeState noted = withSlot(held, event.engine(), slot.inspected(inventory));
-    return Planning.plan(noted).then(CallEvents::serveWaiting);
+    OrderSlot next = slot.inspected(inventory);
+    NodeState noted = withSlot(held, event.engine(), next);
+    Optional<EngineOrder> done =
+        slot.change()
+            .filter(change -> next.change().isEmpty() && change.doneIn(inventory.held()))
+            .map(OrderSlot.Change::order);
+    return done.map(order -> loaded(noted, order))
+        .orElse(Transition.of(noted))
+        .then(Planning::plan)
+        .then(CallEvents::serveWaiting);
+  }
+
+  /** Tells the peers of a model that was loaded; they may not see the list of engines now. */
+  private static Transition<NodeState, Effect> loaded(NodeState node, EngineOrder order) {
+    return order.action() == Action.LOAD
+        ? Holdings.changed(node, order.engine(), order.target(), true)
+        : Transition.of(node);
   }
 
   /** An adapter should be complete. The key is the engine and the adapter. */
@@ -112,12 +130,12 @@
   private static OrderSlot settled(NodeState node, OrderSlot slot, EngineState engine) {
     OrderSlot.Change change = slot.change().orElseThrow();
     EngineOrder order = change.order();
-    boolean wanted = order.action() == Action.LOAD;
     boolean current = engine.entry().ordersAccepted() > order.expectedOrders();
-    if (current && engine.entry().held().contains(order.target()) == wanted) {
+    if (current && change.doneIn(engine.entry().held())) {
       return slot.changed();
     }
-    boolean late = node.nowMs() > change.untilMs() + CHANGE_SLACK_MS;
+    long slackMs = order.action() == Action.LOAD ? CHANGE_SLACK_MS : UNLOAD_SLACK_MS;
+    boolean late = node.nowMs() > change.untilMs() + slackMs;
     return late ? slot.unverified(node.nowMs()) : slot;
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/OrderSlot.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/OrderSlot.java
@@ -57,7 +57,12 @@
    * @param order the order
    * @param untilMs when it should be complete, in monotonic milliseconds
    */
-  record Change(EngineOrder order, long untilMs) {}
+  record Change(EngineOrder order, long untilMs) {
+    /** Returns whether an engine that holds the given models has carried the order out. */
+    boolean doneIn(PSet<ModelKey> held) {
+      return held.contains(order.target()) == (order.action() == Action.LOAD);
+    }
+  }
 
   /** Returns whether an order about a model or adapter may be sent. */
   boolean free() {
@@ -65,7 +70,8 @@
   }
 
   boolean inspectionDue(long nowMs) {
-    return (!verified || !leaving.isEmpty()) && nowMs >= nextInspectionMs;
+    boolean changeDue = change.filter(c -> nowMs >= c.untilMs()).isPresent();
+    return (!verified || !leaving.isEmpty() || changeDue) && nowMs >= nextInspectionMs;
   }
 
   long adapterCount() {
@@ -95,17 +101,7 @@
     }
     PSet<ModelKey> present = inventory.held().plusAll(inventory.pending());
     if (verified) {
-      PSet<ModelKey> gone = leaving.minusAll(present);
-      return new OrderSlot(
-          verified,
-          ordersAccepted,
-          contents.minusAll(gone),
-          leaving.minusAll(gone),
-          open,
-          change,
-          successor,
-          adapters,
-          nextInspectionMs);
+      return withoutGone(leaving.minusAll(present)).changedIf(inventory);
     }
     if (inventory.busy()) {
       return this;
@@ -122,6 +118,26 @@
         nextInspectionMs);
   }
 
+  private OrderSlot withoutGone(PSet<ModelKey> gone) {
+    return new OrderSlot(
+        verified,
+        ordersAccepted,
+        contents.minusAll(gone),
+        leaving.minusAll(gone),
+        open,
+        change,
+        successor,
+        adapters,
+        nextInspectionMs);
+  }
+
+  /** Ends the change if the engine is idle again and shows its result. */
+  private OrderSlot changedIf(EngineInventory inventory) {
+    return change.filter(c -> !inventory.busy() && c.doneIn(inventory.held())).isPresent()
+        ? changed()
+        : this;
+  }
+
   OrderSlot unverified(long nowMs) {
     return new OrderSlot(
         false,
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
@@ -8,12 +8,15 @@
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.effect.GiveEngineOrder;
 import org.limpetdoor.core.effect.InspectEngine;
+import org.limpetdoor.core.effect.SendToPeer;
 import org.limpetdoor.core.event.DutyAnswered;
 import org.limpetdoor.core.event.EngineInspected;
 import org.limpetdoor.core.event.EngineOrderEnded;
 import org.limpetdoor.core.event.StoreContactChanged;
 import org.limpetdoor.core.gateway.EngineOrder.Action;
 import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.membership.PeerMessage.HoldingChanged;
 import org.pcollections.HashTreePSet;
 
 class PlacementTest {
@@ -260,4 +263,27 @@
 
     assertThat(world.take(GiveEngineOrder.class)).isEmpty();
   }
+
+  /** Guards against a model that peers do not see while the list of engines is not readable. */
+  @Test
+  void asksWhenALoadShouldBeCompleteAndTellsThePeers() {
+    oneEngine(M1);
+    world.peerDigest("node-2", true, 0);
+    world.advance(1_000);
+    world.reduce(new DutyAnswered(world.nowMs(), world.nowMs(), 5, true));
+    world.call("/m/x", Optional.of(M2), 10_000);
+    EngineOrder order = answer(EngineOrderResult.ACCEPTED);
+    for (int i = 0; i < 5; i++) {
+      world.advance(500);
+      world.reduce(new DutyAnswered(world.nowMs(), world.nowMs(), 5, true));
+    }
+    assertThat(world.take(InspectEngine.class)).isNotEmpty();
+
+    inspected("g1", order.expectedOrders() + 1, false, M1, order.target());
+
+    HoldingChanged told =
+        new HoldingChanged(order.engine(), 1, order.expectedOrders() + 1, order.target(), true);
+    assertThat(world.take(SendToPeer.class))
+        .contains(new SendToPeer(new InstanceId("node-2"), told));
+  }
 }
