--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayState.java
@@ -95,6 +95,21 @@
     return calls.size();
   }
 
+  /** Returns the number of engines that are listed, the leaving ones included. */
+  public int engineCount() {
+    return engines.byId().size();
+  }
+
+  /** Returns whether the store dealt the placement duty to this instance. */
+  public boolean holdsDuty() {
+    return duty.held();
+  }
+
+  /** Returns how long the oldest waiting call has waited, in milliseconds; 0 if none waits. */
+  public long oldestWaitMs(long nowMs) {
+    return waiting.isEmpty() ? 0 : nowMs - calls.get(waiting.first()).arrivedAtMs();
+  }
+
   /** Returns the version of the configuration in force, or -1. */
   public long version() {
     return table.map(RouteTable::version).orElse(-1L);
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DecisionLog.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DecisionLog.java
@@ -1,6 +1,7 @@
 package org.limpetdoor.gateway;
 
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.DistributionSummary;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.io.PrintStream;
 import java.util.ArrayList;
@@ -30,6 +31,11 @@
   /** Time for which the writer collects lines, in milliseconds, to save wake-ups and writes. */
   private static final long COLLECT_MS = 200;
 
+  /** Bounds of the buckets of durations, in milliseconds; objectives are from 100 to 2,500. */
+  private static final double[] DURATION_BUCKETS_MS = {
+    25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800
+  };
+
   /** Time for the last lines to be written at a shutdown, in milliseconds. */
   private static final long CLOSE_TIMEOUT_MS = 200;
 
@@ -100,13 +106,11 @@
   }
 
   private void count(Decision decision) {
-    String reason =
-        decision.fields().stream()
-            .filter(field -> field.key().equals("reason"))
-            .map(Decision.Field::value)
-            .findFirst()
-            .orElse("none");
+    String reason = field(decision, "reason");
     String route = decision instanceof CallDecision call ? call.call().route() : "none";
+    if (decision.kind() == DecisionKind.CALL_ENDED) {
+      duration(route, reason).record(Double.parseDouble(field(decision, "took_ms")));
+    }
     metrics
         .counter(
             "limpetdoor.decisions",
@@ -119,6 +123,22 @@
         .increment();
   }
 
+  private DistributionSummary duration(String route, String reason) {
+    return DistributionSummary.builder("limpetdoor.call.duration.ms")
+        .tag("route", route)
+        .tag("reason", reason)
+        .serviceLevelObjectives(DURATION_BUCKETS_MS)
+        .register(metrics);
+  }
+
+  private static String field(Decision decision, String key) {
+    return decision.fields().stream()
+        .filter(field -> field.key().equals(key))
+        .map(Decision.Field::value)
+        .findFirst()
+        .orElse("none");
+  }
+
   private void run() {
     try {
       boolean last = false;
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/DecisionLogTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/DecisionLogTest.java
@@ -88,4 +88,23 @@
     long lines = out.toString(StandardCharsets.UTF_8).lines().count();
     assertThat(lines).isEqualTo(2);
   }
+
+  /** Guards against durations that are counted under another route or not at all. */
+  @Test
+  void countsDurationsByRoute() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try (DecisionLog log =
+        new DecisionLog(new PrintStream(out, true, StandardCharsets.UTF_8), metrics)) {
+      log.record(CallDecision.ended(CALL, CallDecision.Outcome.COMPLETED, 120));
+    }
+
+    assertThat(
+            metrics
+                .get("limpetdoor.call.duration.ms")
+                .tag("route", "r1")
+                .tag("reason", "completed")
+                .summary()
+                .totalAmount())
+        .isEqualTo(120.0);
+  }
 }
