Clear the losses of a call that is answered, and compare engines by identifier

A request that many callers send alike, such as one without a body, would have been refused for a minute after three lost connections anywhere.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -147,7 +147,10 @@
     if (call == null || !node.gateway().waiting().contains(call.spec().id())) {
       return Transition.of(node);
     }
-    return CallSteps.giveUp(node, call, Chooser.choose(node, call).verdict());
+    Choice choice = Chooser.choose(node, call);
+    return choice.verdict() == Verdict.CHOSEN
+        ? CallSteps.send(CallSteps.notWaiting(node, call), call, choice)
+        : CallSteps.giveUp(node, call, choice.verdict());
   }
 
   /** Sends a call that has waited for an engine to read, to one that still reads. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -144,14 +144,21 @@
         state
             .engines()
             .update(attempt.engine(), engine -> noted(node, engine, call, attempt, result));
-    CrashLedger suspects =
-        result == ForwardResult.CONNECTION_LOST
-            ? state.suspects().withOwnLoss(call.spec().fingerprint(), node.nowMs())
-            : state.suspects();
+    CrashLedger suspects = judged(node, call.spec().fingerprint(), result);
     return node.withGateway(state.withEngines(engines).withSuspects(suspects));
   }
 
-  static EngineState noted(
+  /** A call that engines answer does not crash them, whatever was lost before. */
+  private static CrashLedger judged(NodeState node, long fingerprint, ForwardResult result) {
+    CrashLedger suspects = node.gateway().suspects();
+    return switch (result) {
+      case CONNECTION_LOST -> suspects.withOwnLoss(fingerprint, node.nowMs());
+      case COMPLETED, ERROR_ANSWER -> suspects.cleared(fingerprint);
+      default -> suspects;
+    };
+  }
+
+  private static EngineState noted(
       NodeState node, EngineState engine, Call call, Attempt attempt, ForwardResult result) {
     if (result == ForwardResult.COMPLETED) {
       long tookMs = node.nowMs() - attempt.sentAtMs();
@@ -183,7 +190,7 @@
     return known == null ? Budgets.empty(state) : known;
   }
 
-  static NodeState forget(NodeState node, Call call) {
+  private static NodeState forget(NodeState node, Call call) {
     return node.withGateway(node.gateway().withoutCall(call.spec().id()))
         .withTimers(
             node.timers()
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
@@ -167,11 +167,15 @@
     double score = (load + perSlot) * Math.max(1, Math.min(MAX_SLOWNESS, slowness));
     score += engine.health().failureShare() * FAILURE_COST;
     score += engine.entry().zone().equals(node.self().zone()) ? 0 : REMOTE_COST;
-    score -= engine.equals(terms.owner()) ? AFFINITY_BONUS : 0;
+    score -= isOwner(engine, terms) ? AFFINITY_BONUS : 0;
     score += engine.load().unreadTokens() * UNREAD_COST_PER_TOKEN;
     return score + HOME_SPREAD * terms.home().distance(engine);
   }
 
+  private static boolean isOwner(EngineState engine, Terms terms) {
+    return terms.owner() != null && engine.entry().id().equals(terms.owner().entry().id());
+  }
+
   /** Returns the load of an engine from own and peers' calls, as a share of its slots. */
   static double load(NodeState node, EngineState engine) {
     int inFlight = engine.load().inFlight();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashLedger.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashLedger.java
@@ -39,6 +39,13 @@
         unsent.plus(fingerprint, unsent.getOrDefault(fingerprint, 0) + 1));
   }
 
+  /** Notes that the call was answered whole, so that it does not crash engines. */
+  CrashLedger cleared(long fingerprint) {
+    return losses.containsKey(fingerprint)
+        ? new CrashLedger(losses.minus(fingerprint), unsent.minus(fingerprint))
+        : this;
+  }
+
   CrashLedger withPeerLosses(PMap<Long, Integer> counts, long nowMs) {
     CrashLedger result = this;
     for (var entry : counts.entrySet()) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Home.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Home.java
@@ -1,23 +1,21 @@
 package org.limpetdoor.core.gateway;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 
 /**
  * The order in which an instance prefers engines that are equal otherwise. Instances begin at
  * different engines, so that prompts of several instances do not meet at one engine.
  *
- * @param order engines by identifier
+ * @param order identifiers of the engines, sorted
  * @param start index of the first one for this instance
  */
-record Home(List<EngineState> order, int start) {
+record Home(List<BackendId> order, int start) {
   /** Returns the order of this instance. Instances that hear each other agree without a message. */
   static Home of(NodeState node, List<EngineState> engines) {
-    List<EngineState> order = new ArrayList<>(engines);
-    order.sort(Comparator.comparing(engine -> engine.entry().id()));
+    List<BackendId> order = engines.stream().map(engine -> engine.entry().id()).sorted().toList();
     InstanceId self = node.self().id();
     int rank = 0;
     for (var peer : node.gateway().peers().entrySet()) {
@@ -29,7 +27,7 @@
 
   /** Returns how far an engine is from the first one, from 0 to 1. */
   double distance(EngineState engine) {
-    int index = order.indexOf(engine);
+    int index = order.indexOf(engine.entry().id());
     return (double) Math.floorMod(index - start, order.size()) / order.size();
   }
 }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -280,6 +280,23 @@
     assertThat(world.take(ReplyToCall.class).get(0).reply()).isEqualTo(Reply.CRASH_SUSPECT);
   }
 
+  /** Guards against a ban on a request that many callers send alike and that engines answer. */
+  @Test
+  void forgetsLossesOfACallThatIsAnswered() {
+    twoPlainEngines();
+    for (int i = 0; i < 3; i++) {
+      long lost = world.call("/once/x", Optional.empty(), 1_000);
+      world.ends(lost, 1, ForwardResult.CONNECTION_LOST);
+      long answered = world.call("/once/x", Optional.empty(), 1_000);
+      world.ends(answered, 1, ForwardResult.COMPLETED);
+    }
+    world.take(ForwardCall.class);
+
+    world.call("/once/x", Optional.empty(), 1_000);
+
+    assertThat(world.take(ForwardCall.class)).hasSize(1);
+  }
+
   /** Guards against refusals while the load balancer still sends callers after SIGTERM. */
   @Test
   void acceptsCallsForAWhileAfterTheShutdownBegins() {
