Choose engines by the pace of their streams, and load models from copies

A trial that logs the time between events shows two sources. A neighbour slows an engine 2.5 times for moments of 600 ms, and prompts that arrive meanwhile make its streams late. And while demand moves, replicas follow one by one, each with a load of 2.6 s from the weight store, though most engines keep a copy of the weights that loads in 0.5 s.

The traffic side reports marked changes of the time between events; the chooser counts it against the pause that callers accept, and peers are told of slow engines. The planner prefers engines with a copy, does not count such loads against the rate of the store, and changes several replicas in one plan. Copies are trusted from entries after the last load only.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -19,6 +19,7 @@
 import org.limpetdoor.core.event.DutyAnswered;
 import org.limpetdoor.core.event.EngineInspected;
 import org.limpetdoor.core.event.EngineOrderEnded;
+import org.limpetdoor.core.event.EnginePaceChanged;
 import org.limpetdoor.core.event.EnginesRead;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.ForwardEnded;
@@ -103,6 +104,8 @@
   FORWARD_SILENT(ForwardSilent.class, CallEvents::silent),
   /** {@link ForwardEnded}. */
   FORWARD_ENDED(ForwardEnded.class, CallEvents::ended),
+  /** {@link EnginePaceChanged}. */
+  ENGINE_PACE_CHANGED(EnginePaceChanged.class, CallEvents::paceChanged),
   /** {@link RoutesRead}. */
   ROUTES_READ(RoutesRead.class, StoreEvents::routesRead),
   /** {@link EnginesRead}. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/EngineOrderDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/EngineOrderDecision.java
@@ -30,6 +30,7 @@
         Field.of("order", order.number()),
         Field.of("action", order.action().name().toLowerCase(Locale.ROOT)),
         Field.of("target", order.target()),
+        Field.of("source", order.source().name().toLowerCase(Locale.ROOT)),
         Field.of("fencing_number", order.fencingNumber()),
         Field.of("expected_orders", order.expectedOrders()),
         Field.of("reason", result.map(r -> r.name().toLowerCase(Locale.ROOT)).orElse("sent")));
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -19,6 +19,7 @@
         DutyAnswered,
         EngineInspected,
         EngineOrderEnded,
+        EnginePaceChanged,
         EnginesRead,
         ForwardEnded,
         ForwardSilent,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -11,6 +11,7 @@
 import org.limpetdoor.core.effect.PassAnswer;
 import org.limpetdoor.core.event.CallAbandoned;
 import org.limpetdoor.core.event.CallArrived;
+import org.limpetdoor.core.event.EnginePaceChanged;
 import org.limpetdoor.core.event.ForwardEnded;
 import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.event.ForwardStarted;
@@ -99,6 +100,16 @@
         .then(next -> CallSteps.send(next, call, choice));
   }
 
+  /** Notes that an engine passes the events of its streams on faster or slower than before. */
+  public static Transition<NodeState, Effect> paceChanged(NodeState node, EnginePaceChanged event) {
+    GatewayState state = node.gateway();
+    EnginePace pace = new EnginePace(event.gapMs(), node.nowMs());
+    return Transition.of(
+        node.withGateway(
+            state.withEngines(
+                state.engines().update(event.engine(), engine -> engine.withPace(pace)))));
+  }
+
   /** Ends an attempt: the call is finished, goes on at another engine, or fails. */
   public static Transition<NodeState, Effect> ended(NodeState node, ForwardEnded event) {
     Optional<Call> found = withAttempt(node, event.call(), event.attempt());
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
@@ -35,6 +35,12 @@
    */
   private static final double UNREAD_COST_PER_TOKEN = 0.00025;
 
+  /**
+   * Load that an engine counts as whose streams pause as long as callers accept. One that a
+   * neighbour slows needs half of that without a new prompt, and a prompt makes its streams late.
+   */
+  private static final double PAUSE_COST = 1.2;
+
   /**
    * Load by which engines differ for each instance, so that instances which see the same loads do
    * not all pick the same engine.
@@ -129,7 +135,7 @@
         reading = true;
         continue;
       }
-      double score = score(node, engine, load, terms);
+      double score = score(node, engine, load, terms) + pauseCost(node, call, engine);
       if (best == null || score < bestScore) {
         best = engine;
         bestScore = score;
@@ -172,6 +178,24 @@
     return score + HOME_SPREAD * terms.home().distance(engine);
   }
 
+  private static double pauseCost(NodeState node, Call call, EngineState engine) {
+    int acceptedMs = call.route().maxGapMs();
+    return acceptedMs > 0 ? PAUSE_COST * gapMs(node, engine) / acceptedMs : 0;
+  }
+
+  /** Returns the time between events of an engine's streams, as own or else peers' streams show. */
+  private static long gapMs(NodeState node, EngineState engine) {
+    long nowMs = node.nowMs();
+    long own = engine.pace().gapMs(nowMs);
+    if (own > 0) {
+      return own;
+    }
+    return node.gateway().peers().values().stream()
+        .mapToLong(peer -> peer.gapMs(engine.entry().id(), nowMs))
+        .max()
+        .orElse(0);
+  }
+
   private static boolean isOwner(EngineState engine, Terms terms) {
     return terms.owner() != null && engine.entry().id().equals(terms.owner().entry().id());
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.core.gateway;
 
+import java.util.HashMap;
 import java.util.Map;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
@@ -18,6 +19,9 @@
 
 /** Exchanges with peers what each one has in flight and was asked for. */
 public final class Digests {
+  /** Multiple of the mean time between events from which peers are told that an engine is slow. */
+  private static final double SLOW_FACTOR = 1.4;
+
   private Digests() {}
 
   /** Sends a digest on all links. */
@@ -29,6 +33,7 @@
             state.storeReachable(),
             DutyEvents.acts(node) ? state.duty().generation() : 0,
             inFlight(state),
+            gapsMs(node),
             state.adaptersInUse(),
             state.arrivals(),
             state.suspects().unsent());
@@ -106,4 +111,18 @@
     }
     return counts;
   }
+
+  /** Returns the engines that are slow now; peers without a stream there learn it so. */
+  private static PMap<BackendId, Integer> gapsMs(NodeState node) {
+    Map<BackendId, Integer> known = new HashMap<>();
+    for (EngineState engine : node.gateway().engines().byId().values()) {
+      int gapMs = (int) engine.pace().gapMs(node.nowMs());
+      if (gapMs > 0) {
+        known.put(engine.entry().id(), gapMs);
+      }
+    }
+    double meanMs = known.values().stream().mapToInt(Integer::intValue).average().orElse(0);
+    known.values().removeIf(gapMs -> gapMs < meanMs * SLOW_FACTOR);
+    return HashTreePMap.from(known);
+  }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineEntry.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineEntry.java
@@ -16,6 +16,7 @@
  * @param startedAtMs when it started, in Unix milliseconds; tells two starts apart
  * @param ordersAccepted orders that it has accepted since its start
  * @param held models and adapters that it holds
+ * @param copies models whose weights it keeps outside its accelerators, in memory or on disk
  */
 public record EngineEntry(
     BackendId id,
@@ -26,10 +27,11 @@
     boolean draining,
     long startedAtMs,
     long ordersAccepted,
-    PSet<ModelKey> held) {
+    PSet<ModelKey> held,
+    PSet<String> copies) {
   /** Returns the entry of the same engine when it is about to leave. */
   EngineEntry withDraining() {
     return new EngineEntry(
-        id, service, address, zone, slots, true, startedAtMs, ordersAccepted, held);
+        id, service, address, zone, slots, true, startedAtMs, ordersAccepted, held, copies);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
@@ -11,6 +11,7 @@
 import org.limpetdoor.core.event.EngineInspected;
 import org.limpetdoor.core.event.EngineOrderEnded;
 import org.limpetdoor.core.gateway.EngineOrder.Action;
+import org.limpetdoor.core.gateway.EngineOrder.Source;
 import org.limpetdoor.core.id.BackendId;
 
 /** Reduces what engines answer to orders and questions. */
@@ -182,7 +183,7 @@
         .flatMap(table -> table.services().values().stream())
         .flatMap(service -> service.engine().stream())
         .flatMap(spec -> Optional.ofNullable(spec.models().get(order.target().model())).stream())
-        .mapToLong(ServiceSpec.ModelSpec::loadMs)
+        .mapToLong(model -> order.source() == Source.COPY ? model.copyLoadMs() : model.loadMs())
         .max()
         .orElse(CHANGE_SLACK_MS);
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineState.java
@@ -11,11 +11,17 @@
  * @param holding models and adapters that it holds
  * @param load calls of this instance at the engine
  * @param health how it has served them
+ * @param pace how fast its streams flow
  * @param unlistedAtMs when its entry was removed while the store may have lost entries, or {@link
  *     Timed#NEVER_MS}
  */
 record EngineState(
-    EngineEntry entry, Holding holding, Load load, EngineHealth health, long unlistedAtMs) {
+    EngineEntry entry,
+    Holding holding,
+    Load load,
+    EngineHealth health,
+    EnginePace pace,
+    long unlistedAtMs) {
 
   /**
    * Calls of this instance at an engine.
@@ -42,7 +48,8 @@
 
   static EngineState of(EngineEntry entry) {
     Holding holding = Holding.of(entry.held(), entry.ordersAccepted());
-    return new EngineState(entry, holding, Load.NONE, EngineHealth.UNKNOWN, Timed.NEVER_MS);
+    return new EngineState(
+        entry, holding, Load.NONE, EngineHealth.UNKNOWN, EnginePace.UNKNOWN, Timed.NEVER_MS);
   }
 
   /** Follows a new entry. Another start of the engine forgets all that was known. */
@@ -53,27 +60,31 @@
     if (next.startedAtMs() > entry.startedAtMs()) {
       return of(next).withLoad(unused -> load);
     }
-    return new EngineState(next, holding.listed(next), load, health, Timed.NEVER_MS);
+    return new EngineState(next, holding.listed(next), load, health, pace, Timed.NEVER_MS);
   }
 
   EngineState withHolding(UnaryOperator<Holding> change) {
-    return new EngineState(entry, change.apply(holding), load, health, unlistedAtMs);
+    return new EngineState(entry, change.apply(holding), load, health, pace, unlistedAtMs);
   }
 
   EngineState withLoad(UnaryOperator<Load> change) {
-    return new EngineState(entry, holding, change.apply(load), health, unlistedAtMs);
+    return new EngineState(entry, holding, change.apply(load), health, pace, unlistedAtMs);
   }
 
   EngineState withHealth(UnaryOperator<EngineHealth> change) {
-    return new EngineState(entry, holding, load, change.apply(health), unlistedAtMs);
+    return new EngineState(entry, holding, load, change.apply(health), pace, unlistedAtMs);
+  }
+
+  EngineState withPace(EnginePace value) {
+    return new EngineState(entry, holding, load, health, value, unlistedAtMs);
   }
 
   EngineState withUnlistedAtMs(long value) {
-    return new EngineState(entry, holding, load, health, value);
+    return new EngineState(entry, holding, load, health, pace, value);
   }
 
   EngineState withDraining() {
-    return new EngineState(entry.withDraining(), holding, load, health, unlistedAtMs);
+    return new EngineState(entry.withDraining(), holding, load, health, pace, unlistedAtMs);
   }
 
   boolean usable() {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/OrderSlot.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/OrderSlot.java
@@ -21,6 +21,8 @@
  * @param successor model that is to be loaded in the room of the one that is dropped
  * @param adapters adapters that are being loaded, with the time at which they should be complete
  * @param nextInspectionMs earliest time of the next question to the engine
+ * @param copiesAsOfOrders orders that the engine had accepted with its last load of a model, which
+ *     may have displaced a copy of the weights of another one
  */
 record OrderSlot(
     boolean verified,
@@ -31,7 +33,8 @@
     Optional<Change> change,
     Optional<String> successor,
     PMap<ModelKey, Long> adapters,
-    long nextInspectionMs) {
+    long nextInspectionMs,
+    long copiesAsOfOrders) {
   /** An engine that was not asked yet. */
   static final OrderSlot UNVERIFIED =
       new OrderSlot(
@@ -43,6 +46,7 @@
           Optional.empty(),
           Optional.empty(),
           HashTreePMap.empty(),
+          0,
           0);
 
   /** Interval of questions to an engine that does not answer or is busy, in milliseconds. */
@@ -74,6 +78,20 @@
     return (!verified || !leaving.isEmpty() || changeDue) && nowMs >= nextInspectionMs;
   }
 
+  /** Returns whether the weight store serves a load of the engine, or soon will. */
+  boolean loadsFromStore(EngineEntry entry) {
+    boolean asked =
+        open.or(() -> change.map(Change::order))
+            .filter(order -> order.source() == EngineOrder.Source.STORE)
+            .isPresent();
+    return asked || successor.filter(model -> !knowsCopy(entry, model)).isPresent();
+  }
+
+  /** Returns whether an engine keeps a copy of a model's weights, by an entry that is not old. */
+  boolean knowsCopy(EngineEntry entry, String model) {
+    return entry.ordersAccepted() >= copiesAsOfOrders && entry.copies().contains(model);
+  }
+
   long adapterCount() {
     return contents.stream().filter(key -> key.adapter().isPresent()).count();
   }
@@ -88,7 +106,8 @@
         change,
         successor,
         adapters,
-        nowMs + INSPECTION_INTERVAL_MS);
+        nowMs + INSPECTION_INTERVAL_MS,
+        copiesAsOfOrders);
   }
 
   /**
@@ -115,7 +134,8 @@
         Optional.empty(),
         successor,
         HashTreePMap.empty(),
-        nextInspectionMs);
+        nextInspectionMs,
+        copiesAsOfOrders);
   }
 
   private OrderSlot withoutGone(PSet<ModelKey> gone) {
@@ -128,7 +148,8 @@
         change,
         successor,
         adapters,
-        nextInspectionMs);
+        nextInspectionMs,
+        copiesAsOfOrders);
   }
 
   /** Ends the change if the engine is idle again and shows its result. */
@@ -148,7 +169,8 @@
         Optional.empty(),
         successor,
         adapters,
-        nowMs);
+        nowMs,
+        copiesAsOfOrders);
   }
 
   OrderSlot sent(EngineOrder order) {
@@ -161,12 +183,15 @@
         change,
         successor,
         adapters,
-        nextInspectionMs);
+        nextInspectionMs,
+        copiesAsOfOrders);
   }
 
   /** The engine carries out the open order; what it loads takes room from now on. */
   OrderSlot accepted(EngineOrder order) {
-    PSet<ModelKey> taken = order.action() == Action.LOAD ? contents.plus(order.target()) : contents;
+    boolean loads = order.action() == Action.LOAD;
+    boolean loadsModel = loads && order.target().adapter().isEmpty();
+    PSet<ModelKey> taken = loads ? contents.plus(order.target()) : contents;
     return new OrderSlot(
         verified,
         ordersAccepted + 1,
@@ -176,7 +201,8 @@
         change,
         successor,
         adapters,
-        nextInspectionMs);
+        nextInspectionMs,
+        loadsModel ? ordersAccepted + 1 : copiesAsOfOrders);
   }
 
   /** The open order held already; dropping an adapter counts as an order all the same. */
@@ -197,7 +223,8 @@
         Optional.of(new Change(order, untilMs)),
         successor,
         adapters,
-        nextInspectionMs);
+        nextInspectionMs,
+        copiesAsOfOrders);
   }
 
   /** The room of the model that is dropped is meant for another one. */
@@ -211,7 +238,8 @@
         change,
         model,
         adapters,
-        nextInspectionMs);
+        nextInspectionMs,
+        copiesAsOfOrders);
   }
 
   /** The change under way is complete. */
@@ -231,7 +259,8 @@
         change,
         successor,
         adapters.plus(adapter, readyAtMs),
-        nextInspectionMs);
+        nextInspectionMs,
+        copiesAsOfOrders);
   }
 
   OrderSlot withoutAdapter(ModelKey adapter) {
@@ -244,7 +273,8 @@
         change,
         successor,
         adapters.minus(adapter),
-        nextInspectionMs);
+        nextInspectionMs,
+        copiesAsOfOrders);
   }
 
   /** The engine drops an adapter when its last call has ended. */
@@ -258,7 +288,8 @@
         change,
         successor,
         adapters,
-        nowMs + LEAVING_CHECK_MS);
+        nowMs + LEAVING_CHECK_MS,
+        copiesAsOfOrders);
   }
 
   private OrderSlot withAnswer(int orders) {
@@ -271,7 +302,8 @@
         change,
         successor,
         adapters,
-        nextInspectionMs);
+        nextInspectionMs,
+        copiesAsOfOrders);
   }
 
   private OrderSlot withoutChange() {
@@ -284,7 +316,8 @@
         Optional.empty(),
         successor,
         adapters,
-        nextInspectionMs);
+        nextInspectionMs,
+        copiesAsOfOrders);
   }
 
   private OrderSlot withContent(ModelKey key) {
@@ -297,7 +330,8 @@
         change,
         successor,
         adapters,
-        nextInspectionMs);
+        nextInspectionMs,
+        copiesAsOfOrders);
   }
 
   private OrderSlot withoutContent(ModelKey key) {
@@ -310,6 +344,7 @@
         change,
         successor,
         adapters,
-        nextInspectionMs);
+        nextInspectionMs,
+        copiesAsOfOrders);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PeerLoad.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PeerLoad.java
@@ -17,6 +17,10 @@
     return nowMs - heardAtMs < USABLE_MS;
   }
 
+  long gapMs(BackendId engine, long nowMs) {
+    return usable(nowMs) ? digest.gapsMs().getOrDefault(engine, 0) : 0;
+  }
+
   int inFlight(BackendId engine, long nowMs) {
     return usable(nowMs) ? digest.inFlight().getOrDefault(engine, 0) : 0;
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
@@ -13,6 +13,7 @@
 import org.limpetdoor.core.effect.InspectEngine;
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.gateway.EngineOrder.Action;
+import org.limpetdoor.core.gateway.EngineOrder.Source;
 import org.limpetdoor.core.gateway.Placement.Want;
 import org.limpetdoor.core.gateway.ServiceSpec.EngineSpec;
 import org.limpetdoor.core.gateway.ServiceSpec.ModelSpec;
@@ -22,8 +23,14 @@
   /** Loads that may be saved up; with the rate it keeps every window under the store's bound. */
   private static final double MAX_LOAD_TOKENS = 3;
 
-  /** Loads at once; the smaller of the numbers that weight stores serve at full speed. */
-  private static final int MAX_CONCURRENT_LOADS = 3;
+  /**
+   * Time in which a weight store lets as many loads begin as it serves at full speed at once, in
+   * seconds; the four deployments of the users lie between 1.7 and 2.1.
+   */
+  private static final double CONCURRENCY_S = 1.9;
+
+  /** Replicas that are changed in one plan; the next plan follows within 250 ms. */
+  private static final int MAX_CHANGES = 4;
 
   /** Time since its last call after which an adapter may make way for another one. */
   private static final long ADAPTER_IDLE_MS = 300;
@@ -166,30 +173,47 @@
   private static Transition<NodeState, Effect> models(
       NodeState node, String service, EngineSpec spec) {
     Transition<NodeState, Effect> result = successors(node, service, spec);
-    Supply supply = Supply.of(result.state(), service, spec);
-    Optional<ModelSpec> needed = supply.mostNeeded(BUSY_REPLICA_PER_S);
-    if (needed.isEmpty() || !mayLoad(result.state(), supply.loading())) {
-      return result;
+    for (int i = 0; i < MAX_CHANGES; i++) {
+      Transition<NodeState, Effect> before = result;
+      result = before.then(next -> replica(next, service, spec));
+      if (result.effects().size() == before.effects().size()) {
+        return result;
+      }
+    }
+    return result;
+  }
+
+  /** Adds a replica of the model that needs it most among those for which there is a way. */
+  private static Transition<NodeState, Effect> replica(
+      NodeState node, String service, EngineSpec spec) {
+    Supply supply = Supply.of(node, service, spec, mayLoad(node, service, spec));
+    for (ModelSpec model : supply.mostNeeded(BUSY_REPLICA_PER_S, MAX_CHANGES)) {
+      Transition<NodeState, Effect> result = replica(node, supply, model);
+      if (!result.effects().isEmpty()) {
+        return result;
+      }
     }
-    ModelSpec model = needed.get();
+    return Transition.of(node);
+  }
+
+  private static Transition<NodeState, Effect> replica(
+      NodeState node, Supply supply, ModelSpec model) {
     Optional<EngineState> room = supply.roomFor(model);
     if (room.isPresent()) {
-      return result.then(next -> order(next, room.get(), Action.LOAD, ModelKey.of(model.name())));
+      return order(node, room.get(), Action.LOAD, ModelKey.of(model.name()));
     }
     return supply
         .victimFor(model, SWAP_GAIN, MODEL_IDLE_MS)
-        .map(victim -> result.then(next -> makeRoom(next, victim, model)))
-        .orElseGet(() -> consolidate(result, supply, model));
+        .map(victim -> makeRoom(node, victim, model))
+        .orElseGet(() -> consolidate(node, supply, model));
   }
 
   private static Transition<NodeState, Effect> consolidate(
-      Transition<NodeState, Effect> before, Supply supply, ModelSpec model) {
+      NodeState node, Supply supply, ModelSpec model) {
     return supply
         .consolidation(model)
-        .map(
-            move ->
-                before.then(next -> order(next, move.to(), Action.LOAD, ModelKey.of(move.model()))))
-        .orElse(before);
+        .map(move -> order(node, move.to(), Action.LOAD, ModelKey.of(move.model())))
+        .orElse(Transition.of(node));
   }
 
   /**
@@ -198,7 +222,7 @@
    */
   private static Transition<NodeState, Effect> successors(
       NodeState node, String service, EngineSpec spec) {
-    Supply supply = Supply.of(node, service, spec);
+    Supply supply = Supply.of(node, service, spec, true);
     Transition<NodeState, Effect> result = Transition.of(node);
     for (EngineState engine : node.gateway().engines().ofService(service)) {
       OrderSlot slot = slot(node, engine);
@@ -209,7 +233,8 @@
       boolean room = model.filter(m -> supply.hasRoom(engine, m)).isPresent();
       if (!room) {
         result = result.then(next -> withSuccessor(next, engine, Optional.empty()));
-      } else if (result.state().gateway().placement().loadTokens() >= 1) {
+      } else if (supply.hasCopy(engine, model.get())
+          || result.state().gateway().placement().loadTokens() >= 1) {
         ModelKey key = ModelKey.of(slot.successor().get());
         result =
             result
@@ -235,8 +260,14 @@
             state.withPlacement(state.placement().withSlot(engine.entry().id(), slot))));
   }
 
-  private static boolean mayLoad(NodeState node, int loading) {
-    return loading < MAX_CONCURRENT_LOADS && node.gateway().placement().loadTokens() >= 1;
+  /** Returns whether another load from the weight store may begin or be prepared. */
+  private static boolean mayLoad(NodeState node, String service, EngineSpec spec) {
+    long loading = 0;
+    for (EngineState engine : node.gateway().engines().ofService(service)) {
+      loading += slot(node, engine).loadsFromStore(engine.entry()) ? 1 : 0;
+    }
+    long atOnce = Math.max(1, (long) (spec.loadsPerS() * CONCURRENCY_S));
+    return loading < atOnce && node.gateway().placement().loadTokens() >= 1;
   }
 
   private static Transition<NodeState, Effect> order(
@@ -244,6 +275,7 @@
     GatewayState state = node.gateway();
     Placement placement = state.placement();
     OrderSlot slot = placement.slot(engine.entry().id());
+    Source source = source(slot, engine, action, target);
     EngineOrder order =
         new EngineOrder(
             placement.nextOrder(),
@@ -251,10 +283,10 @@
             action,
             target,
             state.duty().generation(),
-            slot.ordersAccepted());
-    boolean fromStore = action == Action.LOAD && target.adapter().isEmpty();
+            slot.ordersAccepted(),
+            source);
     Placement counted =
-        fromStore
+        source == Source.STORE
             ? placement.withLoadTokens(placement.loadTokens() - 1, placement.refilledAtMs())
             : placement;
     Placement touched = action == Action.LOAD ? counted.touched(target, node.nowMs()) : counted;
@@ -265,6 +297,13 @@
         .with(new GiveEngineOrder(order, engine.entry().address()));
   }
 
+  private static Source source(OrderSlot slot, EngineState engine, Action action, ModelKey target) {
+    if (action == Action.UNLOAD || target.adapter().isPresent()) {
+      return Source.NONE;
+    }
+    return slot.knowsCopy(engine.entry(), target.model()) ? Source.COPY : Source.STORE;
+  }
+
   /** Adds the loads that the store has allowed since the last time. */
   static NodeState refill(NodeState node) {
     GatewayState state = node.gateway();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ServiceSpec.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ServiceSpec.java
@@ -34,7 +34,9 @@
    * @param name name of the model
    * @param weightsMb memory of its weights, in MB
    * @param loadMs time of a load from the weight store, in milliseconds
+   * @param copyLoadMs time of a load from the engine's own copy of the weights, in milliseconds
    * @param adapterMb memory of one of its adapters, in MB
    */
-  public record ModelSpec(String name, double weightsMb, long loadMs, double adapterMb) {}
+  public record ModelSpec(
+      String name, double weightsMb, long loadMs, long copyLoadMs, double adapterMb) {}
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Supply.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Supply.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.limpetdoor.core.NodeState;
@@ -20,14 +21,14 @@
  * @param engines engines of the service
  * @param spec what its engines can hold
  * @param replicas engines that hold or load each model
- * @param loading models being loaded
+ * @param storeLoads whether the weight store may serve another load now
  */
 record Supply(
     NodeState node,
     Collection<EngineState> engines,
     EngineSpec spec,
     PMap<String, Integer> replicas,
-    int loading) {
+    boolean storeLoads) {
 
   /** Load that a model counts as that calls wait for and no engine holds. */
   private static final double UNREACHABLE_PER_S = 1_000;
@@ -38,6 +39,12 @@
   /** Load that a replica counts as when all its room for adapters is asked for. */
   private static final double FULL_ADAPTERS_PER_S = 8;
 
+  /**
+   * Factor by which the loss of a replica counts more if its successor comes from the weight store:
+   * for the time of the load the engine serves neither, five times as long as from a copy.
+   */
+  private static final double STORE_LOAD_COST = 1.5;
+
   /** Load that a model counts as that no engine holds and nobody asks for. */
   private static final double ABSENT_PER_S = 6;
 
@@ -57,10 +64,9 @@
    */
   record Move(String model, EngineState to) {}
 
-  static Supply of(NodeState node, String service, EngineSpec spec) {
+  static Supply of(NodeState node, String service, EngineSpec spec, boolean storeLoads) {
     Collection<EngineState> engines = node.gateway().engines().ofService(service);
     Map<String, Integer> counts = new HashMap<>();
-    int loading = 0;
     for (EngineState engine : engines) {
       if (!engine.usable()) {
         continue;
@@ -77,19 +83,27 @@
           model(change, Action.LOAD)
               .or(() -> node.gateway().placement().slot(engine.entry().id()).successor());
       if (loaded.isPresent()) {
-        loading++;
         counts.merge(loaded.get(), 1, Integer::sum);
       }
     }
-    return new Supply(node, engines, spec, HashTreePMap.from(counts), loading);
+    return new Supply(node, engines, spec, HashTreePMap.from(counts), storeLoads);
   }
 
-  /** Returns the model with the most calls for each replica, if another replica is worth it. */
-  Optional<ModelSpec> mostNeeded(double busyPerS) {
-    return spec.models().values().stream()
-        .filter(model -> need(model) > busyPerS)
-        .filter(model -> replicas(model.name()) < engines.size())
-        .max(Comparator.comparingDouble(this::need).thenComparing(ModelSpec::name));
+  /** Returns models of which another replica is worth a load, the most needed ones first. */
+  List<ModelSpec> mostNeeded(double busyPerS, int count) {
+    Map<ModelSpec, Double> needs = new HashMap<>();
+    for (ModelSpec model : spec.models().values()) {
+      double need = need(model);
+      if (need > busyPerS && replicas(model.name()) < engines.size()) {
+        needs.put(model, need);
+      }
+    }
+    return needs.keySet().stream()
+        .sorted(
+            Comparator.comparingDouble((ModelSpec model) -> -needs.get(model))
+                .thenComparing(ModelSpec::name))
+        .limit(count)
+        .toList();
   }
 
   /** Returns an engine that has memory for another model; the least loaded one. */
@@ -98,7 +112,8 @@
         .filter(engine -> mayTake(engine, model))
         .filter(engine -> hasRoom(engine, model))
         .min(
-            Comparator.comparingDouble((EngineState engine) -> Chooser.load(node, engine))
+            Comparator.comparing((EngineState engine) -> !hasCopy(engine, model))
+                .thenComparingDouble(engine -> Chooser.load(node, engine))
                 .thenComparing(engine -> engine.entry().id()));
   }
 
@@ -117,8 +132,9 @@
       if (!mayTake(engine, model)) {
         continue;
       }
+      double detour = hasCopy(engine, model) ? 1 : STORE_LOAD_COST;
       for (ModelKey key : engine.held()) {
-        double loss = loss(key, idleMs);
+        double loss = loss(key, idleMs) * detour;
         boolean fits = key.adapter().isEmpty() && fitsInsteadOf(engine, key, model);
         if (fits && loss * gain < need && loss < bestLoss) {
           best = new Victim(engine, key.model());
@@ -167,7 +183,14 @@
   private boolean mayTake(EngineState engine, ModelSpec model) {
     OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
     boolean free = engine.usable() && slot.free() && slot.successor().isEmpty();
-    return free && !slot.contents().contains(ModelKey.of(model.name()));
+    boolean loadable = storeLoads || hasCopy(engine, model);
+    return free && loadable && !slot.contents().contains(ModelKey.of(model.name()));
+  }
+
+  /** Returns whether an engine has a copy of the weights, which spares the weight store a load. */
+  boolean hasCopy(EngineState engine, ModelSpec model) {
+    OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
+    return slot.knowsCopy(engine.entry(), model.name());
   }
 
   private double usedMb(EngineState engine) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
@@ -76,6 +76,7 @@
    * @param storeReachable whether the store answers the sender
    * @param fencingNumber fencing number of its orders if it holds the placement duty, or 0
    * @param inFlight calls at each engine
+   * @param gapsMs time between the events of a stream at each engine that is known to be slow now
    * @param adaptersInUse adapters of which calls are in flight
    * @param arrivals calls of each model since the last digest
    * @param lostEngines engines lost by each call since the last digest, by fingerprint
@@ -85,6 +86,7 @@
       boolean storeReachable,
       long fencingNumber,
       PMap<BackendId, Integer> inFlight,
+      PMap<BackendId, Integer> gapsMs,
       PSet<ModelKey> adaptersInUse,
       PMap<ModelKey, Integer> arrivals,
       PMap<Long, Integer> lostEngines)
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -14,9 +14,11 @@
 import org.limpetdoor.core.effect.SendToPeer;
 import org.limpetdoor.core.event.CallAbandoned;
 import org.limpetdoor.core.event.DrainRequested;
+import org.limpetdoor.core.event.EnginePaceChanged;
 import org.limpetdoor.core.event.ForwardEnded;
 import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.event.ForwardStarted;
+import org.limpetdoor.core.id.BackendId;
 
 class CallEventsTest {
   private final GatewayWorld world = new GatewayWorld();
@@ -325,4 +327,43 @@
     assertThat(world.gateway().waiting()).contains(id);
     assertThat(world.take(SendToPeer.class)).isEmpty();
   }
+
+  /**
+   * Guards against prompts that are sent to an engine that a neighbour slows: they make all its
+   * streams late, while another engine that is busier could read them in time.
+   */
+  @Test
+  void avoidsAnEngineWhoseStreamsHaveSlowedDown() {
+    world.routes(1, GatewayWorld.modelRoute("/chat/"));
+    ModelKey model = ModelKey.of("m1");
+    world.engines(
+        GatewayWorld.entry("e1", "llm", 1, 0, model), GatewayWorld.entry("e2", "llm", 1, 0, model));
+    world.call("/chat/x", Optional.of(model), 5_000);
+    BackendId first = world.take(ForwardCall.class).get(0).engine();
+    BackendId other = new BackendId(first.value().equals("e1") ? "e2" : "e1");
+
+    world.reduce(new EnginePaceChanged(world.nowMs(), other, 110));
+    world.reduce(new EnginePaceChanged(world.nowMs(), first, 30));
+    world.call("/chat/x", Optional.of(model), 5_000);
+
+    assertThat(world.take(ForwardCall.class).get(0).engine()).isEqualTo(first);
+  }
+
+  /** Guards against an engine that stays avoided after its neighbour has become quiet. */
+  @Test
+  void forgetsAnOldObservationOfThePace() {
+    world.routes(1, GatewayWorld.modelRoute("/chat/"));
+    ModelKey model = ModelKey.of("m1");
+    world.engines(
+        GatewayWorld.entry("e1", "llm", 1, 0, model), GatewayWorld.entry("e2", "llm", 1, 0, model));
+    world.call("/chat/x", Optional.of(model), 5_000);
+    BackendId first = world.take(ForwardCall.class).get(0).engine();
+    BackendId other = new BackendId(first.value().equals("e1") ? "e2" : "e1");
+
+    world.reduce(new EnginePaceChanged(world.nowMs(), other, 110));
+    world.advance(1_300);
+    world.call("/chat/x", Optional.of(model), 5_000);
+
+    assertThat(world.take(ForwardCall.class).get(0).engine()).isEqualTo(other);
+  }
 }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayWorld.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayWorld.java
@@ -88,10 +88,10 @@
   void routes(long version, Route... routes) {
     PMap<String, ModelSpec> models = HashTreePMap.empty();
     for (String name : List.of("m1", "m2", "m3")) {
-      models = models.plus(name, new ModelSpec(name, 40_000, 2_000, 10));
+      models = models.plus(name, new ModelSpec(name, 40_000, 2_000, 400, 10));
     }
     if (hasSmallModel) {
-      models = models.plus(SMALL.model(), new ModelSpec(SMALL.model(), 2_000, 1_000, 10));
+      models = models.plus(SMALL.model(), new ModelSpec(SMALL.model(), 2_000, 1_000, 300, 10));
     }
     EngineSpec spec = new EngineSpec(100_000, 83_000, 2, 2, models);
     Collection<ServiceSpec> services =
@@ -132,6 +132,7 @@
             storeReachable,
             fencingNumber,
             HashTreePMap.empty(),
+            HashTreePMap.empty(),
             HashTreePSet.empty(),
             HashTreePMap.empty(),
             HashTreePMap.empty());
@@ -173,6 +174,21 @@
         List.of(new WeightedService("llm", 1)));
   }
 
+  /** Returns an entry of an engine that keeps copies of the weights of some models. */
+  static EngineEntry withCopies(EngineEntry entry, String... models) {
+    return new EngineEntry(
+        entry.id(),
+        entry.service(),
+        entry.address(),
+        entry.zone(),
+        entry.slots(),
+        entry.draining(),
+        entry.startedAtMs(),
+        entry.ordersAccepted(),
+        entry.held(),
+        HashTreePSet.from(List.of(models)));
+  }
+
   static EngineEntry plain(String id) {
     return entry(id, "plain", 1, 0);
   }
@@ -188,6 +204,7 @@
         false,
         startedAtMs,
         orders,
-        HashTreePSet.from(List.of(held)));
+        HashTreePSet.from(List.of(held)),
+        HashTreePSet.empty());
   }
 }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
@@ -14,6 +14,7 @@
 import org.limpetdoor.core.event.EngineOrderEnded;
 import org.limpetdoor.core.event.StoreContactChanged;
 import org.limpetdoor.core.gateway.EngineOrder.Action;
+import org.limpetdoor.core.gateway.ServiceSpec.EngineSpec;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.membership.PeerMessage.HoldingChanged;
@@ -286,4 +287,88 @@
     assertThat(world.take(SendToPeer.class))
         .contains(new SendToPeer(new InstanceId("node-2"), told));
   }
+
+  /** Makes the instance the holder of engines that have room for one model more. */
+  private void enginesWithRoom(EngineEntry... entries) {
+    world.routes(1, GatewayWorld.modelRoute("/m/"));
+    world.engines(entries);
+    becomeHolder();
+    for (EngineEntry entry : entries) {
+      inspected(entry.id().value(), entry.ordersAccepted(), false, M1);
+    }
+  }
+
+  /**
+   * Guards against a load from the weight store that takes five times as long as one from the copy
+   * that another engine keeps of the weights.
+   */
+  @Test
+  void choosesTheEngineWithACopyOfTheWeights() {
+    EngineEntry second = GatewayWorld.entry("g2", "llm", 1, 0, M1);
+    world.routes(1, GatewayWorld.modelRoute("/m/"));
+    world.engines(GatewayWorld.entry("g1", "llm", 1, 0, M1), GatewayWorld.withCopies(second, "m2"));
+    inspected("g1", 0, false, M1);
+    inspected("g2", 0, false, M1);
+    EngineSpec spec =
+        world.gateway().table().orElseThrow().services().get("llm").engine().orElseThrow();
+
+    Supply supply = Supply.of(world.node(), "llm", spec, true);
+
+    assertThat(supply.roomFor(spec.models().get("m2")).orElseThrow().entry().id())
+        .isEqualTo(new BackendId("g2"));
+  }
+
+  /** Guards against a load from a copy that waits for the rate of the weight store. */
+  @Test
+  void ordersALoadFromACopyWithoutALoadOfTheStore() {
+    EngineEntry entry = GatewayWorld.entry("g1", "llm", 1, 0, M1);
+    enginesWithRoom(GatewayWorld.withCopies(entry, "m2", "m3"));
+
+    EngineOrder order = answer(EngineOrderResult.ACCEPTED);
+
+    assertThat(order.source()).isEqualTo(EngineOrder.Source.COPY);
+    assertThat(world.gateway().placement().loadTokens()).isEqualTo(3);
+  }
+
+  /**
+   * Guards against a load from the weight store that is not counted, because the copy was displaced
+   * by the load before and the list of engines does not show it yet.
+   */
+  @Test
+  void doesNotTrustAnEntryFromBeforeTheLastLoad() {
+    EngineEntry entry = GatewayWorld.entry("g1", "llm", 1, 0, M1);
+    enginesWithRoom(GatewayWorld.withCopies(entry, "m2", "m3"));
+    world.call("/m/x", Optional.of(M2), 10_000);
+    EngineOrder first = answer(EngineOrderResult.ACCEPTED);
+    inspected("g1", 1, false, M1, M2);
+
+    OrderSlot slot = world.gateway().placement().slot(first.engine());
+
+    assertThat(slot.knowsCopy(entry, "m3")).isFalse();
+    assertThat(
+            slot.knowsCopy(
+                GatewayWorld.withCopies(GatewayWorld.entry("g1", "llm", 1, 1, M1, M2), "m3"), "m3"))
+        .isTrue();
+  }
+
+  /** Guards against demand that moves faster than replicas, when each plan adds only one. */
+  @Test
+  void preparesSeveralReplicasInOnePlan() {
+    withBusyModel(M2);
+
+    world.advance(300);
+
+    assertThat(world.take(GiveEngineOrder.class).size()).isAtLeast(2);
+  }
+
+  /** Three engines have room, and many calls of a model arrive within one tick. */
+  private void withBusyModel(ModelKey model) {
+    enginesWithRoom(
+        GatewayWorld.withCopies(GatewayWorld.entry("g1", "llm", 1, 0, M1), "m2"),
+        GatewayWorld.withCopies(GatewayWorld.entry("g2", "llm", 1, 0, M1), "m2"),
+        GatewayWorld.withCopies(GatewayWorld.entry("g3", "llm", 1, 0, M1), "m2"));
+    for (int i = 0; i < 60; i++) {
+      world.call("/m/x", Optional.of(model), 10_000);
+    }
+  }
 }
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
@@ -99,11 +99,8 @@
         packer.packLong(digest.configurationVersion());
         packer.packBoolean(digest.storeReachable());
         packer.packLong(digest.fencingNumber());
-        packer.packMapHeader(digest.inFlight().size());
-        for (Map.Entry<BackendId, Integer> entry : digest.inFlight().entrySet()) {
-          packer.packString(entry.getKey().value());
-          packer.packInt(entry.getValue());
-        }
+        packEngines(packer, digest.inFlight());
+        packEngines(packer, digest.gapsMs());
         packer.packArrayHeader(digest.adaptersInUse().size());
         for (ModelKey adapter : digest.adaptersInUse()) {
           packKey(packer, adapter);
@@ -125,12 +122,13 @@
         long version = unpacker.unpackLong();
         boolean reachable = unpacker.unpackBoolean();
         long fence = unpacker.unpackLong();
-        PMap<BackendId, Integer> inFlight =
-            unpackMap(unpacker, u -> new BackendId(u.unpackString()));
+        PMap<BackendId, Integer> inFlight = unpackEngines(unpacker);
+        PMap<BackendId, Integer> gapsMs = unpackEngines(unpacker);
         PSet<ModelKey> adaptersInUse = unpackKeys(unpacker);
         PMap<ModelKey, Integer> arrivals = unpackMap(unpacker, Kind::unpackKey);
         PMap<Long, Integer> lost = unpackMap(unpacker, MessageUnpacker::unpackLong);
-        return new LoadDigest(version, reachable, fence, inFlight, adaptersInUse, arrivals, lost);
+        return new LoadDigest(
+            version, reachable, fence, inFlight, gapsMs, adaptersInUse, arrivals, lost);
       }
     },
     MODEL_WANTED(ModelWanted.class) {
@@ -212,6 +210,20 @@
       return HashTreePMap.from(map);
     }
 
+    private static void packEngines(MessageBufferPacker packer, PMap<BackendId, Integer> engines)
+        throws IOException {
+      packer.packMapHeader(engines.size());
+      for (Map.Entry<BackendId, Integer> entry : engines.entrySet()) {
+        packer.packString(entry.getKey().value());
+        packer.packInt(entry.getValue());
+      }
+    }
+
+    private static PMap<BackendId, Integer> unpackEngines(MessageUnpacker unpacker)
+        throws IOException {
+      return unpackMap(unpacker, u -> new BackendId(u.unpackString()));
+    }
+
     private static PSet<ModelKey> unpackKeys(MessageUnpacker unpacker) throws IOException {
       int size = unpacker.unpackArrayHeader();
       Set<ModelKey> keys = new HashSet<>();
--- a/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
@@ -28,6 +28,7 @@
               true,
               41,
               HashTreePMap.singleton(new BackendId("g1"), 3),
+              HashTreePMap.singleton(new BackendId("g2"), 74),
               HashTreePSet.singleton(ModelKey.of("m1", "a2")),
               HashTreePMap.singleton(ModelKey.of("m1", "a1"), 2),
               HashTreePMap.singleton(-5L, 1)),
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
@@ -42,6 +42,7 @@
   private final CallDialect dialect;
   private final Reports reports;
   private final EventLoop loop;
+  private final PaceMeter paces;
   private final EventSplitter splitter = new EventSplitter();
   private EngineChannel channel;
   private HttpResponse answerHead;
@@ -53,12 +54,18 @@
   private boolean ended;
 
   EngineAttempt(
-      ForwardCall forward, OpenCall call, CallDialect dialect, Reports reports, EventLoop loop) {
+      ForwardCall forward,
+      OpenCall call,
+      CallDialect dialect,
+      Reports reports,
+      EventLoop loop,
+      PaceMeter paces) {
     this.forward = forward;
     this.call = call;
     this.dialect = dialect;
     this.reports = reports;
     this.loop = loop;
+    this.paces = paces;
   }
 
   int number() {
@@ -113,7 +120,12 @@
     if (ended) {
       return;
     }
+    long beforeNs = lastByteNs;
     lastByteNs = System.nanoTime();
+    if (startReported) {
+      long gapMs = TimeUnit.NANOSECONDS.toMillis(lastByteNs - beforeNs);
+      paces.measured(forward.engine(), gapMs, lastByteNs);
+    }
     if (streaming) {
       streamPart(part);
     } else if (whole.readableBytes() + part.readableBytes() > MAX_ANSWER_BYTES) {
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -36,6 +36,9 @@
 final class GatewayTraffic implements GatewayEffectHandler, EngineAttempt.Reports {
   private static final long SWEEP_INTERVAL_MS = 1_000;
 
+  /** Time after which the pace of an engine without streams is forgotten, in milliseconds. */
+  private static final long PACE_MEMORY_MS = 10_000;
+
   private final EventLoop loop;
   private final CallDialect dialect;
   private final EngineClient engines;
@@ -43,6 +46,7 @@
   private final MonotonicClock clock;
   private final EngineAttempt.Reports reports;
   private final EnginePool pool;
+  private final PaceMeter paces;
   private final Map<Long, OpenCall> calls = new HashMap<>();
   private final Set<CallerChannel> callers = new LinkedHashSet<>();
   private CallerLimits limits = CallerLimits.DEFAULT;
@@ -63,8 +67,9 @@
     this.clock = clock;
     this.reports = reports;
     this.pool = new EnginePool(loop, dialect);
+    this.paces = new PaceMeter(this);
     loop.scheduleWithFixedDelay(
-        this::closeIdleCallers, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Carries out an effect on the traffic thread. */
@@ -124,7 +129,7 @@
     if (call == null) {
       return;
     }
-    EngineAttempt attempt = new EngineAttempt(effect, call, dialect, this, loop);
+    EngineAttempt attempt = new EngineAttempt(effect, call, dialect, this, loop, paces);
     call.attemptBegins(attempt);
     pool.send(attempt);
   }
@@ -222,6 +227,11 @@
     return Optional.ofNullable(calls.get(id)).flatMap(call -> call.attempt(number));
   }
 
+  private void sweep() {
+    paces.forgetOlderThan(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(PACE_MEMORY_MS));
+    closeIdleCallers();
+  }
+
   private void closeIdleCallers() {
     for (CallerChannel caller : Set.copyOf(callers)) {
       if (caller.idleMs() > limits.idleTimeoutMs()) {
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/PaceMeter.java
@@ -0,0 +1,75 @@
+package org.limpetdoor.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.limpetdoor.core.event.EnginePaceChanged;
+import org.limpetdoor.core.id.BackendId;
+
+/**
+ * Measures the time between events of the streams of each engine, and reports it when it has
+ * changed markedly. All streams of an engine advance together, so that any of them shows the pace.
+ * Used by the traffic thread only.
+ */
+final class PaceMeter {
+  /**
+   * Factor by which the time must differ from the one reported last. A neighbour slows an engine by
+   * two and more; one prompt of usual length lengthens one gap by less than this.
+   */
+  private static final double REPORT_FACTOR = 1.6;
+
+  /**
+   * Time after which the pace is reported again without a change, in milliseconds, so that an
+   * observation that lasts does not become old.
+   */
+  private static final long REPEAT_MS = 700;
+
+  /** Events closer than this left the engine together and were held up on the way. */
+  private static final long MIN_GAP_MS = 3;
+
+  private final EngineAttempt.Reports reports;
+  private final Map<BackendId, Report> last = new HashMap<>();
+
+  /**
+   * What was reported last of an engine.
+   *
+   * @param gapMs time between two events, in milliseconds
+   * @param atNs when, in nanoseconds of the system's steady clock
+   */
+  private record Report(long gapMs, long atNs) {}
+
+  PaceMeter(EngineAttempt.Reports reports) {
+    this.reports = reports;
+  }
+
+  /**
+   * Notes the time between two events of one stream.
+   *
+   * @param engine the engine
+   * @param gapMs the time, in milliseconds
+   * @param nowNs now, in nanoseconds of the system's steady clock
+   */
+  void measured(BackendId engine, long gapMs, long nowNs) {
+    if (gapMs < MIN_GAP_MS) {
+      return;
+    }
+    Report before = last.get(engine);
+    if (before != null && !isNews(before, gapMs, nowNs)) {
+      return;
+    }
+    last.put(engine, new Report(gapMs, nowNs));
+    reports.submit(atMs -> new EnginePaceChanged(atMs, engine, gapMs));
+  }
+
+  /** Forgets engines that have shown no stream for long, so that the table stays small. */
+  void forgetOlderThan(long atNs) {
+    last.values().removeIf(report -> report.atNs() - atNs < 0);
+  }
+
+  private static boolean isNews(Report before, long gapMs, long nowNs) {
+    boolean old = nowNs - before.atNs() > TimeUnit.MILLISECONDS.toNanos(REPEAT_MS);
+    boolean slower = gapMs > before.gapMs() * REPORT_FACTOR;
+    boolean faster = gapMs * REPORT_FACTOR < before.gapMs();
+    return old || slower || faster;
+  }
+}
