Keep replicas until the demand is known

The smoothed demand starts at zero, so this went on in the first second of traffic. Now no replica makes way before the first call but for a model that a call waits for, and a mean that has just begun is raised by the part of its time constant that has passed.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.core.gateway;
 
+import org.limpetdoor.core.Timed;
 import org.limpetdoor.core.id.BackendId;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -8,6 +9,7 @@
  * What the holder of the placement duty knows and has ordered.
  *
  * @param demand calls of each model and adapter
+ * @param countedSinceMs when calls were first counted, or {@link Timed#NEVER_MS}
  * @param wants models and adapters that calls wait for
  * @param slots what is under way at each engine
  * @param loadTokens loads from the weight store that may begin now
@@ -16,13 +18,21 @@
  */
 record Placement(
     PMap<ModelKey, Demand> demand,
+    long countedSinceMs,
     PMap<ModelKey, Want> wants,
     PMap<BackendId, OrderSlot> slots,
     double loadTokens,
     long refilledAtMs,
     long nextOrder) {
   static final Placement EMPTY =
-      new Placement(HashTreePMap.empty(), HashTreePMap.empty(), HashTreePMap.empty(), 0, 0, 1);
+      new Placement(
+          HashTreePMap.empty(),
+          Timed.NEVER_MS,
+          HashTreePMap.empty(),
+          HashTreePMap.empty(),
+          0,
+          0,
+          1);
 
   /** Time after the last question at which a want is forgotten; waiting calls repeat it. */
   static final long WANT_TTL_MS = 1_500;
@@ -30,6 +40,11 @@
   /** Time constant of the smoothed demand; models shift within seconds. */
   private static final double DEMAND_TAU_MS = 1_500;
 
+  /**
+   * Shortest time for which calls count as counted, so that one early call is not many a second.
+   */
+  private static final long MIN_COUNTED_MS = 500;
+
   /** Rate below which a model counts as not asked for, in calls a second. */
   private static final double FORGET_PER_S = 0.02;
 
@@ -55,6 +70,20 @@
     return demand.getOrDefault(key, Demand.NONE);
   }
 
+  /** Returns whether calls were counted, so that it is known which models are asked for. */
+  boolean demandKnown() {
+    return countedSinceMs != Timed.NEVER_MS;
+  }
+
+  /**
+   * Returns the calls of a model or adapter, in calls a second. A mean that has just begun is too
+   * low by the part of its time constant that has not passed, so it is raised by that factor.
+   */
+  double perS(ModelKey key, long nowMs) {
+    long countedMs = Math.max(MIN_COUNTED_MS, nowMs - countedSinceMs + GatewayTick.INTERVAL_MS);
+    return demandOf(key).perS() / (1 - Math.exp(-countedMs / DEMAND_TAU_MS));
+  }
+
   OrderSlot slot(BackendId engine) {
     return slots.getOrDefault(engine, OrderSlot.UNVERIFIED);
   }
@@ -62,6 +91,7 @@
   Placement withWant(ModelKey key, String service, long nowMs) {
     return new Placement(
         demand,
+        countedSinceMs,
         wants.plus(key, new Want(service, nowMs)),
         slots,
         loadTokens,
@@ -70,24 +100,33 @@
   }
 
   Placement withoutWant(ModelKey key) {
-    return new Placement(demand, wants.minus(key), slots, loadTokens, refilledAtMs, nextOrder);
+    return new Placement(
+        demand, countedSinceMs, wants.minus(key), slots, loadTokens, refilledAtMs, nextOrder);
   }
 
   Placement withSlot(BackendId engine, OrderSlot slot) {
     return new Placement(
-        demand, wants, slots.plus(engine, slot), loadTokens, refilledAtMs, nextOrder);
+        demand,
+        countedSinceMs,
+        wants,
+        slots.plus(engine, slot),
+        loadTokens,
+        refilledAtMs,
+        nextOrder);
   }
 
   Placement withoutSlot(BackendId engine) {
-    return new Placement(demand, wants, slots.minus(engine), loadTokens, refilledAtMs, nextOrder);
+    return new Placement(
+        demand, countedSinceMs, wants, slots.minus(engine), loadTokens, refilledAtMs, nextOrder);
   }
 
   Placement withLoadTokens(double value, long nowMs) {
-    return new Placement(demand, wants, slots, value, nowMs, nextOrder);
+    return new Placement(demand, countedSinceMs, wants, slots, value, nowMs, nextOrder);
   }
 
   Placement withNextOrder() {
-    return new Placement(demand, wants, slots, loadTokens, refilledAtMs, nextOrder + 1);
+    return new Placement(
+        demand, countedSinceMs, wants, slots, loadTokens, refilledAtMs, nextOrder + 1);
   }
 
   /** Adds calls that an instance told of. */
@@ -99,13 +138,15 @@
         next = added(next, entry.getKey().base(), entry.getValue(), nowMs);
       }
     }
-    return new Placement(next, wants, slots, loadTokens, refilledAtMs, nextOrder);
+    long sinceMs = arrivals.isEmpty() ? countedSinceMs : Math.min(countedSinceMs, nowMs);
+    return new Placement(next, sinceMs, wants, slots, loadTokens, refilledAtMs, nextOrder);
   }
 
   /** Notes that a model or adapter is about to be used, so that it does not make way at once. */
   Placement touched(ModelKey key, long nowMs) {
     PMap<ModelKey, Demand> touched = demand.plus(key, new Demand(demandOf(key).perS(), nowMs));
-    return new Placement(touched, wants, slots, loadTokens, refilledAtMs, nextOrder);
+    return new Placement(
+        touched, countedSinceMs, wants, slots, loadTokens, refilledAtMs, nextOrder);
   }
 
   /** Lets the demand fade and forgets what nobody asks for any more. */
@@ -125,12 +166,13 @@
       boolean old = nowMs - entry.getValue().lastAskedMs() > WANT_TTL_MS;
       open = old ? open.minus(entry.getKey()) : open;
     }
-    return new Placement(next, open, slots, loadTokens, refilledAtMs, nextOrder);
+    return new Placement(next, countedSinceMs, open, slots, loadTokens, refilledAtMs, nextOrder);
   }
 
   /** Forgets what was under way, because another holder may have given orders since. */
   Placement unverified() {
-    return new Placement(demand, wants, HashTreePMap.empty(), 0, refilledAtMs, nextOrder);
+    return new Placement(
+        demand, countedSinceMs, wants, HashTreePMap.empty(), 0, refilledAtMs, nextOrder);
   }
 
   private static PMap<ModelKey, Demand> added(
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Supply.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Supply.java
@@ -119,12 +119,17 @@
 
   /**
    * Returns the replica that is missed least, on an engine that can take the model afterwards.
+   * Before the first call, the number of replicas is all that is known of the demand for a model,
+   * so none makes way but for a model that a call waits for.
    *
    * @param gain factor by which the need of the model must exceed the load of a replica that is
    *     left
    * @param idleMs time without calls after which the only replica of a model may make way
    */
   Optional<Victim> victimFor(ModelSpec model, double gain, long idleMs) {
+    if (!node.gateway().placement().demandKnown() && !isWanted(ModelKey.of(model.name()))) {
+      return Optional.empty();
+    }
     double need = need(model);
     Victim best = null;
     double bestLoss = Double.MAX_VALUE;
@@ -209,13 +214,17 @@
     return used + adapterReserveMb * Math.max(0, spec.adapterCapacity() - slot.adapterCount());
   }
 
+  private double perS(ModelKey key) {
+    return node.gateway().placement().perS(key, node.nowMs());
+  }
+
   private int replicas(String model) {
     return replicas.getOrDefault(model, 0);
   }
 
   private double need(ModelSpec model) {
     ModelKey key = ModelKey.of(model.name());
-    double perS = node.gateway().placement().demandOf(key).perS();
+    double perS = perS(key);
     int count = replicas(model.name());
     if (count > 0) {
       return Math.max(perS, adapterLoad(model.name())) / count;
@@ -226,10 +235,9 @@
   /** Calls that the adapters asked for count as, since each replica has room for a few only. */
   private double adapterLoad(String model) {
     long asked =
-        node.gateway().placement().demand().entrySet().stream()
-            .filter(entry -> entry.getKey().adapter().isPresent())
-            .filter(entry -> entry.getKey().model().equals(model))
-            .filter(entry -> entry.getValue().perS() > ADAPTER_ASKED_PER_S)
+        node.gateway().placement().demand().keySet().stream()
+            .filter(key -> key.adapter().isPresent() && key.model().equals(model))
+            .filter(key -> perS(key) > ADAPTER_ASKED_PER_S)
             .count();
     return FULL_ADAPTERS_PER_S * asked / Math.max(1, spec.adapterCapacity());
   }
@@ -244,7 +252,7 @@
     Demand demand = node.gateway().placement().demandOf(key);
     int left = replicas(key.model()) - 1;
     if (left > 0) {
-      return Math.max(demand.perS(), adapterLoad(key.model())) / left;
+      return Math.max(perS(key), adapterLoad(key.model())) / left;
     }
     boolean idle = node.nowMs() - demand.lastMs() > idleMs;
     return idle ? ABSENT_PER_S : UNREACHABLE_PER_S;
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
@@ -18,6 +18,7 @@
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.membership.PeerMessage.HoldingChanged;
+import org.pcollections.HashTreePMap;
 import org.pcollections.HashTreePSet;
 
 class PlacementTest {
@@ -351,6 +352,34 @@
         .isTrue();
   }
 
+  /** Guards against replicas of busy models that make way for idle ones before the first call. */
+  @Test
+  void keepsReplicasUntilTheDemandIsKnown() {
+    world.routes(1, GatewayWorld.modelRoute("/m/"));
+    world.engines(
+        GatewayWorld.entry("g1", "llm", 1, 0, M1, M2),
+        GatewayWorld.entry("g2", "llm", 1, 0, M1, M2));
+    becomeHolder();
+    inspected("g1", 0, false, M1, M2);
+    inspected("g2", 0, false, M1, M2);
+
+    world.advance(2_000);
+
+    assertThat(world.take(GiveEngineOrder.class)).isEmpty();
+  }
+
+  /** Guards against a busy model that counts as little asked for in the first second of traffic. */
+  @Test
+  void estimatesTheRateFromTheFirstCallsOn() {
+    Placement placement = Placement.EMPTY;
+    for (int tick = 1; tick <= 2; tick++) {
+      placement =
+          placement.faded(250, tick * 250).withArrivals(HashTreePMap.singleton(M1, 20), tick * 250);
+    }
+
+    assertThat(placement.perS(M1, 500)).isWithin(15).of(80);
+  }
+
   /** Guards against demand that moves faster than replicas, when each plan adds only one. */
   @Test
   void preparesSeveralReplicasInOnePlan() {
