Write the last line of the log at each close

Cause: close() let the writer end before it queued the last line, so the line, and failures recorded just before, could be lost. Seen once as DecisionLogTest.escapesWhatCallersSend, 1 line in place of 2; the new test fails at once without the change. Now the line is queued first, and the writer ends after it.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DecisionLog.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DecisionLog.java
@@ -36,6 +36,9 @@
     25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400, 12_800
   };
 
+  /** Event of the last line, after which the writer ends. */
+  private static final String CLOSED = "log_closed";
+
   /** Time for the last lines to be written at a shutdown, in milliseconds. */
   private static final long CLOSE_TIMEOUT_MS = 200;
 
@@ -84,8 +87,8 @@
   /** Writes what is queued and ends; a reader that has stopped is not waited for. */
   @Override
   public void close() {
+    write(LogLine.event(CLOSED));
     closing.countDown();
-    write(LogLine.event("log_closed"));
     try {
       writer.join(CLOSE_TIMEOUT_MS);
     } catch (InterruptedException e) {
@@ -144,15 +147,16 @@
       boolean last = false;
       while (!last) {
         String first = lines.take();
-        last = closing.await(COLLECT_MS, TimeUnit.MILLISECONDS);
-        writeBatch(first);
+        closing.await(COLLECT_MS, TimeUnit.MILLISECONDS);
+        last = writeBatch(first);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
-  private void writeBatch(String first) {
+  /** Writes what is queued, and returns whether the last line of the log is among it. */
+  private boolean writeBatch(String first) {
     List<String> batch = new ArrayList<>();
     batch.add(first);
     lines.drainTo(batch);
@@ -162,5 +166,6 @@
     }
     out.println(String.join("\n", batch));
     out.flush();
+    return batch.stream().anyMatch(line -> line.startsWith("event=" + CLOSED));
   }
 }
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/DecisionLogTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/DecisionLogTest.java
@@ -44,11 +44,11 @@
     CountDownLatch writing = new CountDownLatch(1);
     CountDownLatch resume = new CountDownLatch(1);
     try (DecisionLog log = new DecisionLog(stopped(writing, resume), metrics, 8)) {
-      log.record(CallDecision.failed(CALL, Reply.NO_ENGINE, false));
+      log.record(CallDecision.failed(CALL, Reply.NO_ENGINE, false, 12));
       assertThat(writing.await(30, TimeUnit.SECONDS)).isTrue();
 
       for (int i = 0; i < 100; i++) {
-        log.record(CallDecision.failed(CALL, Reply.NO_ENGINE, false));
+        log.record(CallDecision.failed(CALL, Reply.NO_ENGINE, false, 12));
       }
 
       assertThat(metrics.counter("limpetdoor.log.dropped.lines").count()).isAtLeast(92.0);
@@ -64,7 +64,7 @@
         new DecisionLog(new PrintStream(out, true, StandardCharsets.UTF_8), metrics)) {
       for (int i = 0; i < 40; i++) {
         log.record(CallDecision.routed(CALL, new BackendId("g1"), 3));
-        log.record(CallDecision.failed(CALL, Reply.TIMED_OUT, false));
+        log.record(CallDecision.failed(CALL, Reply.TIMED_OUT, false, 12));
       }
     }
 
@@ -82,13 +82,28 @@
     Subject forged = new Subject("c1\nevent=call_ended call=c2", "r1", "llm", "m1", 1);
     try (DecisionLog log =
         new DecisionLog(new PrintStream(out, true, StandardCharsets.UTF_8), metrics)) {
-      log.record(CallDecision.failed(forged, Reply.TIMED_OUT, false));
+      log.record(CallDecision.failed(forged, Reply.TIMED_OUT, false, 12));
     }
 
     long lines = out.toString(StandardCharsets.UTF_8).lines().count();
     assertThat(lines).isEqualTo(2);
   }
 
+  /** Guards against lines that are lost because the writer ends before the last one is queued. */
+  @Test
+  void writesTheLastLineAtEachClose() {
+    for (int i = 0; i < 200; i++) {
+      ByteArrayOutputStream out = new ByteArrayOutputStream();
+      DecisionLog log =
+          new DecisionLog(new PrintStream(out, true, StandardCharsets.UTF_8), metrics);
+      log.record(CallDecision.failed(CALL, Reply.TIMED_OUT, false, 12));
+
+      log.close();
+
+      assertThat(out.toString(StandardCharsets.UTF_8)).contains("event=log_closed");
+    }
+  }
+
   /** Guards against durations that are counted under another route or not at all. */
   @Test
   void countsDurationsByRoute() {
