--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/CallDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/CallDecision.java
@@ -61,7 +61,7 @@
   }
 
   /** A call failed or was refused after it was bound to a route. */
-  public static CallDecision failed(Subject call, Reply reply, boolean brokenOff) {
+  public static CallDecision failed(Subject call, Reply reply, boolean brokenOff, long tookMs) {
     return new CallDecision(
         DecisionKind.CALL_REFUSED,
         call,
@@ -69,7 +69,8 @@
             Field.of("reason", reply.label()),
             Field.of("status", reply.status()),
             Field.of("not_run", reply.notRun()),
-            Field.of("broken_off", brokenOff)));
+            Field.of("broken_off", brokenOff),
+            Field.of("took_ms", tookMs)));
   }
 
   /** A call was refused before it was bound to a route. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/GatewayDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/GatewayDecision.java
@@ -55,10 +55,12 @@
   }
 
   /** The placement duty was dealt to this instance or taken from it. */
-  public static GatewayDecision duty(boolean held, long generation) {
+  public static GatewayDecision duty(boolean held, long fencingNumber) {
     return new GatewayDecision(
         DecisionKind.DUTY,
         "placement",
-        List.of(Field.of("state", held ? "held" : "released"), Field.of("generation", generation)));
+        List.of(
+            Field.of("state", held ? "held" : "released"),
+            Field.of("fencing_number", fencingNumber)));
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Budgets.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Budgets.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.core.gateway;
 
+import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.request.RetryBudget;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -21,25 +22,25 @@
    * Returns the budget at the start of a process. It has no savings, because the process before it
    * may have spent them in the same window.
    */
-  static RetryBudget empty(GatewayState state) {
-    return new RetryBudget(0, part(state), state.settings().retryRatio());
+  static RetryBudget empty(NodeState node) {
+    return new RetryBudget(0, part(node), node.gateway().settings().retryRatio());
   }
 
-  /** Returns the budgets after a change of the number of instances. */
-  static GatewayState resize(GatewayState state, int instances) {
+  /** Returns the state with the budgets that fit the number of instances. */
+  static NodeState resize(NodeState node) {
+    GatewayState state = node.gateway();
     PMap<String, RetryBudget> resized = HashTreePMap.empty();
-    double part = part(state, instances);
     for (var entry : state.budgets().entrySet()) {
-      resized = resized.plus(entry.getKey(), entry.getValue().withMaxAvailable(part));
+      resized = resized.plus(entry.getKey(), entry.getValue().withMaxAvailable(part(node)));
     }
-    return state.withBudgets(resized);
+    return node.withGateway(state.withBudgets(resized));
   }
 
-  private static double part(GatewayState state) {
-    return part(state, state.peers().size() + 1);
-  }
-
-  private static double part(GatewayState state, int instances) {
-    return state.settings().retrySlack() / Math.max(MIN_INSTANCES, instances * SPARE_FACTOR);
+  /** In a large fleet an instance hears of a few others only, so the listed ones count too. */
+  private static double part(NodeState node) {
+    int heard = node.gateway().peers().size() + 1;
+    int instances = Math.max(heard, node.membership().members().size());
+    double slack = node.gateway().settings().retrySlack();
+    return slack / Math.max(MIN_INSTANCES, instances * SPARE_FACTOR);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
@@ -94,6 +94,11 @@
     return with(runs + (result.mayHaveRun() ? 1 : 0), Optional.empty(), delivered || hasPart);
   }
 
+  Call withWaitsUntilMs(long value) {
+    return new Call(
+        spec, route, service, arrivedAtMs, expiresAtMs, value, tried, runs, active, delivered);
+  }
+
   Timer expiryTimer() {
     return new Timer(expiresAtMs, TimerKind.CALL_EXPIRY, key());
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -25,6 +25,12 @@
   /** Shortest time for which a call may wait for an engine, in milliseconds. */
   private static final long MIN_WAIT_MS = 1_000;
 
+  /**
+   * Time for which a stream that was cut off may wait for another engine, in milliseconds. Callers
+   * leave after a pause of 2 s at least.
+   */
+  private static final long RESUME_WAIT_MS = 1_200;
+
   private CallEvents() {}
 
   /** Binds a call to a route of the version in force and forwards it, or refuses it. */
@@ -211,12 +217,13 @@
     boolean kept = result == ForwardResult.ERROR_ANSWER;
     if (mayRetry(node, call, result)) {
       Choice choice = Chooser.choose(node, call);
-      boolean canWait = !kept && node.nowMs() < call.waitsUntilMs();
+      Call patient = call.delivered() ? call.withWaitsUntilMs(node.nowMs() + RESUME_WAIT_MS) : call;
+      boolean canWait = !kept && node.nowMs() < patient.waitsUntilMs();
       if (choice.verdict() == Verdict.CHOSEN) {
         return CallSteps.send(CallSteps.charge(node, call, result), call, choice);
       }
       if (canWait && choice.verdict() != Verdict.NO_ENGINE) {
-        return CallSteps.await(CallSteps.charge(node, call, result), call, choice.verdict());
+        return CallSteps.await(CallSteps.charge(node, patient, result), patient, choice.verdict());
       }
     }
     if (kept) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
@@ -61,15 +61,26 @@
   /** What became of a choice. */
   enum Verdict {
     /** An engine was found. */
-    CHOSEN,
+    CHOSEN(Reply.NO_ENGINE),
     /** Engines exist, but all are full. */
-    FULL,
+    FULL(Reply.ENGINES_FULL),
     /** Engines have room, but still read prompts of this instance. */
-    READING,
+    READING(Reply.ENGINES_FULL),
     /** No engine holds the model or adapter. */
-    NOT_HELD,
+    NOT_HELD(Reply.MODEL_ABSENT),
     /** The service has no engine that could run the call. */
-    NO_ENGINE
+    NO_ENGINE(Reply.NO_ENGINE);
+
+    private final Reply refusal;
+
+    Verdict(Reply refusal) {
+      this.refusal = refusal;
+    }
+
+    /** Returns what a caller is told whose call has not run and may wait no longer. */
+    Reply refusal() {
+      return refusal;
+    }
   }
 
   /**
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -11,6 +11,7 @@
 import org.limpetdoor.core.membership.PeerLink;
 import org.limpetdoor.core.membership.PeerMessage;
 import org.limpetdoor.core.membership.PeerMessage.DutyDropped;
+import org.limpetdoor.core.membership.PeerMessage.DutyHanded;
 import org.limpetdoor.core.membership.PeerMessage.HoldingChanged;
 import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
 import org.limpetdoor.core.membership.PeerMessage.ModelWanted;
@@ -31,7 +32,7 @@
         new LoadDigest(
             state.version(),
             state.storeReachable(),
-            DutyEvents.acts(node) ? state.duty().generation() : 0,
+            DutyEvents.acts(node) ? state.duty().fencingNumber() : 0,
             inFlight(state),
             gapsMs(node),
             state.adaptersInUse(),
@@ -65,6 +66,9 @@
     if (message instanceof ModelWanted wanted) {
       return Wants.wanted(node, wanted.service(), wanted.key());
     }
+    if (message instanceof DutyHanded handed) {
+      return DutyEvents.handed(node, handed);
+    }
     if (message instanceof DutyDropped dropped) {
       GatewayState state = node.gateway();
       return Transition.of(
@@ -90,7 +94,7 @@
     GatewayState state = node.gateway();
     GatewayState noted =
         state
-            .withPeers(state.peers().plus(peer, new PeerLoad(digest, node.nowMs())))
+            .withPeers(state.peers().plus(peer, PeerLoad.heard(node, digest)))
             .withPlacement(state.placement().withArrivals(digest.arrivals(), node.nowMs()))
             .withSuspects(state.suspects().withPeerLosses(digest.lostEngines(), node.nowMs()));
     GatewayState rivalled =
@@ -98,8 +102,8 @@
             ? noted.withDuty(state.duty().rivalHeard(peer, digest.fencingNumber(), node.nowMs()))
             : noted;
     boolean known = state.peers().containsKey(peer);
-    return node.withGateway(
-        known ? rivalled : Budgets.resize(rivalled, rivalled.peers().size() + 1));
+    NodeState next = node.withGateway(rivalled);
+    return known ? next : Budgets.resize(next);
   }
 
   private static PMap<BackendId, Integer> inFlight(GatewayState state) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
@@ -5,10 +5,11 @@
 import org.limpetdoor.core.id.InstanceId;
 
 /**
- * The duty to order models and adapters, which one instance holds at a time. The store deals it;
- * its generation is the fencing number of orders.
+ * The duty to order models and adapters, which one instance holds at a time. The store deals it.
+ * While the store is away, a holder that shuts down hands it to a peer.
  *
  * @param generation the last generation that the store told
+ * @param handovers times that the duty was handed on since the store dealt that generation
  * @param held whether the store dealt the duty to this instance
  * @param heldSinceMs when this instance first heard so, in monotonic milliseconds
  * @param validUntilMs time until which the store cannot have dealt it to another instance
@@ -18,6 +19,7 @@
  */
 record Duty(
     long generation,
+    int handovers,
     boolean held,
     long heldSinceMs,
     long validUntilMs,
@@ -25,7 +27,7 @@
     long nextJoinAtMs,
     Rival rival) {
   /** Nothing was heard from the store yet. */
-  static final Duty NONE = new Duty(0, false, 0, 0, 0, 0, Rival.NONE);
+  static final Duty NONE = new Duty(0, 0, false, 0, 0, 0, 0, Rival.NONE);
 
   /** Time without a word after which the store deals the duty to another instance. */
   static final long TTL_MS = 1_500;
@@ -42,6 +44,18 @@
    */
   private static final long MAX_GENERATIONS_MISSED = 4;
 
+  /** Fencing numbers of one generation: one for its holder, and one for each handover. */
+  private static final int FENCES = 64;
+
+  /** The monotonic clock of a process starts at zero. */
+  private static final long PROCESS_START_MS = 0;
+
+  /**
+   * Time beyond the lapse of the duty for which a holder keeps it without orders, in milliseconds.
+   * Peers notice by then that the store answers nobody, and the holder goes on.
+   */
+  private static final long LAPSE_GRACE_MS = 1_200;
+
   /** Stands for a time so long ago that it does not matter. */
   private static final long LONG_AGO_MS = -1_000_000;
 
@@ -66,38 +80,79 @@
     return held && nowMs >= actsFromMs;
   }
 
-  /**
-   * Follows the store. Two holders may not take turns within a lease, so a new one waits, unless
-   * the one before it is known and silent: it has failed or lost the others, and gives no orders.
-   */
-  Duty answered(DutyAnswered word, long nowMs, long leaseMs, boolean rivalSilent) {
+  /** Follows the store. */
+  Duty answered(DutyAnswered word, long nowMs, GatewaySettings settings, boolean rivalSilent) {
     if (word.generation() < generation) {
       return this;
     }
     boolean begins = word.held() && (!held || nowMs >= validUntilMs);
-    boolean successor =
-        rival.fencingNumber() > 0
-            && word.generation() <= rival.fencingNumber() + MAX_GENERATIONS_MISSED;
-    long lastOrderMs = successor ? rival.heardAtMs() : nowMs;
-    long waitMs = successor && rivalSilent ? 0 : leaseMs + MARGIN_MS;
     return new Duty(
         word.generation(),
+        word.generation() == generation ? handovers : 0,
         word.held(),
         begins ? nowMs : heldSinceMs,
         word.held() ? word.requestedAtMs() + TTL_MS - MARGIN_MS : 0,
-        begins ? lastOrderMs + waitMs : actsFromMs,
+        begins ? firstOrderMs(word, nowMs, settings, rivalSilent) : actsFromMs,
         nextJoinAtMs,
         rival);
   }
 
+  /**
+   * Returns when a new holder may give its first order. Two holders may not take turns within a
+   * lease, so it waits, unless the one before it is known and silent: it has failed or lost the
+   * others, and gives no orders. If none was heard since the start of this process, a holder before
+   * it has failed too, or gives way because engines check fencing numbers.
+   */
+  private long firstOrderMs(
+      DutyAnswered word, long nowMs, GatewaySettings settings, boolean rivalSilent) {
+    long waitMs = settings.leaseMs() + MARGIN_MS;
+    if (rival.fencingNumber() == 0) {
+      return settings.fencingEnforced() ? nowMs : PROCESS_START_MS + waitMs;
+    }
+    if (word.generation() > rival.fencingNumber() / FENCES + MAX_GENERATIONS_MISSED) {
+      return nowMs + waitMs;
+    }
+    return rivalSilent ? nowMs : rival.heardAtMs() + waitMs;
+  }
+
   Duty joining(long nowMs) {
     return new Duty(
-        generation, held, heldSinceMs, validUntilMs, actsFromMs, nowMs + JOIN_INTERVAL_MS, rival);
+        generation,
+        handovers,
+        held,
+        heldSinceMs,
+        validUntilMs,
+        actsFromMs,
+        nowMs + JOIN_INTERVAL_MS,
+        rival);
+  }
+
+  /** Returns the fencing number of orders; it rises with each change of the holder. */
+  long fencingNumber() {
+    return generation * FENCES + handovers;
+  }
+
+  /** Returns whether the duty may be handed to a peer while the store is away. */
+  boolean mayBeHandedOn() {
+    return handovers + 1 < FENCES;
+  }
+
+  /** Takes over the duty from a holder that shuts down while the store is away. */
+  Duty handed(long fencingNumber, long nowMs) {
+    return new Duty(
+        fencingNumber / FENCES,
+        (int) (fencingNumber % FENCES),
+        true,
+        nowMs,
+        nowMs,
+        nowMs,
+        nextJoinAtMs,
+        rival);
   }
 
   /** Gives up the duty, at a shutdown or after an engine has seen a higher fencing number. */
   Duty released() {
-    return new Duty(generation, false, heldSinceMs, 0, actsFromMs, nextJoinAtMs, rival);
+    return new Duty(generation, handovers, false, heldSinceMs, 0, actsFromMs, nextJoinAtMs, rival);
   }
 
   /** Notes that a peer tells that it holds the duty. */
@@ -114,10 +169,11 @@
 
   /** Returns whether the duty was held and lapsed, because the store did not answer. */
   boolean lapsed(long nowMs) {
-    return held && nowMs >= validUntilMs;
+    return held && nowMs >= validUntilMs + LAPSE_GRACE_MS;
   }
 
   private Duty withRival(Rival value) {
-    return new Duty(generation, held, heldSinceMs, validUntilMs, actsFromMs, nextJoinAtMs, value);
+    return new Duty(
+        generation, handovers, held, heldSinceMs, validUntilMs, actsFromMs, nextJoinAtMs, value);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
@@ -1,5 +1,7 @@
 package org.limpetdoor.core.gateway;
 
+import java.util.Comparator;
+import java.util.Optional;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.decision.GatewayDecision;
@@ -10,6 +12,7 @@
 import org.limpetdoor.core.event.DutyAnswered;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.membership.PeerMessage.DutyDropped;
+import org.limpetdoor.core.membership.PeerMessage.DutyHanded;
 
 /** Reduces who holds the placement duty. */
 public final class DutyEvents {
@@ -19,14 +22,14 @@
   public static Transition<NodeState, Effect> answered(NodeState node, DutyAnswered event) {
     GatewayState state = node.gateway();
     Duty before = state.duty();
-    Duty duty = before.answered(event, node.nowMs(), state.settings().leaseMs(), rivalSilent(node));
+    Duty duty = before.answered(event, node.nowMs(), state.settings(), rivalSilent(node));
     boolean begins = duty.held() && duty.heldSinceMs() != before.heldSinceMs();
     Placement placement = begins ? state.placement().unverified() : state.placement();
     NodeState next = node.withGateway(state.withDuty(duty).withPlacement(placement));
     return before.held() == duty.held() && !begins
         ? Transition.of(next)
         : Transition.of(
-            next, new RecordDecision(GatewayDecision.duty(duty.held(), duty.generation())));
+            next, new RecordDecision(GatewayDecision.duty(duty.held(), duty.fencingNumber())));
   }
 
   /**
@@ -60,7 +63,7 @@
     if (!state.duty().lapsed(node.nowMs()) || storeIsAway(node)) {
       return Transition.of(node);
     }
-    long fence = state.duty().generation();
+    long fence = state.duty().fencingNumber();
     Transition<NodeState, Effect> result =
         Transition.of(
             node.withGateway(state.withDuty(state.duty().released())),
@@ -71,6 +74,45 @@
     return result;
   }
 
+  /**
+   * Hands the duty to a peer at a shutdown, if the store is away and cannot deal it. Engines that
+   * check fencing numbers refuse what is left of this instance's orders.
+   */
+  static Transition<NodeState, Effect> handOn(NodeState node) {
+    GatewayState state = node.gateway();
+    Optional<InstanceId> heir = acts(node) && storeIsAway(node) ? heir(node) : Optional.empty();
+    if (heir.isEmpty() || !state.duty().mayBeHandedOn()) {
+      return Transition.of(node);
+    }
+    DutyHanded message = new DutyHanded(state.duty().fencingNumber() + 1);
+    return Transition.of(node, new SendToPeer(heir.get(), message));
+  }
+
+  /**
+   * Takes the duty over from a peer that shuts down, if the store is away for this instance too.
+   */
+  static Transition<NodeState, Effect> handed(NodeState node, DutyHanded message) {
+    GatewayState state = node.gateway();
+    boolean newest =
+        message.fencingNumber() > state.duty().fencingNumber()
+            && message.fencingNumber() > state.duty().rival().fencingNumber();
+    if (node.draining() || !newest || !storeIsAway(node)) {
+      return Transition.of(node);
+    }
+    Duty duty = state.duty().handed(message.fencingNumber(), node.nowMs());
+    return Transition.of(
+        node.withGateway(state.withDuty(duty).withPlacement(state.placement().unverified())),
+        new RecordDecision(GatewayDecision.duty(true, duty.fencingNumber())));
+  }
+
+  /** Returns the first peer that is heard and does not leave. */
+  private static Optional<InstanceId> heir(NodeState node) {
+    return node.gateway().peers().keySet().stream()
+        .filter(peer -> node.gateway().heard(peer, node.nowMs()))
+        .filter(peer -> !node.membership().leaving().contains(peer))
+        .min(Comparator.naturalOrder());
+  }
+
   /** Asks the store for the duty, or keeps it. A draining instance lets it go. */
   static Transition<NodeState, Effect> tick(NodeState node) {
     return dropIfLapsed(node).then(DutyEvents::join);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
@@ -18,6 +18,15 @@
   /** Interval of the look and of digests, in milliseconds. */
   static final long INTERVAL_MS = 250;
 
+  /**
+   * Interval in a fleet that is not small. Each instance hears a digest of each other one, which
+   * costs about 40 us.
+   */
+  static final long LARGE_FLEET_INTERVAL_MS = 500;
+
+  /** Instances from which a fleet is not small. */
+  private static final int LARGE_FLEET = 17;
+
   private GatewayTick() {}
 
   /** Notes the settings and begins the regular look. */
@@ -33,7 +42,7 @@
 
   /** Looks at all that changes with time. */
   public static Transition<NodeState, Effect> tick(NodeState node) {
-    Timer next = new Timer(node.nowMs() + INTERVAL_MS, TimerKind.GATEWAY_TICK, "");
+    Timer next = new Timer(node.nowMs() + intervalMs(node), TimerKind.GATEWAY_TICK, "");
     NodeState timed = node.withTimers(node.timers().plus(next));
     NodeState current = Planning.refill(StoreEvents.dropUnlisted(fade(timed)));
     return DutyEvents.tick(current)
@@ -48,18 +57,28 @@
     if (node.gateway().duty().generation() == 0) {
       return Transition.of(node);
     }
-    NodeState released =
-        node.withGateway(node.gateway().withDuty(node.gateway().duty().released()));
-    Transition<NodeState, Effect> result = Transition.of(released, new LeaveDuty());
+    Transition<NodeState, Effect> result =
+        DutyEvents.handOn(node)
+            .then(
+                next ->
+                    Transition.of(
+                        next.withGateway(next.gateway().withDuty(next.gateway().duty().released())),
+                        new LeaveDuty()));
     for (InstanceId peer : node.gateway().peers().keySet()) {
       result = result.with(new SendToPeer(peer, new Leaving()));
     }
     return result;
   }
 
+  /** Returns the time between two looks, in milliseconds. */
+  static long intervalMs(NodeState node) {
+    int instances = node.membership().members().size();
+    return instances < LARGE_FLEET ? INTERVAL_MS : LARGE_FLEET_INTERVAL_MS;
+  }
+
   private static NodeState fade(NodeState node) {
     GatewayState state = node.gateway();
-    Placement placement = state.placement().faded(INTERVAL_MS, node.nowMs());
+    Placement placement = state.placement().faded(intervalMs(node), node.nowMs());
     return node.withGateway(state.withPlacement(placement));
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/OrderSlot.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/OrderSlot.java
@@ -50,7 +50,7 @@
           0);
 
   /** Interval of questions to an engine that does not answer or is busy, in milliseconds. */
-  private static final long INSPECTION_INTERVAL_MS = 700;
+  private static final long INSPECTION_INTERVAL_MS = 400;
 
   /** Time after which an adapter that was in use is asked after, in milliseconds. */
   private static final long LEAVING_CHECK_MS = 600;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PeerLoad.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PeerLoad.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.core.gateway;
 
+import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
 
@@ -7,14 +8,18 @@
  * What a peer told of itself.
  *
  * @param digest its last digest
- * @param heardAtMs when it arrived, in monotonic milliseconds
+ * @param usableUntilMs time from which it says nothing about the present
  */
-record PeerLoad(LoadDigest digest, long heardAtMs) {
-  /** Age after which a digest says nothing about the present; four digests are missing then. */
-  private static final long USABLE_MS = 1_000;
+record PeerLoad(LoadDigest digest, long usableUntilMs) {
+  /** Digests that are missing when the last one says nothing about the present any more. */
+  private static final int USABLE_INTERVALS = 4;
+
+  static PeerLoad heard(NodeState node, LoadDigest digest) {
+    return new PeerLoad(digest, node.nowMs() + USABLE_INTERVALS * GatewayTick.intervalMs(node));
+  }
 
   boolean usable(long nowMs) {
-    return nowMs - heardAtMs < USABLE_MS;
+    return nowMs < usableUntilMs;
   }
 
   long gapMs(BackendId engine, long nowMs) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
@@ -38,7 +38,7 @@
   static final long WANT_TTL_MS = 1_500;
 
   /** Time constant of the smoothed demand; models shift within seconds. */
-  private static final double DEMAND_TAU_MS = 1_500;
+  private static final double DEMAND_TAU_MS = 900;
 
   /**
    * Shortest time for which calls count as counted, so that one early call is not many a second.
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Planning.java
@@ -39,7 +39,7 @@
   private static final long MODEL_IDLE_MS = 8_000;
 
   /** Calls a second for each replica from which another replica is worth a load. */
-  private static final double BUSY_REPLICA_PER_S = 3;
+  private static final double BUSY_REPLICA_PER_S = 5;
 
   /** Factor by which the load of a replica must exceed that of the one that makes way. */
   private static final double SWAP_GAIN = 1.6;
@@ -282,7 +282,7 @@
             engine.entry().id(),
             action,
             target,
-            state.duty().generation(),
+            state.duty().fencingNumber(),
             slot.ordersAccepted(),
             source);
     Placement counted =
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Reply.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Reply.java
@@ -10,8 +10,12 @@
   NO_CONFIGURATION(503, true),
   /** The instance shuts down. */
   SHUTTING_DOWN(503, true),
-  /** No engine could take the call in time, and none has run it. */
+  /** The service has no engine that could take the call, and none has run it. */
   NO_ENGINE(503, true),
+  /** All engines that could take the call were full for as long as it may wait. */
+  ENGINES_FULL(503, true),
+  /** No engine loaded the model or adapter for as long as the call may wait. */
+  MODEL_ABSENT(503, true),
   /** The call has crashed engines before and is not run again. */
   CRASH_SUSPECT(502, false),
   /** The time of the caller or of the route ran out before the call was sent. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/Neighbours.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/Neighbours.java
@@ -18,7 +18,7 @@
    * Instances up to which each one links to all others, so that any two of them exchange messages
    * directly. Replaced instances stay listed for a while and count too.
    */
-  static final int FULL_MESH = 16;
+  static final int FULL_MESH = 100;
 
   private static final Comparator<ListedInstance> BY_NAME =
       Comparator.comparing(entry -> entry.id().value());
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
@@ -121,6 +121,13 @@
    */
   record DutyDropped(long fencingNumber) implements PeerMessage {}
 
+  /**
+   * The sender shuts down while the store is away, and hands the placement duty to the receiver.
+   *
+   * @param fencingNumber fencing number of the receiver's orders
+   */
+  record DutyHanded(long fencingNumber) implements PeerMessage {}
+
   /** The sender is shutting down. */
   record Leaving() implements PeerMessage {}
 }
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
@@ -11,6 +11,7 @@
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.membership.PeerMessage;
 import org.limpetdoor.core.membership.PeerMessage.DutyDropped;
+import org.limpetdoor.core.membership.PeerMessage.DutyHanded;
 import org.limpetdoor.core.membership.PeerMessage.Heartbeat;
 import org.limpetdoor.core.membership.PeerMessage.HoldingChanged;
 import org.limpetdoor.core.membership.PeerMessage.Leaving;
@@ -174,6 +175,17 @@
       PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
         return new DutyDropped(unpacker.unpackLong());
       }
+    },
+    DUTY_HANDED(DutyHanded.class) {
+      @Override
+      void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
+        packer.packLong(((DutyHanded) message).fencingNumber());
+      }
+
+      @Override
+      PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
+        return new DutyHanded(unpacker.unpackLong());
+      }
     };
 
     private final Class<? extends PeerMessage> type;
--- a/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
@@ -10,6 +10,7 @@
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.membership.PeerMessage;
 import org.limpetdoor.core.membership.PeerMessage.DutyDropped;
+import org.limpetdoor.core.membership.PeerMessage.DutyHanded;
 import org.limpetdoor.core.membership.PeerMessage.Heartbeat;
 import org.limpetdoor.core.membership.PeerMessage.HoldingChanged;
 import org.limpetdoor.core.membership.PeerMessage.Leaving;
@@ -33,6 +34,7 @@
               HashTreePMap.singleton(ModelKey.of("m1", "a1"), 2),
               HashTreePMap.singleton(-5L, 1)),
           new DutyDropped(41),
+          new DutyHanded(42),
           new ModelWanted("llm", ModelKey.of("m1")),
           new HoldingChanged(new BackendId("g1"), 1, 9, ModelKey.of("m1", "a1"), true));
 
