Pass the duty on without a wait, exceed the numbers of a handover, and name why attempts fail

A holder that says it gives no orders, by word or by its digest, now ends the wait, and a holder that hears a higher number gives none. - After a handover the store may deal the old generation to its old member; engines then refused its orders for 1.6 s. It now continues the numbers of the handover. - A failed attempt and a silent engine that is kept had no line; both have one now, with the retries left. Calls that are late already wait behind the others.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/CallDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/CallDecision.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import org.limpetdoor.core.gateway.CallSpec;
+import org.limpetdoor.core.gateway.ForwardResult;
 import org.limpetdoor.core.gateway.Reply;
 import org.limpetdoor.core.id.BackendId;
 
@@ -21,6 +22,16 @@
     details = List.copyOf(details);
   }
 
+  /** What was done about an attempt whose engine was silent. */
+  public enum Silence {
+    /** The call went on at another engine. */
+    MOVED,
+    /** It was kept: the call may not run again, or the retry budget is spent. */
+    NO_RETRY,
+    /** It was kept: no other engine could take the call. */
+    NO_OTHER_ENGINE
+  }
+
   /** How a call ended that was not refused. */
   public enum Outcome {
     /** The caller has the whole answer. */
@@ -50,6 +61,30 @@
         List.of(Field.of("engine", engine), Field.of("candidates", candidates)));
   }
 
+  /** An attempt failed; what became of the call is told by the next decision. */
+  public static CallDecision attemptFailed(
+      Subject call, BackendId engine, ForwardResult result, long tookMs) {
+    return new CallDecision(
+        DecisionKind.CALL_ATTEMPT,
+        call,
+        List.of(
+            Field.of("engine", engine),
+            Field.of("reason", result.name().toLowerCase(Locale.ROOT)),
+            Field.of("took_ms", tookMs)));
+  }
+
+  /** An engine was silent. */
+  public static CallDecision silent(
+      Subject call, BackendId engine, Silence silence, double retriesLeft) {
+    return new CallDecision(
+        DecisionKind.CALL_SILENT,
+        call,
+        List.of(
+            Field.of("engine", engine),
+            Field.of("reason", silence.name().toLowerCase(Locale.ROOT)),
+            Field.of("retries_left", (long) retriesLeft)));
+  }
+
   /** A call ended with an answer of an engine, or its caller left. */
   public static CallDecision ended(Subject call, Outcome outcome, long tookMs) {
     return new CallDecision(
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -18,6 +18,10 @@
   DRAIN("drain", "instance"),
   /** A call was sent to an engine by its route. */
   CALL_ROUTED("call_routed", "call"),
+  /** An attempt of a forwarded call failed. */
+  CALL_ATTEMPT("call_attempt", "call"),
+  /** An engine was silent, and the attempt was moved or kept. */
+  CALL_SILENT("call_silent", "call"),
   /** A forwarded call ended with an answer, or its caller left. */
   CALL_ENDED("call_ended", "call"),
   /** A forwarded call was refused, failed or broken off. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
@@ -67,6 +67,11 @@
     return runs == 0 || (route.mayRepeat() && runs < route.maxAttempts());
   }
 
+  /** Returns whether the answer, or its first event, will come later than the caller expects. */
+  boolean isLate(long nowMs) {
+    return nowMs > arrivedAtMs + route.targetLatencyMs();
+  }
+
   Call withAttempt(BackendId engine, long nowMs) {
     Attempt attempt = new Attempt(tried.size() + 1, engine, nowMs, false);
     return new Call(
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -6,6 +6,7 @@
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.decision.CallDecision;
+import org.limpetdoor.core.decision.CallDecision.Silence;
 import org.limpetdoor.core.effect.AbandonForward;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.PassAnswer;
@@ -92,17 +93,18 @@
     Attempt attempt = found.get().active().orElseThrow();
     Call call = found.get().withAttemptEnded(ForwardResult.SILENT, false);
     if (!mayRetry(node, call, ForwardResult.SILENT)) {
-      return Transition.of(node);
+      return Transition.of(node, CallSteps.silence(node, call, attempt, Silence.NO_RETRY));
     }
     NodeState noted =
         CallSteps.note(CallSteps.release(node, call, attempt), call, attempt, ForwardResult.SILENT);
     Choice choice = Chooser.choose(noted, call);
     if (choice.verdict() != Verdict.CHOSEN) {
-      return Transition.of(node);
+      return Transition.of(node, CallSteps.silence(node, call, attempt, Silence.NO_OTHER_ENGINE));
     }
     return Transition.<NodeState, Effect>of(
             CallSteps.charge(noted, call, ForwardResult.SILENT),
             new AbandonForward(event.call(), event.attempt()))
+        .with(CallSteps.silence(node, call, attempt, Silence.MOVED))
         .then(next -> CallSteps.send(next, call, choice));
   }
 
@@ -175,7 +177,10 @@
     return serveWaiting(node);
   }
 
-  /** Forwards waiting calls for which an engine has become free, the most urgent first. */
+  /**
+   * Forwards waiting calls for which an engine has become free, the most urgent first. Calls that
+   * are late already come last, so that one crest does not make all that follows it late.
+   */
   static Transition<NodeState, Effect> serveWaiting(NodeState node) {
     Transition<NodeState, Effect> result = Transition.of(node);
     if (node.gateway().waiting().isEmpty()) {
@@ -184,7 +189,9 @@
     List<Call> order =
         node.gateway().waiting().stream()
             .map(node.gateway().calls()::get)
-            .sorted(Comparator.comparingInt(call -> call.route().priority()))
+            .sorted(
+                Comparator.comparing((Call call) -> call.isLate(node.nowMs()))
+                    .thenComparingInt(call -> call.route().priority()))
             .toList();
     for (Call call : order) {
       Choice choice = Chooser.choose(result.state(), call);
@@ -214,6 +221,13 @@
 
   private static Transition<NodeState, Effect> afterFailure(
       NodeState node, Call call, Attempt attempt, ForwardResult result) {
+    return Transition.<NodeState, Effect>of(
+            node, CallSteps.attemptFailed(node, call, attempt, result))
+        .then(next -> goOnAfterFailure(next, call, attempt, result));
+  }
+
+  private static Transition<NodeState, Effect> goOnAfterFailure(
+      NodeState node, Call call, Attempt attempt, ForwardResult result) {
     boolean kept = result == ForwardResult.ERROR_ANSWER;
     if (mayRetry(node, call, result)) {
       Choice choice = Chooser.choose(node, call);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -208,6 +208,22 @@
         .withTimers(node.timers().minus(call.waitTimer()).minus(call.paceTimer()));
   }
 
+  /** Records why an attempt failed. */
+  static RecordDecision attemptFailed(
+      NodeState node, Call call, Attempt attempt, ForwardResult result) {
+    return new RecordDecision(
+        CallDecision.attemptFailed(
+            describe(call), attempt.engine(), result, node.nowMs() - attempt.sentAtMs()));
+  }
+
+  /** Records what was done about a silent engine. */
+  static RecordDecision silence(
+      NodeState node, Call call, Attempt attempt, CallDecision.Silence silence) {
+    double retriesLeft = budget(node, call.service()).available();
+    return new RecordDecision(
+        CallDecision.silent(describe(call), attempt.engine(), silence, retriesLeft));
+  }
+
   private static CallDecision.Subject describe(Call call) {
     return new CallDecision.Subject(
         call.spec().label(),
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -72,7 +72,8 @@
     if (message instanceof DutyDropped dropped) {
       GatewayState state = node.gateway();
       return Transition.of(
-          node.withGateway(state.withDuty(state.duty().rivalLeft(dropped.fencingNumber()))));
+          node.withGateway(
+              state.withDuty(state.duty().rivalLeft(dropped.fencingNumber(), node.nowMs()))));
     }
     return Transition.of(node);
   }
@@ -87,7 +88,7 @@
     return node.withGateway(
         state
             .withPeers(state.peers().minus(peer))
-            .withDuty(state.duty().rivalLeft(known.digest().fencingNumber())));
+            .withDuty(state.duty().rivalLeft(known.digest().fencingNumber(), node.nowMs())));
   }
 
   private static NodeState digestReceived(NodeState node, InstanceId peer, LoadDigest digest) {
@@ -97,10 +98,11 @@
             .withPeers(state.peers().plus(peer, PeerLoad.heard(node, digest)))
             .withPlacement(state.placement().withArrivals(digest.arrivals(), node.nowMs()))
             .withSuspects(state.suspects().withPeerLosses(digest.lostEngines(), node.nowMs()));
-    GatewayState rivalled =
+    Duty duty =
         digest.fencingNumber() > 0
-            ? noted.withDuty(state.duty().rivalHeard(peer, digest.fencingNumber(), node.nowMs()))
-            : noted;
+            ? state.duty().rivalHeard(peer, digest.fencingNumber(), node.nowMs())
+            : state.duty().rivalSilent(peer, node.nowMs());
+    GatewayState rivalled = noted.withDuty(duty);
     boolean known = state.peers().containsKey(peer);
     NodeState next = node.withGateway(rivalled);
     return known ? next : Budgets.resize(next);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
@@ -72,12 +72,12 @@
 
   /** Returns whether this instance may give orders now. */
   boolean acts(long nowMs) {
-    return held && nowMs < validUntilMs && nowMs >= actsFromMs;
+    return held && !outbid() && nowMs < validUntilMs && nowMs >= actsFromMs;
   }
 
   /** Returns whether the duty was held when the store ceased to answer. */
   boolean maySurvive(long nowMs) {
-    return held && nowMs >= actsFromMs;
+    return held && !outbid() && nowMs >= actsFromMs;
   }
 
   /** Follows the store. */
@@ -88,7 +88,7 @@
     boolean begins = word.held() && (!held || nowMs >= validUntilMs);
     return new Duty(
         word.generation(),
-        word.generation() == generation ? handovers : 0,
+        handoversIn(word),
         word.held(),
         begins ? nowMs : heldSinceMs,
         word.held() ? word.requestedAtMs() + TTL_MS - MARGIN_MS : 0,
@@ -97,6 +97,18 @@
         rival);
   }
 
+  /**
+   * Returns the handovers of the generation that the store told. If the duty was handed on while
+   * the store was away, and the store then deals it to the same member again, its generation is the
+   * old one, and engines know a higher fencing number.
+   */
+  private int handoversIn(DutyAnswered word) {
+    int own = word.generation() == generation ? handovers : 0;
+    boolean handedOn = rival.fencingNumber() / FENCES == word.generation();
+    int heard = handedOn ? (int) (rival.fencingNumber() % FENCES) : -1;
+    return word.held() && heard >= own ? heard + 1 : own;
+  }
+
   /**
    * Returns when a new holder may give its first order. Two holders may not take turns within a
    * lease, so it waits, unless the one before it is known and silent: it has failed or lost the
@@ -161,10 +173,36 @@
     return newer ? withRival(new Rival(Optional.of(peer), fencingNumber, nowMs)) : this;
   }
 
-  /** Notes that a peer gives no orders any more; its last ones do not matter then. */
-  Duty rivalLeft(long fencingNumber) {
-    boolean last = fencingNumber > 0 && fencingNumber == rival.fencingNumber();
-    return last ? withRival(new Rival(rival.peer(), fencingNumber, LONG_AGO_MS)) : this;
+  /**
+   * Notes that a peer gives no orders any more; its last ones do not matter then, and an instance
+   * that holds the duty need not wait for them.
+   */
+  Duty rivalLeft(long fencingNumber, long nowMs) {
+    if (fencingNumber == 0 || fencingNumber != rival.fencingNumber()) {
+      return this;
+    }
+    Rival left = new Rival(rival.peer(), fencingNumber, LONG_AGO_MS);
+    long firstOrderMs = Math.min(actsFromMs, nowMs);
+    return new Duty(
+        generation,
+        handovers,
+        held,
+        heldSinceMs,
+        validUntilMs,
+        held ? firstOrderMs : actsFromMs,
+        nextJoinAtMs,
+        left);
+  }
+
+  /** Follows a digest of the peer that gave orders last and that gives none now. */
+  Duty rivalSilent(InstanceId peer, long nowMs) {
+    boolean same = rival.peer().filter(peer::equals).isPresent();
+    return same ? rivalLeft(rival.fencingNumber(), nowMs) : this;
+  }
+
+  /** Returns whether a peer has given orders with a higher fencing number. */
+  boolean outbid() {
+    return rival.fencingNumber() > fencingNumber();
   }
 
   /** Returns whether the duty was held and lapsed, because the store did not answer. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
@@ -16,6 +16,9 @@
 
 /** Reduces who holds the placement duty. */
 public final class DutyEvents {
+  /** Instances that join the group of the duty; more than the largest deployment of today has. */
+  private static final int CANDIDATES = 10;
+
   private DutyEvents() {}
 
   /** Notes whether the store dealt the duty to this instance. */
@@ -120,11 +123,25 @@
 
   private static Transition<NodeState, Effect> join(NodeState node) {
     GatewayState state = node.gateway();
-    if (node.draining() || node.nowMs() < state.duty().nextJoinAtMs()) {
+    boolean due = node.nowMs() >= state.duty().nextJoinAtMs();
+    if (node.draining() || !due || !isCandidate(node)) {
       return Transition.of(node);
     }
     return Transition.of(
         node.withGateway(state.withDuty(state.duty().joining(node.nowMs()))),
         new JoinDuty(state.duty().generation(), Duty.TTL_MS));
   }
+
+  /**
+   * Returns whether this instance should hold the duty or be ready to. In a large fleet the first
+   * ones by name are enough, and the others spare the store their calls.
+   */
+  private static boolean isCandidate(NodeState node) {
+    long before =
+        node.gateway().peers().entrySet().stream()
+            .filter(peer -> peer.getValue().usable(node.nowMs()))
+            .filter(peer -> peer.getKey().compareTo(node.self().id()) < 0)
+            .count();
+    return node.gateway().duty().held() || before < CANDIDATES;
+  }
 }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -6,11 +6,13 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.decision.DecisionKind;
 import org.limpetdoor.core.effect.AbandonForward;
 import org.limpetdoor.core.effect.BreakOffCall;
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.effect.GatewayEffect;
 import org.limpetdoor.core.effect.PassAnswer;
+import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.effect.ReplyToCall;
 import org.limpetdoor.core.effect.SendToPeer;
 import org.limpetdoor.core.event.CallAbandoned;
@@ -384,6 +386,42 @@
     assertThat(part * fleet.size()).isAtMost(GatewayWorld.SETTINGS.retrySlack());
   }
 
+  /** Guards against a call that stays at a silent engine without a line that says why. */
+  @Test
+  void recordsWhyASilentAttemptIsKept() {
+    twoPlainEngines();
+    long id = world.call("/once/x", Optional.empty(), 1_000);
+
+    world.reduce(new ForwardSilent(world.nowMs(), id, 1));
+
+    List<String> lines =
+        world.take(RecordDecision.class).stream()
+            .map(effect -> effect.decision())
+            .filter(decision -> decision.kind() == DecisionKind.CALL_SILENT)
+            .map(decision -> decision.fields().toString())
+            .toList();
+    assertThat(lines).hasSize(1);
+    assertThat(lines.get(0)).contains("no_retry");
+  }
+
+  /** Guards against a crest that makes all calls late that come after it. */
+  @Test
+  void sendsCallsThatAreStillInTimeFirst() {
+    twoPlainEngines();
+    long[] running = new long[16];
+    for (int i = 0; i < running.length; i++) {
+      running[i] = world.call("/once/x", Optional.empty(), 2_000);
+    }
+    world.call("/once/x", Optional.empty(), 2_000);
+    world.advance(300);
+    long inTime = world.call("/once/x", Optional.empty(), 2_000);
+    world.take(ForwardCall.class);
+
+    world.ends(running[0], 1, ForwardResult.COMPLETED);
+
+    assertThat(world.take(ForwardCall.class).get(0).call()).isEqualTo(inTime);
+  }
+
   /**
    * Guards against prompts that are sent to an engine that a neighbour slows: they make all its
    * streams late, while another engine that is busier could read them in time.
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/DutyTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/DutyTest.java
@@ -82,7 +82,7 @@
     Duty duty =
         Duty.NONE
             .rivalHeard(PEER, FENCE, 10_000)
-            .rivalLeft(FENCE)
+            .rivalLeft(FENCE, 10_050)
             .answered(new DutyAnswered(10_100, 10_090, 5, true), 10_100, FENCED, false);
 
     assertThat(duty.acts(10_100)).isTrue();
@@ -116,4 +116,46 @@
     assertThat(duty.answered(new DutyAnswered(10_100, 10_090, 4, true), 10_100, FENCED, false))
         .isEqualTo(duty);
   }
+
+  /**
+   * Guards against orders with a fencing number that engines have seen exceeded: the duty was
+   * handed on while the store was away, and the store then deals its old generation again.
+   */
+  @Test
+  void exceedsTheNumbersOfAHandover() {
+    Duty duty =
+        Duty.NONE
+            .rivalHeard(PEER, FENCE + 2, 10_000)
+            .answered(new DutyAnswered(12_500, 12_490, 4, true), 12_500, FENCED, true);
+    Duty kept = duty.answered(new DutyAnswered(12_900, 12_890, 4, true), 12_900, FENCED, true);
+
+    assertThat(duty.fencingNumber()).isEqualTo(FENCE + 3);
+    assertThat(kept.fencingNumber()).isEqualTo(FENCE + 3);
+  }
+
+  /**
+   * Guards against a wait for a holder that says, after the duty was dealt anew, that it stopped.
+   */
+  @Test
+  void actsAsSoonAsTheHolderBeforeSaysThatItStopped() {
+    Duty waiting =
+        Duty.NONE
+            .rivalHeard(PEER, FENCE, 10_000)
+            .answered(new DutyAnswered(10_600, 10_590, 5, true), 10_600, FENCED, false);
+
+    assertThat(waiting.acts(10_900)).isFalse();
+    assertThat(waiting.rivalSilent(PEER, 10_900).acts(10_910)).isTrue();
+  }
+
+  /** Guards against a holder that resumes orders while its successor gives them. */
+  @Test
+  void givesNoOrdersBesideAHolderWithAHigherNumber() {
+    Duty duty =
+        Duty.NONE
+            .answered(new DutyAnswered(10_000, 9_990, 4, true), 10_000, FENCED, false)
+            .rivalHeard(PEER, FENCE + 64, 10_500);
+
+    assertThat(duty.acts(10_600)).isFalse();
+    assertThat(duty.maySurvive(20_000)).isFalse();
+  }
 }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
@@ -8,6 +8,7 @@
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.effect.GiveEngineOrder;
 import org.limpetdoor.core.effect.InspectEngine;
+import org.limpetdoor.core.effect.JoinDuty;
 import org.limpetdoor.core.effect.SendToPeer;
 import org.limpetdoor.core.event.DrainRequested;
 import org.limpetdoor.core.event.DutyAnswered;
@@ -256,6 +257,19 @@
     assertThat(world.take(GiveEngineOrder.class)).isNotEmpty();
   }
 
+  /** Guards against calls to the store that grow with the fleet. */
+  @Test
+  void leavesTheDutyToTheFirstInstancesOfALargeFleet() {
+    for (int i = 0; i < 12; i++) {
+      world.peerDigest("a-node-" + i, true, 0);
+    }
+    world.take(JoinDuty.class);
+
+    world.advance(900);
+
+    assertThat(world.take(JoinDuty.class)).isEmpty();
+  }
+
   /**
    * Guards against a pause of placement after the holder is stopped while the store is away and
    * cannot deal the duty to another instance.
