Ask busy engines again, and leave the group after an engine refused the holder

Such an engine is now asked again after 100 ms, within the retry budget, and a holder that engines refuse leaves the group, which raises the generation.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Chooser.java
@@ -106,7 +106,7 @@
         continue;
       }
       held = true;
-      if (!call.tried().contains(engine.entry().id())) {
+      if (mayTry(node, call, engine)) {
         usable.add(engine);
       }
     }
@@ -117,11 +117,19 @@
       return new Choice(Verdict.NOT_HELD, Optional.empty(), 0);
     }
     if (usable.isEmpty()) {
-      return new Choice(Verdict.NO_ENGINE, Optional.empty(), 0);
+      Verdict verdict = call.mayHaveRun() ? Verdict.NO_ENGINE : Verdict.FULL;
+      return new Choice(verdict, Optional.empty(), 0);
     }
     return best(node, call, usable);
   }
 
+  /** An engine that refused a call without running it may be asked again after a while. */
+  private static boolean mayTry(NodeState node, Call call, EngineState engine) {
+    boolean tried = call.tried().contains(engine.entry().id());
+    boolean recovered = engine.health().avoidUntilMs() <= node.nowMs();
+    return !tried || (!call.mayHaveRun() && recovered);
+  }
+
   private static Choice best(NodeState node, Call call, List<EngineState> usable) {
     long nowMs = node.nowMs();
     List<EngineState> trusted =
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
@@ -7,6 +7,7 @@
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.decision.EngineOrderDecision;
 import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.LeaveDuty;
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.event.EngineInspected;
 import org.limpetdoor.core.event.EngineOrderEnded;
@@ -48,17 +49,22 @@
       case CONFLICT, REFUSED, UNKNOWN ->
           noted.then(
               next -> Transition.of(withSlot(next, order.engine(), slot.unverified(next.nowMs()))));
-      case FENCED ->
-          noted.then(
-              next ->
-                  Transition.of(
-                      next.withGateway(
-                          next.gateway()
-                              .withDuty(next.gateway().duty().released())
-                              .withPlacement(next.gateway().placement().unverified()))));
+      case FENCED -> noted.then(EngineOrders::fenced);
     };
   }
 
+  /**
+   * Gives the duty back after an engine has seen a higher fencing number. Leaving the group raises
+   * its generation, so that whoever is dealt the duty next has a number that engines take.
+   */
+  private static Transition<NodeState, Effect> fenced(NodeState node) {
+    GatewayState state = node.gateway();
+    return Transition.of(
+        node.withGateway(
+            state.withDuty(state.duty().released()).withPlacement(state.placement().unverified())),
+        new LeaveDuty());
+  }
+
   /** Notes what an engine holds. */
   public static Transition<NodeState, Effect> inspected(NodeState node, EngineInspected event) {
     GatewayState state = node.gateway();
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -386,6 +386,30 @@
     assertThat(part * fleet.size()).isAtMost(GatewayWorld.SETTINGS.retrySlack());
   }
 
+  /**
+   * Guards against a call that is refused at once, because the only engine that holds its model was
+   * busy for a moment.
+   */
+  @Test
+  void asksABusyEngineAgain() {
+    world.routes(1, GatewayWorld.modelRoute("/chat/"));
+    ModelKey model = ModelKey.of("m1");
+    world.engines(GatewayWorld.entry("e1", "llm", 1, 0, model));
+    for (int i = 0; i < 10; i++) {
+      world.ends(world.call("/chat/x", Optional.of(model), 9_000), 1, ForwardResult.COMPLETED);
+    }
+    long other = world.call("/chat/x", Optional.of(model), 9_000);
+    long id = world.call("/chat/x", Optional.of(model), 9_000);
+    world.take(ForwardCall.class);
+
+    world.ends(id, 1, ForwardResult.BUSY);
+    assertThat(world.take(ReplyToCall.class)).isEmpty();
+    world.advance(150);
+    world.ends(other, 1, ForwardResult.COMPLETED);
+
+    assertThat(world.take(ForwardCall.class).get(0).call()).isEqualTo(id);
+  }
+
   /** Guards against a call that stays at a silent engine without a line that says why. */
   @Test
   void recordsWhyASilentAttemptIsKept() {
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
@@ -9,6 +9,7 @@
 import org.limpetdoor.core.effect.GiveEngineOrder;
 import org.limpetdoor.core.effect.InspectEngine;
 import org.limpetdoor.core.effect.JoinDuty;
+import org.limpetdoor.core.effect.LeaveDuty;
 import org.limpetdoor.core.effect.SendToPeer;
 import org.limpetdoor.core.event.DrainRequested;
 import org.limpetdoor.core.event.DutyAnswered;
@@ -170,6 +171,26 @@
     assertThat(world.take(GiveEngineOrder.class)).isEmpty();
   }
 
+  /**
+   * Guards against a store that deals the same generation again, whose number engines refuse for
+   * ever.
+   */
+  @Test
+  void leavesTheGroupAfterAnEngineSawAHigherNumber() {
+    oneEngine(M1, M2);
+    world.call("/m/x", Optional.of(adapter(1)), 10_000);
+    GiveEngineOrder given = world.take(GiveEngineOrder.class).get(0);
+
+    world.reduce(
+        new EngineOrderEnded(
+            world.nowMs(),
+            given.order().engine(),
+            given.order().number(),
+            EngineOrderResult.FENCED));
+
+    assertThat(world.take(LeaveDuty.class)).hasSize(1);
+  }
+
   /** Guards against several replicas that make way for the same model. */
   @Test
   void makesRoomOnceForAWantedModel() {
