--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -231,13 +231,13 @@
     boolean kept = result == ForwardResult.ERROR_ANSWER;
     if (mayRetry(node, call, result)) {
       Choice choice = Chooser.choose(node, call);
-      Call patient = call.delivered() ? call.withWaitsUntilMs(node.nowMs() + RESUME_WAIT_MS) : call;
-      boolean canWait = !kept && node.nowMs() < patient.waitsUntilMs();
+      Call waiting = call.delivered() ? call.withWaitsUntilMs(node.nowMs() + RESUME_WAIT_MS) : call;
+      boolean canWait = !kept && node.nowMs() < waiting.waitsUntilMs();
       if (choice.verdict() == Verdict.CHOSEN) {
         return CallSteps.send(CallSteps.charge(node, call, result), call, choice);
       }
       if (canWait && choice.verdict() != Verdict.NO_ENGINE) {
-        return CallSteps.await(CallSteps.charge(node, patient, result), patient, choice.verdict());
+        return CallSteps.await(CallSteps.charge(node, waiting, result), waiting, choice.verdict());
       }
     }
     if (kept) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -101,7 +101,7 @@
     Duty duty =
         digest.fencingNumber() > 0
             ? state.duty().rivalHeard(peer, digest.fencingNumber(), node.nowMs())
-            : state.duty().rivalSilent(peer, node.nowMs());
+            : state.duty().rivalCeased(peer, node.nowMs());
     GatewayState rivalled = noted.withDuty(duty);
     boolean known = state.peers().containsKey(peer);
     NodeState next = node.withGateway(rivalled);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
@@ -45,7 +45,7 @@
   private static final long MAX_GENERATIONS_MISSED = 4;
 
   /** Fencing numbers of one generation: one for its holder, and one for each handover. */
-  private static final int FENCES = 64;
+  private static final int NUMBERS_PER_GENERATION = 64;
 
   /** The monotonic clock of a process starts at zero. */
   private static final long PROCESS_START_MS = 0;
@@ -72,12 +72,12 @@
 
   /** Returns whether this instance may give orders now. */
   boolean acts(long nowMs) {
-    return held && !outbid() && nowMs < validUntilMs && nowMs >= actsFromMs;
+    return held && !superseded() && nowMs < validUntilMs && nowMs >= actsFromMs;
   }
 
   /** Returns whether the duty was held when the store ceased to answer. */
   boolean maySurvive(long nowMs) {
-    return held && !outbid() && nowMs >= actsFromMs;
+    return held && !superseded() && nowMs >= actsFromMs;
   }
 
   /** Follows the store. */
@@ -104,8 +104,8 @@
    */
   private int handoversIn(DutyAnswered word) {
     int own = word.generation() == generation ? handovers : 0;
-    boolean handedOn = rival.fencingNumber() / FENCES == word.generation();
-    int heard = handedOn ? (int) (rival.fencingNumber() % FENCES) : -1;
+    boolean handedOn = rival.fencingNumber() / NUMBERS_PER_GENERATION == word.generation();
+    int heard = handedOn ? (int) (rival.fencingNumber() % NUMBERS_PER_GENERATION) : -1;
     return word.held() && heard >= own ? heard + 1 : own;
   }
 
@@ -121,7 +121,8 @@
     if (rival.fencingNumber() == 0) {
       return settings.fencingEnforced() ? nowMs : PROCESS_START_MS + waitMs;
     }
-    if (word.generation() > rival.fencingNumber() / FENCES + MAX_GENERATIONS_MISSED) {
+    if (word.generation()
+        > rival.fencingNumber() / NUMBERS_PER_GENERATION + MAX_GENERATIONS_MISSED) {
       return nowMs + waitMs;
     }
     return rivalSilent ? nowMs : rival.heardAtMs() + waitMs;
@@ -141,19 +142,19 @@
 
   /** Returns the fencing number of orders; it rises with each change of the holder. */
   long fencingNumber() {
-    return generation * FENCES + handovers;
+    return generation * NUMBERS_PER_GENERATION + handovers;
   }
 
   /** Returns whether the duty may be handed to a peer while the store is away. */
   boolean mayBeHandedOn() {
-    return handovers + 1 < FENCES;
+    return handovers + 1 < NUMBERS_PER_GENERATION;
   }
 
   /** Takes over the duty from a holder that shuts down while the store is away. */
   Duty handed(long fencingNumber, long nowMs) {
     return new Duty(
-        fencingNumber / FENCES,
-        (int) (fencingNumber % FENCES),
+        fencingNumber / NUMBERS_PER_GENERATION,
+        (int) (fencingNumber % NUMBERS_PER_GENERATION),
         true,
         nowMs,
         nowMs,
@@ -195,13 +196,13 @@
   }
 
   /** Follows a digest of the peer that gave orders last and that gives none now. */
-  Duty rivalSilent(InstanceId peer, long nowMs) {
+  Duty rivalCeased(InstanceId peer, long nowMs) {
     boolean same = rival.peer().filter(peer::equals).isPresent();
     return same ? rivalLeft(rival.fencingNumber(), nowMs) : this;
   }
 
   /** Returns whether a peer has given orders with a higher fencing number. */
-  boolean outbid() {
+  boolean superseded() {
     return rival.fencingNumber() > fencingNumber();
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
@@ -83,12 +83,13 @@
    */
   static Transition<NodeState, Effect> handOn(NodeState node) {
     GatewayState state = node.gateway();
-    Optional<InstanceId> heir = acts(node) && storeIsAway(node) ? heir(node) : Optional.empty();
-    if (heir.isEmpty() || !state.duty().mayBeHandedOn()) {
+    Optional<InstanceId> successor =
+        acts(node) && storeIsAway(node) ? successor(node) : Optional.empty();
+    if (successor.isEmpty() || !state.duty().mayBeHandedOn()) {
       return Transition.of(node);
     }
     DutyHanded message = new DutyHanded(state.duty().fencingNumber() + 1);
-    return Transition.of(node, new SendToPeer(heir.get(), message));
+    return Transition.of(node, new SendToPeer(successor.get(), message));
   }
 
   /**
@@ -109,7 +110,7 @@
   }
 
   /** Returns the first peer that is heard and does not leave. */
-  private static Optional<InstanceId> heir(NodeState node) {
+  private static Optional<InstanceId> successor(NodeState node) {
     return node.gateway().peers().keySet().stream()
         .filter(peer -> node.gateway().heard(peer, node.nowMs()))
         .filter(peer -> !node.membership().leaving().contains(peer))
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/DutyTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/DutyTest.java
@@ -144,7 +144,7 @@
             .answered(new DutyAnswered(10_600, 10_590, 5, true), 10_600, FENCED, false);
 
     assertThat(waiting.acts(10_900)).isFalse();
-    assertThat(waiting.rivalSilent(PEER, 10_900).acts(10_910)).isTrue();
+    assertThat(waiting.rivalCeased(PEER, 10_900).acts(10_910)).isTrue();
   }
 
   /** Guards against a holder that resumes orders while its successor gives them. */
--- /dev/null
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/PaceMeterTest.java
@@ -0,0 +1,70 @@
+package org.limpetdoor.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.event.EnginePaceChanged;
+import org.limpetdoor.core.id.BackendId;
+
+class PaceMeterTest {
+  private static final BackendId ENGINE = new BackendId("e1");
+
+  private final List<Long> reported = new ArrayList<>();
+  private final PaceMeter meter =
+      new PaceMeter(event -> reported.add(((EnginePaceChanged) event.apply(0L)).gapMs()));
+  private long nowMs;
+
+  private void gap(long gapMs) {
+    nowMs += gapMs;
+    meter.measured(ENGINE, gapMs, TimeUnit.MILLISECONDS.toNanos(nowMs));
+  }
+
+  /** Guards against an event of the reducer for each event of each stream. */
+  @Test
+  void reportsMarkedChangesOnly() {
+    gap(30);
+    gap(34);
+    gap(41);
+    gap(75);
+    gap(80);
+    gap(31);
+
+    assertThat(reported).containsExactly(30L, 75L, 31L).inOrder();
+  }
+
+  /**
+   * Guards against an engine that counts as fast, because events were held up and came together.
+   */
+  @Test
+  void ignoresEventsThatArriveTogether() {
+    gap(70);
+    gap(1);
+    gap(0);
+
+    assertThat(reported).containsExactly(70L);
+  }
+
+  /** Guards against an observation that becomes old while the pace stays the same. */
+  @Test
+  void repeatsAPaceThatLasts() {
+    for (int i = 0; i < 12; i++) {
+      gap(75);
+    }
+
+    assertThat(reported).hasSize(2);
+  }
+
+  /** Guards against a table that grows with all engines that ever had a stream. */
+  @Test
+  void forgetsEnginesWithoutStreams() {
+    gap(30);
+
+    meter.forgetOlderThan(TimeUnit.MILLISECONDS.toNanos(nowMs + 1));
+    gap(30);
+
+    assertThat(reported).hasSize(2);
+  }
+}
