--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -42,9 +42,9 @@
 import org.limpetdoor.core.gateway.CallEvents;
 import org.limpetdoor.core.gateway.DutyEvents;
 import org.limpetdoor.core.gateway.EngineOrders;
+import org.limpetdoor.core.gateway.FactsEvents;
 import org.limpetdoor.core.gateway.GatewayTick;
 import org.limpetdoor.core.gateway.StoreEvents;
-import org.limpetdoor.core.membership.MembershipEvents;
 import org.limpetdoor.core.membership.PeerEvents;
 import org.limpetdoor.core.placement.DemandEvents;
 import org.limpetdoor.core.placement.OrderEvents;
@@ -77,7 +77,7 @@
   /** {@link AppendFailed}. */
   APPEND_FAILED(AppendFailed.class, OutboxEvents::failed),
   /** {@link InstancesListed}. */
-  INSTANCES_LISTED(InstancesListed.class, MembershipEvents::listed),
+  INSTANCES_LISTED(InstancesListed.class, FactsEvents::instancesListed),
   /** {@link PeerLinkUp}. */
   PEER_LINK_UP(PeerLinkUp.class, PeerEvents::linkUp),
   /** {@link PeerLinkDown}. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -34,6 +34,8 @@
   ENGINE("engine", "engine"),
   /** The placement duty was granted to this instance or ended. */
   DUTY("duty", "duty"),
+  /** A gateway became a hub or a spoke, or chose another hub. */
+  FLEET_ROLE("fleet_role", "role"),
   /** An order to an engine was sent or ended. */
   ENGINE_ORDER("engine_order", "engine"),
   /** The instance has stopped reading the log and must be replaced by a later version. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/GatewayDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/GatewayDecision.java
@@ -2,9 +2,12 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import org.limpetdoor.core.event.RoutesRead;
 import org.limpetdoor.core.gateway.EngineEntry;
 import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.membership.FleetRole;
 
 /**
  * A change of the configuration, dependencies, engines or placement duty of an instance that
@@ -67,4 +70,12 @@
             Field.of("state", held ? "held" : "released"),
             Field.of("fencing_number", fencingNumber)));
   }
+
+  /** Returns the decision that records the role of this instance, and the hub of a spoke. */
+  public static GatewayDecision fleetRole(FleetRole role, Optional<InstanceId> hub) {
+    return new GatewayDecision(
+        DecisionKind.FLEET_ROLE,
+        role.name().toLowerCase(Locale.ROOT),
+        List.of(Field.of("hub", hub.map(InstanceId::value).orElse("none"))));
+  }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/ForwardCall.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/ForwardCall.java
@@ -10,6 +10,8 @@
  * @param engine intended engine; a different engine at the same address refuses the call
  * @param address address as {@code ip:port}
  * @param timeLeftMs time until the response must be complete, in milliseconds
+ * @param deadlineAtMs time at which the caller leaves, in monotonic milliseconds; nothing is sent
+ *     from then on
  * @param priority priority at the engine, at least 0; 0 is the most urgent
  * @param streamed whether the response is relayed event by event
  * @param atMostOnce whether the call must not use a pooled connection that the engine may be
@@ -23,12 +25,29 @@
     BackendId engine,
     String address,
     long timeLeftMs,
+    long deadlineAtMs,
     int priority,
     boolean streamed,
     boolean atMostOnce,
     long firstByteTimeoutMs,
     long gapTimeoutMs)
     implements GatewayEffect {
+  /** Returns a copy with the time that is left at a later time, in monotonic milliseconds. */
+  public ForwardCall at(long nowMs) {
+    return new ForwardCall(
+        call,
+        attempt,
+        engine,
+        address,
+        deadlineAtMs - nowMs,
+        deadlineAtMs,
+        priority,
+        streamed,
+        atMostOnce,
+        firstByteTimeoutMs,
+        gapTimeoutMs);
+  }
+
   @Override
   public void applyTo(GatewayEffectHandler handler) {
     handler.forwardCall(this);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/GatewayEffect.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/GatewayEffect.java
@@ -3,6 +3,7 @@
 /** An effect that concerns forwarded calls, their engines or the placement duty. */
 public sealed interface GatewayEffect extends Effect
     permits CancelForward,
+        FollowStore,
         AbortCall,
         ForwardCall,
         SendEngineOrder,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/GatewayEffectHandler.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/GatewayEffectHandler.java
@@ -37,4 +37,7 @@
 
   /** Applies the limits of callers from now on. */
   void applyCallerLimits(ApplyCallerLimits effect);
+
+  /** Starts or stops following the topics of the store. */
+  void followStore(FollowStore effect);
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -1,8 +1,10 @@
 package org.limpetdoor.core.gateway;
 
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.decision.CallDecision;
@@ -52,7 +54,10 @@
     if (found.isEmpty()) {
       return CallSteps.refuseOnArrival(node, spec, Reply.NO_ROUTE);
     }
-    Call call = createCall(spec, found.get(), node.nowMs());
+    Call call = createCall(spec, found.get(), Math.min(node.nowMs(), event.receivedAtMs()));
+    if (node.nowMs() >= call.deadlineMs()) {
+      return CallSteps.refuseOnArrival(node, spec, Reply.EXPIRED_UNSENT);
+    }
     if (state.crashRecords().isBanned(spec.fingerprint())) {
       return CallSteps.refuseOnArrival(node, spec, Reply.CRASH_SUSPECT);
     }
@@ -205,23 +210,44 @@
                 Comparator.comparing((Call call) -> call.isLate(node.nowMs()))
                     .thenComparingInt(call -> call.route().priority()))
             .toList();
+    Set<Target> unavailable = new HashSet<>();
     for (Call call : ordered) {
+      Target target = new Target(call.service(), call.spec().model());
+      if (unavailable.contains(target)) {
+        continue;
+      }
       Choice choice = EngineSelector.choose(result.state(), call);
       if (choice.verdict() == Verdict.CHOSEN) {
         result = result.then(next -> CallSteps.send(CallSteps.dequeue(next, call), call, choice));
+      } else if (choice.verdict() != Verdict.PROMPT_HELD_BACK && call.triedEngines().isEmpty()) {
+        unavailable.add(target);
       }
     }
     return result;
   }
 
-  private static Call createCall(CallSpec spec, Route route, long nowMs) {
+  /**
+   * What decides which engines a call may use that was not sent to any yet. If none of them is
+   * available for one such call, none is for the others.
+   *
+   * @param service service of the call
+   * @param model model or adapter, if the service has models
+   */
+  private record Target(String service, Optional<ModelKey> model) {}
+
+  private static Call createCall(CallSpec spec, Route route, long receivedAtMs) {
     long routeTimeoutMs = route.timeoutMs();
     long timeLeftMs =
         Math.min(routeTimeoutMs, spec.timeLeftMs().map(Long::valueOf).orElse(routeTimeoutMs));
     long waitMs = Math.min(timeLeftMs / 2, Math.max(route.targetLatencyMs(), MIN_WAIT_MS));
     long hash = Rendezvous.weight(spec.fingerprint(), spec.id());
     return Call.arrived(
-        spec, route, route.serviceFor(hash), nowMs, nowMs + timeLeftMs, nowMs + waitMs);
+        spec,
+        route,
+        route.serviceFor(hash),
+        receivedAtMs,
+        receivedAtMs + timeLeftMs,
+        receivedAtMs + waitMs);
   }
 
   private static Transition<NodeState, Effect> forwardOrWait(NodeState node, Call call) {
@@ -260,12 +286,12 @@
       return Transition.<NodeState, Effect>of(node, new RelayErrorResponse(id, attempt.number()))
           .then(next -> CallSteps.finish(next, call, CallDecision.Outcome.ENGINE_ERROR));
     }
-    boolean notRun = !call.mayHaveRun();
-    return CallSteps.fail(
-        node,
-        call,
-        notRun ? Reply.NO_ENGINE : Reply.OUTCOME_UNKNOWN,
-        notRun ? CallSteps.RETRY_AFTER_FULL_MS : 0);
+    if (call.mayHaveRun()) {
+      return CallSteps.fail(node, call, Reply.OUTCOME_UNKNOWN, 0);
+    }
+    return result == ForwardResult.DEADLINE_PASSED
+        ? CallSteps.fail(node, call, Reply.EXPIRED_UNSENT, 0)
+        : CallSteps.fail(node, call, Reply.NO_ENGINE, CallSteps.RETRY_AFTER_FULL_MS);
   }
 
   private static boolean mayRetry(NodeState node, Call call, ForwardResult result) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -39,7 +39,7 @@
     }
     GatewayState state = node.gateway().withCall(call);
     NodeState waiting =
-        node.withGateway(state.withWaiting(state.waiting().plus(call.spec().id())))
+        node.withGateway(state.withCallTable(state.callTable().withWaiting(call.spec().id())))
             .withTimers(node.timers().plus(call.waitTimer()).plus(call.promptPacingTimer()));
     return verdict == Verdict.MODEL_NOT_LOADED
         ? ModelRequests.request(waiting, call.service(), call.spec().model().orElseThrow())
@@ -159,7 +159,8 @@
         state
             .engines()
             .update(attempt.engine(), engine -> withResult(node, engine, call, attempt, result));
-    CrashRecords crashRecords = updateCrashRecords(node, call.spec().fingerprint(), result);
+    CrashRecords crashRecords =
+        updateCrashRecords(node, call.spec().fingerprint(), attempt, result);
     return node.withGateway(state.withEngines(engines).withCrashRecords(crashRecords));
   }
 
@@ -168,15 +169,27 @@
    * earlier losses are cleared.
    */
   private static CrashRecords updateCrashRecords(
-      NodeState node, long fingerprint, ForwardResult result) {
+      NodeState node, long fingerprint, Attempt attempt, ForwardResult result) {
     CrashRecords crashRecords = node.gateway().crashRecords();
     return switch (result) {
-      case CONNECTION_LOST -> crashRecords.withLocalLoss(fingerprint, node.nowMs());
+      case CONNECTION_LOST ->
+          crashRecords.withLoss(fingerprint, engineStart(node, attempt), node.nowMs());
       case COMPLETED, ERROR_ANSWER -> crashRecords.withoutLosses(fingerprint);
       default -> crashRecords;
     };
   }
 
+  /** Returns a text that identifies one start of the engine of an attempt. */
+  private static String engineStart(NodeState node, Attempt attempt) {
+    long startedAtMs =
+        node.gateway()
+            .engines()
+            .find(attempt.engine())
+            .map(engine -> engine.entry().startedAtMs())
+            .orElse(0L);
+    return attempt.engine() + "@" + startedAtMs;
+  }
+
   private static EngineState withResult(
       NodeState node, EngineState engine, Call call, Attempt attempt, ForwardResult result) {
     if (result == ForwardResult.COMPLETED) {
@@ -224,7 +237,7 @@
   /** Removes a call from the waiting calls. */
   static NodeState dequeue(NodeState node, Call call) {
     GatewayState state = node.gateway();
-    return node.withGateway(state.withWaiting(state.waiting().minus(call.spec().id())))
+    return node.withGateway(state.withCallTable(state.callTable().withoutWaiting(call.spec().id())))
         .withTimers(node.timers().minus(call.waitTimer()).minus(call.promptPacingTimer()));
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
@@ -1,17 +1,21 @@
 package org.limpetdoor.core.gateway;
 
+import java.util.Map;
 import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
+import org.pcollections.PSet;
 
 /**
- * Counts the connections lost while engines ran a request, so that a request that crashes engines
- * is refused after a few attempts. Requests are identified by fingerprint, because callers may send
- * them again to any instance.
+ * The engines that were lost while they ran a request, so that a request that crashes engines is
+ * refused after a few attempts. Requests are identified by fingerprint, because callers may send
+ * them again to any instance. Each loss names the engine and its start, so that a loss that is
+ * reported on several ways counts once.
  *
  * @param losses losses by fingerprint, including those reported by peers
- * @param unreported numbers of local losses not yet reported to peers, by fingerprint
+ * @param unreported losses not yet reported to peers, by fingerprint
  */
-record CrashRecords(PMap<Long, EngineLosses> losses, PMap<Long, Integer> unreported) {
+record CrashRecords(PMap<Long, EngineLosses> losses, PMap<Long, PSet<String>> unreported) {
   static final CrashRecords EMPTY = new CrashRecords(HashTreePMap.empty(), HashTreePMap.empty());
 
   /**
@@ -28,21 +32,30 @@
   /**
    * Losses attributed to one request.
    *
-   * @param count number of losses
+   * @param engineStarts starts of engines that were lost
    * @param lastAtMs time of the last loss, in monotonic milliseconds
    */
-  record EngineLosses(int count, long lastAtMs) {}
+  record EngineLosses(PSet<String> engineStarts, long lastAtMs) {}
 
   boolean isBanned(long fingerprint) {
     EngineLosses recorded = losses.get(fingerprint);
-    return recorded != null && recorded.count() >= MAX_LOSSES;
+    return recorded != null && recorded.engineStarts().size() >= MAX_LOSSES;
   }
 
-  /** Records that this instance lost the connection to an engine that was running the request. */
-  CrashRecords withLocalLoss(long fingerprint, long nowMs) {
+  /**
+   * Records that the connection to an engine was lost while it ran the request. A loss that is not
+   * known yet is reported to the peers.
+   */
+  CrashRecords withLoss(long fingerprint, String engineStart, long nowMs) {
+    EngineLosses current =
+        losses.getOrDefault(fingerprint, new EngineLosses(HashTreePSet.empty(), nowMs));
+    if (current.engineStarts().contains(engineStart)) {
+      return this;
+    }
+    PSet<String> reports = unreported.getOrDefault(fingerprint, HashTreePSet.empty());
     return new CrashRecords(
-        addLosses(fingerprint, 1, nowMs),
-        unreported.plus(fingerprint, unreported.getOrDefault(fingerprint, 0) + 1));
+        losses.plus(fingerprint, new EngineLosses(current.engineStarts().plus(engineStart), nowMs)),
+        unreported.plus(fingerprint, reports.plus(engineStart)));
   }
 
   /** Removes the losses of a request that an engine has answered. */
@@ -52,12 +65,13 @@
         : this;
   }
 
-  CrashRecords withPeerLosses(PMap<Long, Integer> counts, long nowMs) {
+  /** Records losses that a peer reported. */
+  CrashRecords withPeerLosses(PMap<Long, PSet<String>> reported, long nowMs) {
     CrashRecords result = this;
-    for (var entry : counts.entrySet()) {
-      result =
-          new CrashRecords(
-              result.addLosses(entry.getKey(), entry.getValue(), nowMs), result.unreported);
+    for (Map.Entry<Long, PSet<String>> entry : reported.entrySet()) {
+      for (String engineStart : entry.getValue()) {
+        result = result.withLoss(entry.getKey(), engineStart, nowMs);
+      }
     }
     return result;
   }
@@ -65,15 +79,10 @@
   /** Marks all losses as reported to peers and removes expired records. */
   CrashRecords withAllReported(long nowMs) {
     PMap<Long, EngineLosses> retained = losses;
-    for (var entry : losses.entrySet()) {
+    for (Map.Entry<Long, EngineLosses> entry : losses.entrySet()) {
       boolean expired = nowMs - entry.getValue().lastAtMs() > RETENTION_MS;
       retained = expired ? retained.minus(entry.getKey()) : retained;
     }
     return new CrashRecords(retained, HashTreePMap.empty());
   }
-
-  private PMap<Long, EngineLosses> addLosses(long fingerprint, int count, long nowMs) {
-    EngineLosses current = losses.getOrDefault(fingerprint, new EngineLosses(0, nowMs));
-    return losses.plus(fingerprint, new EngineLosses(current.count() + count, nowMs));
-  }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -1,20 +1,24 @@
 package org.limpetdoor.core.gateway;
 
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.SendToPeer;
-import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
-import org.limpetdoor.core.membership.PeerLink;
+import org.limpetdoor.core.membership.DigestScope;
+import org.limpetdoor.core.membership.FleetRole;
 import org.limpetdoor.core.membership.PeerMessage;
 import org.limpetdoor.core.membership.PeerMessage.DutyHandedOver;
 import org.limpetdoor.core.membership.PeerMessage.DutyReleased;
+import org.limpetdoor.core.membership.PeerMessage.EnginesPassedOn;
+import org.limpetdoor.core.membership.PeerMessage.FactsRequested;
+import org.limpetdoor.core.membership.PeerMessage.InstancesPassedOn;
 import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
 import org.limpetdoor.core.membership.PeerMessage.LoadedModelChanged;
 import org.limpetdoor.core.membership.PeerMessage.ModelRequested;
+import org.limpetdoor.core.membership.PeerMessage.RoutesPassedOn;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
@@ -23,27 +27,11 @@
  * holds the placement duty.
  */
 public final class Digests {
-  /**
-   * An engine is reported as slow if its time between events of a stream is at least this multiple
-   * of the mean over all engines.
-   */
-  private static final double SLOW_FACTOR = 1.4;
-
   private Digests() {}
 
-  /** Sends a digest over all established links. */
+  /** Sends a digest to each hub and spoke of a hub, or to the hub of a spoke. */
   static Transition<NodeState, Effect> send(NodeState node) {
     GatewayState state = node.gateway();
-    LoadDigest digest =
-        new LoadDigest(
-            state.version(),
-            state.storeReachable(),
-            DutyEvents.maySendOrders(node) ? state.duty().fencingNumber() : 0,
-            inFlight(state),
-            slowEngineGapsMs(node),
-            state.adaptersInUse(),
-            state.arrivals(),
-            state.crashRecords().unreported());
     Placement placement = state.placement().withArrivals(state.arrivals(), node.nowMs());
     NodeState sent =
         node.withGateway(
@@ -51,28 +39,50 @@
                 .withPlacement(placement)
                 .withArrivals(HashTreePMap.empty())
                 .withCrashRecords(state.crashRecords().withAllReported(node.nowMs())));
+    DigestWriter writer = DigestWriter.of(node);
     Transition<NodeState, Effect> result = Transition.of(sent);
-    for (Map.Entry<InstanceId, PeerLink> link : node.membership().links().entrySet()) {
-      if (link.getValue().established()) {
-        result = result.with(new SendToPeer(link.getKey(), digest));
-      }
+    for (Map.Entry<InstanceId, DigestScope> receiver : receivers(node).entrySet()) {
+      LoadDigest digest = writer.write(receiver.getKey(), receiver.getValue());
+      result = result.with(new SendToPeer(receiver.getKey(), digest));
     }
     return result;
   }
 
+  private static Map<InstanceId, DigestScope> receivers(NodeState node) {
+    GatewayState state = node.gateway();
+    Map<InstanceId, DigestScope> receivers = new LinkedHashMap<>();
+    state.fleet().hub().ifPresent(hub -> receivers.put(hub, DigestScope.INSTANCE));
+    state.fleet().hubs().forEach(hub -> receivers.put(hub, DigestScope.GROUP));
+    if (state.fleet().isHub()) {
+      for (InstanceId peer : state.peers().names()) {
+        receivers.put(peer, state.peers().isSpoke(peer) ? DigestScope.FLEET : DigestScope.GROUP);
+      }
+    }
+    receivers.keySet().removeIf(peer -> !node.membership().link(peer).established());
+    return receivers;
+  }
+
   /**
    * Reduces a message from a peer about load, loaded models, model requests or the placement duty.
    */
   public static Transition<NodeState, Effect> received(
       NodeState node, InstanceId peer, PeerMessage message) {
     if (message instanceof LoadDigest digest) {
-      return Transition.of(digestReceived(node, peer, digest));
+      return digestReceived(node, peer, digest);
     }
     if (message instanceof LoadedModelChanged changed) {
-      return LoadedModelEvents.applyChange(node, changed);
+      return LoadedModelEvents.received(node, peer, changed);
     }
     if (message instanceof ModelRequested request) {
-      return ModelRequests.recordRequest(node, request.service(), request.key());
+      return ModelRequests.received(node, peer, request);
+    }
+    if (message instanceof FactsRequested request) {
+      return FactsEvents.requested(node, peer, request);
+    }
+    if (message instanceof RoutesPassedOn
+        || message instanceof EnginesPassedOn
+        || message instanceof InstancesPassedOn) {
+      return FactsEvents.received(node, peer, message);
     }
     if (message instanceof DutyHandedOver handover) {
       return DutyEvents.handoverReceived(node, handover);
@@ -90,59 +100,57 @@
   /** Removes the load of a peer that shuts down, and records that it sends no more orders. */
   public static NodeState peerLeft(NodeState node, InstanceId peer) {
     GatewayState state = node.gateway();
-    ReceivedDigest last = state.peers().get(peer);
+    ReceivedDigest last = state.peers().byPeer().get(peer);
     if (last == null) {
       return node;
     }
     return node.withGateway(
         state
-            .withPeers(state.peers().minus(peer))
+            .withPeers(state.peers().without(peer))
             .withDuty(
                 state.duty().withOtherHolderStopped(last.digest().fencingNumber(), node.nowMs())));
   }
 
-  private static NodeState digestReceived(NodeState node, InstanceId peer, LoadDigest digest) {
+  /**
+   * Records a digest of a peer whose instances this one counts. A digest of the hub replaces those
+   * of earlier hubs, since each of them covers the whole fleet.
+   */
+  private static Transition<NodeState, Effect> digestReceived(
+      NodeState node, InstanceId peer, LoadDigest digest) {
     GatewayState state = node.gateway();
+    boolean isHub = state.fleet().isHub();
+    boolean ofSpoke = digest.scope() == DigestScope.INSTANCE;
+    boolean counted =
+        ofSpoke || (isHub ? digest.scope().countsFor(FleetRole.HUB) : state.fleet().isOwnHub(peer));
+    if (!counted) {
+      return Transition.of(node);
+    }
+    PeerLoads peers = isHub || ofSpoke ? state.peers() : PeerLoads.NONE;
     GatewayState recorded =
-        state
-            .withPeers(state.peers().plus(peer, ReceivedDigest.of(node, digest)))
-            .withPlacement(state.placement().withArrivals(digest.arrivals(), node.nowMs()))
+        withArrivals(state, digest, node.nowMs())
+            .withPeers(peers.with(peer, ReceivedDigest.of(digest, node.nowMs())))
             .withCrashRecords(
                 state.crashRecords().withPeerLosses(digest.lostEngines(), node.nowMs()));
     Duty duty =
         digest.fencingNumber() > 0
             ? state.duty().withHolderReport(peer, digest.fencingNumber(), node.nowMs())
             : state.duty().withPeerNotHolding(peer, node.nowMs());
-    GatewayState withDuty = recorded.withDuty(duty);
-    boolean knownPeer = state.peers().containsKey(peer);
-    NodeState next = node.withGateway(withDuty);
-    return knownPeer ? next : RetryBudgets.resize(next);
+    boolean knownPeer = state.peers().byPeer().containsKey(peer);
+    NodeState next = node.withGateway(recorded.withDuty(duty));
+    NodeState resized = knownPeer ? next : RetryBudgets.resize(next);
+    return ofSpoke ? Transition.of(resized) : FactsEvents.digestReceived(resized, peer, digest);
   }
 
-  private static PMap<BackendId, Integer> inFlight(GatewayState state) {
-    PMap<BackendId, Integer> counts = HashTreePMap.empty();
-    for (EngineState engine : state.engines().byId().values()) {
-      if (engine.load().inFlight() > 0) {
-        counts = counts.plus(engine.entry().id(), engine.load().inFlight());
-      }
+  /** Adds the calls of a spoke to those that this instance reports with its next digest. */
+  private static GatewayState withArrivals(GatewayState state, LoadDigest digest, long nowMs) {
+    if (digest.scope() != DigestScope.INSTANCE) {
+      return state.withPlacement(state.placement().withArrivals(digest.arrivals(), nowMs));
     }
-    return counts;
-  }
-
-  /**
-   * Returns the time between events of a stream for each slow engine, in milliseconds. Peers
-   * without a stream to such an engine have no measurement of their own.
-   */
-  private static PMap<BackendId, Integer> slowEngineGapsMs(NodeState node) {
-    Map<BackendId, Integer> gapsMs = new HashMap<>();
-    for (EngineState engine : node.gateway().engines().byId().values()) {
-      int gapMs = (int) engine.pace().gapMs(node.nowMs());
-      if (gapMs > 0) {
-        gapsMs.put(engine.entry().id(), gapMs);
-      }
+    PMap<ModelKey, Integer> arrivals = state.arrivals();
+    for (Map.Entry<ModelKey, Integer> entry : digest.arrivals().entrySet()) {
+      int calls = arrivals.getOrDefault(entry.getKey(), 0) + entry.getValue();
+      arrivals = arrivals.plus(entry.getKey(), calls);
     }
-    double meanMs = gapsMs.values().stream().mapToInt(Integer::intValue).average().orElse(0);
-    gapsMs.values().removeIf(gapMs -> gapMs < meanMs * SLOW_FACTOR);
-    return HashTreePMap.from(gapsMs);
+    return state.withArrivals(arrivals);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
@@ -16,10 +16,7 @@
 
 /** Reduces events about which instance holds the placement duty. */
 public final class DutyEvents {
-  /**
-   * Maximum number of instances that request the duty from the store. The largest present
-   * deployment has fewer instances.
-   */
+  /** Maximum number of hubs that request the duty from the store. */
   private static final int MAX_CANDIDATES = 10;
 
   private DutyEvents() {}
@@ -57,9 +54,9 @@
     GatewayState state = node.gateway();
     return state.settings().fencingEnforced()
         && !state.storeReachable()
-        && state.peers().values().stream()
+        && state.peers().byPeer().values().stream()
             .filter(peer -> peer.isRecent(node.nowMs()))
-            .noneMatch(peer -> peer.digest().storeReachable());
+            .noneMatch(peer -> peer.digest().facts().storeReachable());
   }
 
   /**
@@ -89,7 +86,7 @@
         Transition.of(
             node.withGateway(state.withDuty(state.duty().released())),
             new RecordDecision(GatewayDecision.duty(false, fencingNumber)));
-    for (InstanceId peer : state.peers().keySet()) {
+    for (InstanceId peer : state.peers().names()) {
       result = result.with(new SendToPeer(peer, new DutyReleased(fencingNumber)));
     }
     return result;
@@ -128,10 +125,11 @@
         new RecordDecision(GatewayDecision.duty(true, duty.fencingNumber())));
   }
 
-  /** Returns the first peer by name that has sent a digest recently and is not leaving. */
+  /** Returns the first hub by name that has sent a digest recently and is not leaving. */
   private static Optional<InstanceId> successor(NodeState node) {
-    return node.gateway().peers().keySet().stream()
-        .filter(peer -> node.gateway().hasRecentDigest(peer, node.nowMs()))
+    PeerLoads peers = node.gateway().peers();
+    return peers.names().stream()
+        .filter(peer -> peers.isHub(peer) && peers.hasRecent(peer, node.nowMs()))
         .filter(peer -> !node.membership().leaving().contains(peer))
         .min(Comparator.naturalOrder());
   }
@@ -156,16 +154,18 @@
   }
 
   /**
-   * Returns whether this instance should hold the duty or be ready to take it. In a large fleet
-   * only the first instances by name are candidates, which limits the number of requests to the
-   * store.
+   * Returns whether this instance should hold the duty or be ready to take it. Only hubs are
+   * candidates, because they know the demand of the whole fleet, and of them only the first by
+   * name, which limits the number of requests to the store.
    */
   private static boolean isCandidate(NodeState node) {
-    long precedingPeers =
-        node.gateway().peers().entrySet().stream()
-            .filter(peer -> peer.getValue().isRecent(node.nowMs()))
-            .filter(peer -> peer.getKey().compareTo(node.self().id()) < 0)
+    GatewayState state = node.gateway();
+    long precedingHubs =
+        state.peers().names().stream()
+            .filter(state.peers()::isHub)
+            .filter(peer -> state.peers().hasRecent(peer, node.nowMs()))
+            .filter(peer -> peer.compareTo(node.self().id()) < 0)
             .count();
-    return node.gateway().duty().held() || precedingPeers < MAX_CANDIDATES;
+    return state.fleet().isHub() && (state.duty().held() || precedingHubs < MAX_CANDIDATES);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EnginePreference.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EnginePreference.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.id.BackendId;
-import org.limpetdoor.core.id.InstanceId;
 
 /**
  * The order in which an instance prefers engines with otherwise equal scores. All instances use the
@@ -15,19 +14,13 @@
  */
 record EnginePreference(List<BackendId> order, int firstIndex) {
   /**
-   * Returns the preference order of this instance. The first index is the number of peers with a
-   * recent digest and a lower identifier, modulo the number of engines, so instances that exchange
-   * digests pick different starts without further coordination.
+   * Returns the preference order of this instance. The first index is the number of listed
+   * instances with a lower identifier, modulo the number of engines, so instances with the same
+   * list pick different starts without further coordination.
    */
   static EnginePreference of(NodeState node, List<EngineState> engines) {
     List<BackendId> order = engines.stream().map(engine -> engine.entry().id()).sorted().toList();
-    InstanceId self = node.self().id();
-    int rank = 0;
-    for (var peer : node.gateway().peers().entrySet()) {
-      boolean precedes = peer.getKey().compareTo(self) < 0;
-      rank += precedes && peer.getValue().isRecent(node.nowMs()) ? 1 : 0;
-    }
-    return new EnginePreference(order, rank % order.size());
+    return new EnginePreference(order, node.membership().layout().position() % order.size());
   }
 
   /** Returns the distance of an engine from the most preferred one, from 0 to 1 (exclusive). */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
@@ -236,10 +236,7 @@
     if (ownGapMs > 0) {
       return ownGapMs;
     }
-    return node.gateway().peers().values().stream()
-        .mapToLong(peer -> peer.gapMs(engine.entry().id(), nowMs))
-        .max()
-        .orElse(0);
+    return node.gateway().peers().gapMs(engine.entry().id());
   }
 
   private static boolean isAffinityEngine(EngineState engine, ScoreInputs inputs) {
@@ -249,10 +246,7 @@
 
   /** Returns the calls of this instance and its peers at an engine, as a share of its slots. */
   static double load(NodeState node, EngineState engine) {
-    int inFlight = engine.load().inFlight();
-    for (ReceivedDigest peer : node.gateway().peers().values()) {
-      inFlight += peer.inFlight(engine.entry().id(), node.nowMs());
-    }
+    int inFlight = engine.load().inFlight() + node.gateway().peers().inFlight(engine.entry().id());
     return (double) inFlight / Math.max(1, engine.entry().slots());
   }
 
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/FleetView.java
@@ -0,0 +1,28 @@
+package org.limpetdoor.core.gateway;
+
+import java.util.Optional;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.membership.FleetRole;
+import org.pcollections.HashTreePSet;
+import org.pcollections.PSet;
+
+/**
+ * The role of this instance in the exchange of messages, and the peers it exchanges them with.
+ *
+ * @param role role of this instance
+ * @param hub hub that a spoke exchanges messages with; empty for a hub, or while none is reachable
+ * @param hubs hubs that a hub exchanges messages with; empty for a spoke
+ */
+record FleetView(FleetRole role, Optional<InstanceId> hub, PSet<InstanceId> hubs) {
+  /** View of an instance that has not read the list of instances. */
+  static final FleetView ALONE =
+      new FleetView(FleetRole.HUB, Optional.empty(), HashTreePSet.empty());
+
+  boolean isHub() {
+    return role == FleetRole.HUB;
+  }
+
+  boolean isOwnHub(InstanceId peer) {
+    return hub.filter(peer::equals).isPresent();
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardCallFactory.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardCallFactory.java
@@ -30,6 +30,7 @@
         engine.entry().id(),
         engine.entry().address(),
         call.deadlineMs() - node.nowMs(),
+        call.deadlineMs(),
         route.priority(),
         route.kind().streamed(),
         !route.mayRepeat(),
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
@@ -8,6 +8,8 @@
   ERROR_ANSWER(true, EngineFailure.ERROR, true),
   /** No connection could be opened, so nothing was sent. */
   CONNECT_FAILED(false, EngineFailure.UNREACHABLE, true),
+  /** The deadline of the caller passed before the request was written, so nothing was sent. */
+  DEADLINE_PASSED(false, EngineFailure.NONE, true),
   /** The engine reported that it is full and did not run the call. */
   BUSY(false, EngineFailure.FULL, true),
   /**
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewaySettings.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewaySettings.java
@@ -12,6 +12,10 @@
  *     they have seen
  * @param relistMs time after the recovery of the store within which live engines are listed again,
  *     in milliseconds
+ * @param listIntervalMs interval at which an instance reads the list of engines for itself, in
+ *     milliseconds
+ * @param factsMaxAgeMs age of a hub's facts from which its spokes read the store themselves, in
+ *     milliseconds
  */
 public record GatewaySettings(
     long drainTimeoutMs,
@@ -19,7 +23,9 @@
     double retrySlack,
     long leaseMs,
     boolean fencingEnforced,
-    long relistMs) {
+    long relistMs,
+    long listIntervalMs,
+    long factsMaxAgeMs) {
   /** Settings before the gateway has started; no retry is allowed. */
-  public static final GatewaySettings NONE = new GatewaySettings(0, 0, 0, 0, false, 0);
+  public static final GatewaySettings NONE = new GatewaySettings(0, 0, 0, 0, false, 0, 0, 0);
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayState.java
@@ -16,17 +16,15 @@
  * @param settings limits and timeouts of the deployment
  * @param table configuration in force
  * @param engines listed engines
- * @param calls open calls by number
- * @param waiting calls that wait for an engine
+ * @param callTable open calls
  * @param budgets retry budget of each service
- * @param peers last digest received from each peer, by name of the peer
- * @param crashRecords connections lost while engines ran a request, by fingerprint of the request
+ * @param peers last digests of the peers and the sum of their calls
+ * @param crashRecords engines lost while they ran a request, by fingerprint of the request
  * @param duty the placement duty
  * @param placement demand and orders as recorded by the holder of the placement duty
- * @param arrivals number of calls for each model since the last digest
- * @param storeReachable whether the store answers
- * @param storeRecoveredAtMs time at which the store last started answering, in monotonic
- *     milliseconds
+ * @param arrivals number of calls for each model since the last digest, including those of spokes
+ * @param store what is known of the store and the age of its contents
+ * @param fleet role of this instance in the exchange of messages
  * @param acceptsUntilMs time at which a graceful shutdown stops accepting calls, in monotonic
  *     milliseconds
  */
@@ -34,16 +32,15 @@
     GatewaySettings settings,
     Optional<RouteTable> table,
     EngineTable engines,
-    PMap<Long, Call> calls,
-    TreePSet<Long> waiting,
+    CallTable callTable,
     PMap<String, RetryBudget> budgets,
-    PMap<InstanceId, ReceivedDigest> peers,
+    PeerLoads peers,
     CrashRecords crashRecords,
     Duty duty,
     Placement placement,
     PMap<ModelKey, Integer> arrivals,
-    boolean storeReachable,
-    long storeRecoveredAtMs,
+    StoreView store,
+    FleetView fleet,
     long acceptsUntilMs) {
   /** State of an instance that has just started. */
   public static final GatewayState INITIAL =
@@ -51,16 +48,15 @@
           GatewaySettings.NONE,
           Optional.empty(),
           EngineTable.EMPTY,
+          CallTable.EMPTY,
           HashTreePMap.empty(),
-          TreePSet.empty(),
-          HashTreePMap.empty(),
-          HashTreePMap.empty(),
+          PeerLoads.NONE,
           CrashRecords.EMPTY,
           Duty.NONE,
           Placement.EMPTY,
           HashTreePMap.empty(),
-          false,
-          0,
+          StoreView.INITIAL,
+          FleetView.ALONE,
           Timed.NEVER_MS);
 
   /** Returns whether callers may be sent to this instance, which requires a configuration. */
@@ -70,31 +66,12 @@
 
   /** Returns whether a graceful shutdown may end the process now. */
   public boolean mayStop(long nowMs) {
-    return table.isEmpty() || (calls.isEmpty() && nowMs >= acceptsUntilMs);
-  }
-
-  /** Returns a copy that accepts calls until the given time. */
-  public GatewayState withAcceptsUntilMs(long value) {
-    return new GatewayState(
-        settings,
-        table,
-        engines,
-        calls,
-        waiting,
-        budgets,
-        peers,
-        crashRecords,
-        duty,
-        placement,
-        arrivals,
-        storeReachable,
-        storeRecoveredAtMs,
-        value);
+    return table.isEmpty() || (calls().isEmpty() && nowMs >= acceptsUntilMs);
   }
 
   /** Returns the number of open calls. */
   public int openCalls() {
-    return calls.size();
+    return calls().size();
   }
 
   /** Returns the number of listed engines, including those that are leaving. */
@@ -107,9 +84,29 @@
     return duty.held();
   }
 
+  /** Returns whether the store answers this instance, or the hub that reads it. */
+  public boolean storeReachable() {
+    return store.reachable();
+  }
+
+  /** Returns whether other instances exchange messages through this one. */
+  public boolean isHub() {
+    return fleet.isHub();
+  }
+
+  /** Returns the age of the routes and the list of engines, in milliseconds. */
+  public long factsAgeMs(long nowMs) {
+    return Math.max(0, nowMs - store.factsAsOfMs());
+  }
+
   /** Returns how long the oldest waiting call has waited, in milliseconds; 0 if none waits. */
   public long oldestWaitMs(long nowMs) {
-    return waiting.isEmpty() ? 0 : nowMs - calls.get(waiting.first()).arrivedAtMs();
+    return callTable.oldestWaitMs(nowMs);
+  }
+
+  /** Returns the number of calls that wait for an engine. */
+  public int waitingCalls() {
+    return callTable.waiting().size();
   }
 
   /** Returns the version of the configuration in force, or -1. */
@@ -117,16 +114,23 @@
     return table.map(RouteTable::version).orElse(-1L);
   }
 
+  PMap<Long, Call> calls() {
+    return callTable.open();
+  }
+
+  TreePSet<Long> waiting() {
+    return callTable.waiting();
+  }
+
   /** Returns whether a peer has sent a digest recently. */
   boolean hasRecentDigest(InstanceId peer, long nowMs) {
-    ReceivedDigest last = peers.get(peer);
-    return last != null && last.isRecent(nowMs);
+    return peers.hasRecent(peer, nowMs);
   }
 
   /** Returns the adapters that have calls in flight. */
   PSet<ModelKey> adaptersInUse() {
     PSet<ModelKey> used = HashTreePSet.empty();
-    for (Call call : calls.values()) {
+    for (Call call : calls().values()) {
       Optional<ModelKey> key =
           call.activeAttempt().isPresent() ? call.spec().model() : Optional.empty();
       used = key.flatMap(ModelKey::adapter).isPresent() ? used.plus(key.get()) : used;
@@ -134,129 +138,105 @@
     return used;
   }
 
-  GatewayState withSettings(GatewaySettings value) {
-    return new GatewayState(
-        value,
-        table,
-        engines,
-        calls,
-        waiting,
-        budgets,
-        peers,
-        crashRecords,
-        duty,
-        placement,
-        arrivals,
-        storeReachable,
-        storeRecoveredAtMs,
-        acceptsUntilMs);
+  GatewayState withCall(Call call) {
+    return withCallTable(callTable.with(call));
+  }
+
+  GatewayState withoutCall(long id) {
+    return withCallTable(callTable.without(id));
+  }
+
+  GatewayState withBudget(String service, RetryBudget budget) {
+    return withBudgets(budgets.plus(service, budget));
   }
 
   GatewayState withTable(RouteTable value) {
-    return new GatewayState(
-        settings,
-        Optional.of(value),
-        engines,
-        calls,
-        waiting,
-        budgets,
-        peers,
-        crashRecords,
-        duty,
-        placement,
-        arrivals,
-        storeReachable,
-        storeRecoveredAtMs,
-        acceptsUntilMs);
+    return withTable(Optional.of(value));
   }
 
-  GatewayState withEngines(EngineTable value) {
+  /** Returns a copy that accepts calls until the given time. */
+  public GatewayState withAcceptsUntilMs(long value) {
     return new GatewayState(
         settings,
         table,
-        value,
-        calls,
-        waiting,
+        engines,
+        callTable,
         budgets,
         peers,
         crashRecords,
         duty,
         placement,
         arrivals,
-        storeReachable,
-        storeRecoveredAtMs,
-        acceptsUntilMs);
+        store,
+        fleet,
+        value);
   }
 
-  GatewayState withCall(Call call) {
+  GatewayState withSettings(GatewaySettings value) {
     return new GatewayState(
-        settings,
+        value,
         table,
         engines,
-        calls.plus(call.spec().id(), call),
-        waiting,
+        callTable,
         budgets,
         peers,
         crashRecords,
         duty,
         placement,
         arrivals,
-        storeReachable,
-        storeRecoveredAtMs,
+        store,
+        fleet,
         acceptsUntilMs);
   }
 
-  GatewayState withoutCall(long id) {
+  private GatewayState withTable(Optional<RouteTable> value) {
     return new GatewayState(
         settings,
-        table,
+        value,
         engines,
-        calls.minus(id),
-        waiting.minus(id),
+        callTable,
         budgets,
         peers,
         crashRecords,
         duty,
         placement,
         arrivals,
-        storeReachable,
-        storeRecoveredAtMs,
+        store,
+        fleet,
         acceptsUntilMs);
   }
 
-  GatewayState withWaiting(TreePSet<Long> value) {
+  GatewayState withEngines(EngineTable value) {
     return new GatewayState(
         settings,
         table,
-        engines,
-        calls,
         value,
+        callTable,
         budgets,
         peers,
         crashRecords,
         duty,
         placement,
         arrivals,
-        storeReachable,
-        storeRecoveredAtMs,
+        store,
+        fleet,
         acceptsUntilMs);
   }
 
-  GatewayState withBudget(String service, RetryBudget budget) {
+  GatewayState withCallTable(CallTable value) {
     return new GatewayState(
         settings,
         table,
         engines,
-        calls,
-        waiting,
-        budgets.plus(service, budget),
+        value,
+        budgets,
         peers,
         crashRecords,
         duty,
         placement,
         arrivals,
-        storeReachable,
-        storeRecoveredAtMs,
+        store,
+        fleet,
         acceptsUntilMs);
   }
 
@@ -265,34 +245,32 @@
         settings,
         table,
         engines,
-        calls,
-        waiting,
+        callTable,
         value,
         peers,
         crashRecords,
         duty,
         placement,
         arrivals,
-        storeReachable,
-        storeRecoveredAtMs,
+        store,
+        fleet,
         acceptsUntilMs);
   }
 
-  GatewayState withPeers(PMap<InstanceId, ReceivedDigest> value) {
+  GatewayState withPeers(PeerLoads value) {
     return new GatewayState(
         settings,
         table,
         engines,
-        calls,
-        waiting,
+        callTable,
         budgets,
         value,
         crashRecords,
         duty,
         placement,
         arrivals,
-        storeReachable,
-        storeRecoveredAtMs,
+        store,
+        fleet,
         acceptsUntilMs);
   }
 
@@ -301,16 +279,15 @@
         settings,
         table,
         engines,
-        calls,
-        waiting,
+        callTable,
         budgets,
         peers,
         value,
         duty,
         placement,
         arrivals,
-        storeReachable,
-        storeRecoveredAtMs,
+        store,
+        fleet,
         acceptsUntilMs);
   }
 
@@ -319,16 +296,15 @@
         settings,
         table,
         engines,
-        calls,
-        waiting,
+        callTable,
         budgets,
         peers,
         crashRecords,
         value,
         placement,
         arrivals,
-        storeReachable,
-        storeRecoveredAtMs,
+        store,
+        fleet,
         acceptsUntilMs);
   }
 
@@ -337,16 +313,15 @@
         settings,
         table,
         engines,
-        calls,
-        waiting,
+        callTable,
         budgets,
         peers,
         crashRecords,
         duty,
         value,
         arrivals,
-        storeReachable,
-        storeRecoveredAtMs,
+        store,
+        fleet,
         acceptsUntilMs);
   }
 
@@ -355,34 +330,49 @@
         settings,
         table,
         engines,
-        calls,
-        waiting,
+        callTable,
         budgets,
         peers,
         crashRecords,
         duty,
         placement,
         value,
-        storeReachable,
-        storeRecoveredAtMs,
+        store,
+        fleet,
         acceptsUntilMs);
   }
 
-  GatewayState withStoreContact(boolean reachable, long recoveredAtMs) {
+  GatewayState withStore(StoreView value) {
     return new GatewayState(
         settings,
         table,
         engines,
-        calls,
-        waiting,
+        callTable,
         budgets,
         peers,
         crashRecords,
         duty,
         placement,
         arrivals,
-        reachable,
-        recoveredAtMs,
+        value,
+        fleet,
+        acceptsUntilMs);
+  }
+
+  GatewayState withFleet(FleetView value) {
+    return new GatewayState(
+        settings,
+        table,
+        engines,
+        callTable,
+        budgets,
+        peers,
+        crashRecords,
+        duty,
+        placement,
+        arrivals,
+        store,
+        value,
         acceptsUntilMs);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
@@ -10,7 +10,6 @@
 import org.limpetdoor.core.event.GatewaySettingsRead;
 import org.limpetdoor.core.event.GatewayStarted;
 import org.limpetdoor.core.id.InstanceId;
-import org.limpetdoor.core.membership.PeerEvents;
 import org.limpetdoor.core.membership.PeerMessage.Leaving;
 
 /** Reduces the periodic tick, which updates the placement duty, peers, engines and placement. */
@@ -18,15 +17,6 @@
   /** Interval of the tick and of digests, in milliseconds. */
   static final long INTERVAL_MS = 250;
 
-  /**
-   * Interval of the tick and of digests in a large fleet, in milliseconds. Each instance receives a
-   * digest from every other one, which costs about 40 us.
-   */
-  static final long LARGE_FLEET_INTERVAL_MS = 500;
-
-  /** Number of instances from which a fleet is large. */
-  private static final int LARGE_FLEET = 17;
-
   private GatewayTick() {}
 
   /** Applies the settings and starts the periodic tick. */
@@ -44,12 +34,13 @@
 
   /** Updates all state that changes with time. */
   public static Transition<NodeState, Effect> tick(NodeState node) {
-    Timer next = new Timer(node.nowMs() + intervalMs(node), TimerKind.GATEWAY_TICK, "");
+    Timer next = new Timer(node.nowMs() + INTERVAL_MS, TimerKind.GATEWAY_TICK, "");
     NodeState timed = node.withTimers(node.timers().plus(next));
     NodeState current =
         PlacementPlanner.refillLoadTokens(StoreEvents.dropUnlisted(decayDemand(timed)));
     return DutyEvents.tick(current)
-        .then(PeerEvents::connect)
+        .then(FleetEvents::tick)
+        .then(FactsEvents::tick)
         .then(Digests::send)
         .then(ModelRequests::requestForWaitingCalls)
         .then(state -> PlacementPlanner.plan(EngineOrders.completeListedChanges(state)));
@@ -69,21 +60,15 @@
                     Transition.of(
                         next.withGateway(next.gateway().withDuty(next.gateway().duty().released())),
                         new ReleaseDuty()));
-    for (InstanceId peer : node.gateway().peers().keySet()) {
+    for (InstanceId peer : node.gateway().peers().names()) {
       result = result.with(new SendToPeer(peer, new Leaving()));
     }
     return result;
   }
 
-  /** Returns the interval of the tick, in milliseconds. */
-  static long intervalMs(NodeState node) {
-    int instances = node.membership().members().size();
-    return instances < LARGE_FLEET ? INTERVAL_MS : LARGE_FLEET_INTERVAL_MS;
-  }
-
   private static NodeState decayDemand(NodeState node) {
     GatewayState state = node.gateway();
-    Placement placement = state.placement().decayed(intervalMs(node), node.nowMs());
+    Placement placement = state.placement().decayed(INTERVAL_MS, node.nowMs());
     return node.withGateway(state.withPlacement(placement));
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/LoadedModelEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/LoadedModelEvents.java
@@ -31,12 +31,24 @@
             key,
             held);
     Transition<NodeState, Effect> result = applyChange(node, message);
-    for (InstanceId peer : state.peers().keySet()) {
+    for (InstanceId peer : node.membership().linked()) {
       result = result.with(new SendToPeer(peer, message));
     }
     return result;
   }
 
+  /** Applies a change that a peer reported. A hub passes it on to its spokes. */
+  static Transition<NodeState, Effect> received(
+      NodeState node, InstanceId peer, LoadedModelChanged message) {
+    Transition<NodeState, Effect> result = applyChange(node, message);
+    PeerLoads peers = node.gateway().peers();
+    for (InstanceId spoke : peers.names()) {
+      boolean passedOn = peers.isSpoke(spoke) && !spoke.equals(peer);
+      result = passedOn ? result.with(new SendToPeer(spoke, message)) : result;
+    }
+    return result;
+  }
+
   /** Applies a change that the holder of the placement duty reported, and serves waiting calls. */
   static Transition<NodeState, Effect> applyChange(NodeState node, LoadedModelChanged message) {
     GatewayState state = node.gateway();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ModelRequests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ModelRequests.java
@@ -53,6 +53,15 @@
     return result;
   }
 
+  /** Records the request of a peer, or passes the request of a spoke on to the holder. */
+  static Transition<NodeState, Effect> received(
+      NodeState node, InstanceId peer, ModelRequested message) {
+    boolean passedOn = node.gateway().peers().isSpoke(peer) && !DutyEvents.maySendOrders(node);
+    return passedOn
+        ? request(node, message.service(), message.key())
+        : recordRequest(node, message.service(), message.key());
+  }
+
   /**
    * Records at the holder that an instance requests a model or adapter, and plans the placement.
    */
@@ -67,11 +76,18 @@
         .anyMatch(engine -> engine.usable() && engine.holds(key));
   }
 
-  /** Returns the peer that reported the highest fencing number in a recent digest. */
+  /**
+   * Returns the peer that reported the highest fencing number in a recent digest. A spoke sends its
+   * requests to its hub.
+   */
   private static Optional<InstanceId> dutyHolder(NodeState node) {
+    GatewayState state = node.gateway();
+    if (!state.fleet().isHub()) {
+      return state.fleet().hub();
+    }
     InstanceId best = null;
     long highest = 0;
-    for (Map.Entry<InstanceId, ReceivedDigest> peer : node.gateway().peers().entrySet()) {
+    for (Map.Entry<InstanceId, ReceivedDigest> peer : state.peers().byPeer().entrySet()) {
       long fencingNumber = peer.getValue().digest().fencingNumber();
       if (peer.getValue().isRecent(node.nowMs()) && fencingNumber > highest) {
         best = peer.getKey();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PlacementPlanner.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PlacementPlanner.java
@@ -179,7 +179,7 @@
   private static boolean inUse(NodeState node, ModelKey adapter) {
     GatewayState state = node.gateway();
     return state.adaptersInUse().contains(adapter)
-        || state.peers().values().stream()
+        || state.peers().byPeer().values().stream()
             .anyMatch(
                 peer ->
                     peer.isRecent(node.nowMs()) && peer.digest().adaptersInUse().contains(adapter));
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ReceivedDigest.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ReceivedDigest.java
@@ -1,7 +1,5 @@
 package org.limpetdoor.core.gateway;
 
-import org.limpetdoor.core.NodeState;
-import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
 
 /**
@@ -14,20 +12,11 @@
   /** Number of digest intervals after which a digest is outdated. */
   private static final int RECENT_INTERVALS = 4;
 
-  static ReceivedDigest of(NodeState node, LoadDigest digest) {
-    return new ReceivedDigest(
-        digest, node.nowMs() + RECENT_INTERVALS * GatewayTick.intervalMs(node));
+  static ReceivedDigest of(LoadDigest digest, long nowMs) {
+    return new ReceivedDigest(digest, nowMs + RECENT_INTERVALS * GatewayTick.INTERVAL_MS);
   }
 
   boolean isRecent(long nowMs) {
     return nowMs < recentUntilMs;
   }
-
-  long gapMs(BackendId engine, long nowMs) {
-    return isRecent(nowMs) ? digest.gapsMs().getOrDefault(engine, 0) : 0;
-  }
-
-  int inFlight(BackendId engine, long nowMs) {
-    return isRecent(nowMs) ? digest.inFlight().getOrDefault(engine, 0) : 0;
-  }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/RetryBudgets.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/RetryBudgets.java
@@ -46,7 +46,7 @@
    * instances is taken into account as well.
    */
   private static double maxAvailable(NodeState node) {
-    int contacted = node.gateway().peers().size() + 1;
+    int contacted = node.gateway().peers().byPeer().size() + 1;
     int instances = Math.max(contacted, node.membership().members().size());
     double slack = node.gateway().settings().retrySlack();
     return slack / Math.max(MIN_INSTANCES, instances * SPARE_INSTANCE_FACTOR);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
@@ -1,6 +1,7 @@
 package org.limpetdoor.core.gateway;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Timed;
@@ -30,26 +31,88 @@
     return Transition.<NodeState, Effect>of(
             node.withGateway(state.withTable(table)), new ApplyCallerLimits(table.limits()))
         .with(new RecordDecision(decision))
+        .then(FactsEvents::passOnRoutes)
         .then(CallEvents::serveWaiting);
   }
 
-  /** Applies entries and removals of the list of engines. */
+  /** Applies entries and removals of the list of engines that this instance read itself. */
   public static Transition<NodeState, Effect> enginesRead(NodeState node, EnginesRead event) {
+    StoreView store = node.gateway().store().withFactsAsOfMs(node.nowMs());
+    return applyList(node.withGateway(node.gateway().withStore(store)), event.list());
+  }
+
+  /**
+   * Applies changes of the list of engines, unless they are already known, and passes on what has
+   * changed. Entries that only confirm that an engine is live are not passed on.
+   */
+  static Transition<NodeState, Effect> applyList(NodeState node, EngineListing list) {
+    StoreView store = node.gateway().store();
+    if (list.isContainedIn(store.listOffset())) {
+      return Transition.of(node);
+    }
+    EngineListing changes = changes(node, list);
+    StoreView next = store.withListOffset(list.toOffset());
+    if (list.isEmpty()) {
+      return Transition.of(node.withGateway(node.gateway().withStore(next)));
+    }
+    Transition<NodeState, Effect> result = applyEntries(node, list);
+    if (changes.isEmpty()) {
+      return result.then(
+          applied -> Transition.of(applied.withGateway(applied.gateway().withStore(next))));
+    }
+    return result
+        .then(
+            applied ->
+                Transition.of(
+                    applied.withGateway(
+                        applied.gateway().withStore(next.withChangedOffset(list.toOffset())))))
+        .then(applied -> FactsEvents.passOnEngines(applied, changes))
+        .then(applied -> CallEvents.serveWaiting(EngineOrders.completeListedChanges(applied)));
+  }
+
+  /**
+   * Returns the part of a listing that changes the list. It starts where the last change ended, so
+   * that receivers can tell whether they have missed one.
+   */
+  private static EngineListing changes(NodeState node, EngineListing list) {
+    EngineTable engines = node.gateway().engines();
+    List<EngineEntry> changed =
+        list.entries().stream()
+            .filter(
+                entry ->
+                    list.complete()
+                        || engines
+                            .find(entry.id())
+                            .filter(
+                                engine ->
+                                    engine.entry().equals(entry)
+                                        && engine.unlistedAtMs() == Timed.NEVER_MS)
+                            .isEmpty())
+            .toList();
+    return new EngineListing(
+        list.complete() ? 0 : node.gateway().store().changedOffset(),
+        list.toOffset(),
+        changed,
+        list.removed(),
+        list.complete());
+  }
+
+  private static Transition<NodeState, Effect> applyEntries(NodeState node, EngineListing list) {
     Transition<NodeState, Effect> result = Transition.of(node);
     Set<BackendId> listed = new HashSet<>();
-    for (EngineEntry entry : event.entries()) {
+    for (EngineEntry entry : list.entries()) {
       listed.add(entry.id());
       result = result.then(next -> entryRead(next, entry));
     }
-    for (BackendId id : event.removed()) {
+    for (BackendId id : list.removed()) {
       result = result.then(next -> removed(next, id));
     }
-    if (event.complete()) {
+    if (list.complete()) {
       for (BackendId id : node.gateway().engines().byId().keySet()) {
         result = listed.contains(id) ? result : result.then(next -> removed(next, id));
       }
     }
-    return result.then(next -> CallEvents.serveWaiting(EngineOrders.completeListedChanges(next)));
+    return result;
   }
 
   /** Records that the store started or stopped answering. */
@@ -59,10 +122,10 @@
     if (state.storeReachable() == event.reachable()) {
       return Transition.of(node);
     }
-    long recoveredAtMs = event.reachable() ? node.nowMs() : state.storeRecoveredAtMs();
     GatewayDecision decision = GatewayDecision.storeContact(event.reachable());
     return Transition.of(
-        node.withGateway(state.withStoreContact(event.reachable(), recoveredAtMs)),
+        node.withGateway(
+            state.withStore(state.store().withContact(event.reachable(), node.nowMs()))),
         new RecordDecision(decision));
   }
 
@@ -132,8 +195,8 @@
    */
   private static boolean mayBeListedAgain(NodeState node) {
     GatewayState state = node.gateway();
-    long sinceMs = node.nowMs() - state.storeRecoveredAtMs();
-    boolean hadOutage = state.storeRecoveredAtMs() > 0;
+    long sinceMs = node.nowMs() - state.store().recoveredAtMs();
+    boolean hadOutage = state.store().recoveredAtMs() > 0;
     return !state.storeReachable() || (hadOutage && sinceMs < state.settings().relistMs());
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/Membership.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/Membership.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import org.limpetdoor.core.agreed.Shards;
 import org.limpetdoor.core.id.InstanceId;
 import org.pcollections.HashTreePMap;
@@ -17,15 +18,22 @@
  * @param leaving listed instances that have announced their shutdown to this one
  * @param neighbours peers that this instance opens links to
  * @param links links to peers, whichever side opened them
+ * @param layout hubs of the fleet
  */
 public record Membership(
     PMap<InstanceId, Member> members,
     PSet<InstanceId> leaving,
     List<InstanceId> neighbours,
-    PMap<InstanceId, PeerLink> links) {
+    PMap<InstanceId, PeerLink> links,
+    FleetLayout layout) {
   /** A membership without other instances. */
   public static final Membership EMPTY =
-      new Membership(HashTreePMap.empty(), HashTreePSet.empty(), List.of(), HashTreePMap.empty());
+      new Membership(
+          HashTreePMap.empty(),
+          HashTreePSet.empty(),
+          List.of(),
+          HashTreePMap.empty(),
+          FleetLayout.EMPTY);
 
   /** Copies the neighbours. */
   public Membership {
@@ -56,16 +64,25 @@
     return ids;
   }
 
+  /** Returns the peers with an established link. */
+  public List<InstanceId> linked() {
+    return links.entrySet().stream()
+        .filter(entry -> entry.getValue().established())
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   /** Returns the link to a peer. */
   public PeerLink link(InstanceId peer) {
     return links.getOrDefault(peer, PeerLink.NONE);
   }
 
-  Membership withLink(InstanceId peer, PeerLink link) {
-    return new Membership(members, leaving, neighbours, links.plus(peer, link));
+  /** Returns a copy with the given link to a peer. */
+  public Membership withLink(InstanceId peer, PeerLink link) {
+    return new Membership(members, leaving, neighbours, links.plus(peer, link), layout);
   }
 
   Membership withLeaving(InstanceId peer) {
-    return new Membership(members.minus(peer), leaving.plus(peer), neighbours, links);
+    return new Membership(members.minus(peer), leaving.plus(peer), neighbours, links, layout);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/MembershipEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/MembershipEvents.java
@@ -35,14 +35,16 @@
       NodeState state, PMap<InstanceId, Member> members, Set<InstanceId> listed) {
     Membership previous = state.membership();
     List<ListedInstance> entries = members.values().stream().map(Member::entry).toList();
-    List<InstanceId> neighbours = Neighbours.choose(ownEntry(state, members), entries);
+    ListedInstance self = ownEntry(state, members);
+    List<InstanceId> neighbours = Neighbours.choose(self, entries);
     PMap<InstanceId, PeerLink> links = previous.links();
     for (InstanceId peer : previous.links().keySet()) {
       boolean retained = listed.contains(peer) || previous.link(peer).established();
       links = retained ? links : links.minus(peer);
     }
     List<InstanceId> stillListed = previous.leaving().stream().filter(listed::contains).toList();
-    return new Membership(members, HashTreePSet.from(stillListed), neighbours, links);
+    return new Membership(
+        members, HashTreePSet.from(stillListed), neighbours, links, FleetLayout.of(self, entries));
   }
 
   /** Returns the entry of this instance. Its region is empty until the instance is listed. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import org.limpetdoor.core.config.Ranges;
+import org.limpetdoor.core.gateway.EngineListing;
 import org.limpetdoor.core.gateway.ModelKey;
+import org.limpetdoor.core.gateway.RouteTable;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.CustomerId;
 import org.pcollections.PMap;
@@ -70,30 +72,90 @@
   }
 
   /**
-   * The sender's load and demand. It is sent several times a second.
+   * Load and demand of the instances that the digest covers. It is sent several times a second.
    *
-   * @param configurationVersion version of the routes in force at the sender, or -1
-   * @param storeReachable whether the store answers the sender
+   * @param scope instances that the digest covers
+   * @param times times that bound the age of the digest
+   * @param facts what the sender knows of the store's contents
    * @param fencingNumber fencing number of the sender's orders if it holds the placement duty, or 0
-   * @param inFlight number of the sender's calls in flight at each engine
+   * @param inFlight number of calls in flight at each engine
    * @param gapsMs time between the events of a stream at each engine that is currently slow, in
    *     milliseconds
-   * @param adaptersInUse adapters with calls in flight
-   * @param arrivals number of calls that arrived for each model since the last digest
-   * @param lostEngines number of engines lost while each call ran since the last digest, by
-   *     fingerprint of the call
+   * @param adaptersInUse adapters with calls in flight; empty in a digest of the fleet
+   * @param arrivals number of calls that arrived for each model since the last digest; empty in a
+   *     digest of the fleet
+   * @param lostEngines starts of engines that were lost while each call ran, since the last digest,
+   *     by fingerprint of the call
    */
   record LoadDigest(
-      long configurationVersion,
-      boolean storeReachable,
+      DigestScope scope,
+      DigestTimes times,
+      StoreFacts facts,
       long fencingNumber,
       PMap<BackendId, Integer> inFlight,
       PMap<BackendId, Integer> gapsMs,
       PSet<ModelKey> adaptersInUse,
       PMap<ModelKey, Integer> arrivals,
-      PMap<Long, Integer> lostEngines)
+      PMap<Long, PSet<String>> lostEngines)
+      implements PeerMessage {}
+
+  /**
+   * Times of a digest. The clocks of two instances are not compared: the age of a digest is bounded
+   * by the receiver's own time that it echoes.
+   *
+   * @param sentAtMs time of sending, in monotonic milliseconds of the sender
+   * @param echoedAtMs {@code sentAtMs} of the last digest that the sender received from the
+   *     receiver, in monotonic milliseconds of the receiver; 0 if there was none
+   */
+  record DigestTimes(long sentAtMs, long echoedAtMs) {}
+
+  /**
+   * What an instance knows of the store's contents.
+   *
+   * @param configurationVersion version of the routes in force, or -1
+   * @param listOffset end offset of the list of engines that was read, or -1
+   * @param storeReachable whether the store answers the instance
+   * @param ageMs age of these facts, in milliseconds
+   */
+  record StoreFacts(
+      long configurationVersion, long listOffset, boolean storeReachable, long ageMs) {}
+
+  /**
+   * The sender requests the routes and the list of engines, if the receiver has later ones.
+   *
+   * @param configurationVersion version of the routes in force at the sender, or -1
+   * @param listOffset end offset of the list of engines at the sender, or -1
+   * @param withInstances whether the sender also needs the list of instances
+   */
+  record FactsRequested(long configurationVersion, long listOffset, boolean withInstances)
       implements PeerMessage {}
 
+  /**
+   * The sender has read a version of the routes.
+   *
+   * @param table the routes
+   */
+  record RoutesPassedOn(RouteTable table) implements PeerMessage {}
+
+  /**
+   * The sender has read changes of the list of engines, or the complete list.
+   *
+   * @param list the changes
+   */
+  record EnginesPassedOn(EngineListing list) implements PeerMessage {}
+
+  /**
+   * The sender has read the list of instances.
+   *
+   * @param instances the complete list
+   */
+  record InstancesPassedOn(List<ListedInstance> instances) implements PeerMessage {
+    /** Copies the list. */
+    public InstancesPassedOn {
+      instances = List.copyOf(instances);
+    }
+  }
+
   /**
    * The sender requests a model or adapter, because calls wait for it and no engine holds it.
    *
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/DutyTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/DutyTest.java
@@ -16,7 +16,7 @@
   private static final InstanceId PEER = new InstanceId("node-2");
 
   private static GatewaySettings settings(boolean fencingEnforced) {
-    return new GatewaySettings(7_000, 0.2, 50, 3_000, fencingEnforced, 2_300);
+    return new GatewaySettings(7_000, 0.2, 50, 3_000, fencingEnforced, 2_300, 1_000, 1_200);
   }
 
   /**
--- /dev/null
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
@@ -0,0 +1,340 @@
+package org.limpetdoor.core.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.limpetdoor.core.NodeReducer;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.NodeState.Self;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.effect.ConnectPeer;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.FollowStore;
+import org.limpetdoor.core.effect.SendToPeer;
+import org.limpetdoor.core.event.CallArrived;
+import org.limpetdoor.core.event.EnginesRead;
+import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.GatewayStarted;
+import org.limpetdoor.core.event.InstancesListed;
+import org.limpetdoor.core.event.PeerLinkDown;
+import org.limpetdoor.core.event.PeerLinkUp;
+import org.limpetdoor.core.event.PeerMessageReceived;
+import org.limpetdoor.core.event.RoutesRead;
+import org.limpetdoor.core.event.StoreContactChanged;
+import org.limpetdoor.core.event.TimerFired;
+import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
+import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.membership.ListedInstance;
+import org.limpetdoor.core.membership.PeerMessage;
+
+/** A fleet of gateways on virtual time, with the store and the links between the instances. */
+final class FleetSimulation {
+  private static final long LATENCY_MS = 4;
+  private static final long CONNECT_MS = 15;
+  private static final long STORE_MS = 8;
+
+  private final NodeReducer reducer = new NodeReducer();
+  private final Random random;
+  private final Map<InstanceId, Instance> instances = new LinkedHashMap<>();
+  private final PriorityQueue<Delivery> deliveries =
+      new PriorityQueue<>(
+          Comparator.comparingLong(Delivery::atMs).thenComparingLong(Delivery::number));
+  private final List<ListedInstance> listed = new ArrayList<>();
+  private final List<EngineEntry> engines = new ArrayList<>();
+  private final Set<InstanceId> cutFromStore = new HashSet<>();
+  private RouteTable routes;
+  private long listOffset = 10;
+  private long nowMs = 1_000;
+  private long nextNumber;
+  private long storeReads;
+  private long peerMessages;
+
+  private record Delivery(long atMs, long number, Runnable action) {}
+
+  private final class Instance {
+    final InstanceId id;
+    final ZoneId zone;
+    NodeState state;
+    boolean live = true;
+    boolean frozen;
+    long followMs;
+    int followRun;
+    long readOffset = -1;
+    final Set<InstanceId> links = new HashSet<>();
+
+    Instance(InstanceId id, ZoneId zone) {
+      this.id = id;
+      this.zone = zone;
+      this.state = NodeState.initial(new Self(id, 1, zone));
+    }
+  }
+
+  FleetSimulation(int size, int zones, long seed) {
+    random = new Random(seed);
+    for (int i = 0; i < size; i++) {
+      InstanceId id = new InstanceId("n" + i);
+      ZoneId zone = new ZoneId("z" + i % zones);
+      instances.put(id, new Instance(id, zone));
+      double cores = i % 5 == 0 ? 1.5 : 0.36;
+      listed.add(new ListedInstance(id, "10.0.0.1:" + (1_000 + i), zone, "r", false, cores));
+    }
+    for (int i = 0; i < 8; i++) {
+      engines.add(GatewayFixture.plain("e" + i));
+    }
+    routes = routes(1);
+    for (Instance instance : instances.values()) {
+      reduce(instance, new GatewayStarted(nowMs, GatewayFixture.SETTINGS));
+    }
+  }
+
+  private static RouteTable routes(long version) {
+    return RouteTable.of(
+        version,
+        List.of(GatewayFixture.route("/safe/", CallKind.IDEMPOTENT, 2)),
+        List.of(new ServiceSpec("plain", 100, Optional.empty())),
+        CallerLimits.DEFAULT);
+  }
+
+  List<InstanceId> ids() {
+    return List.copyOf(instances.keySet());
+  }
+
+  List<InstanceId> liveIds() {
+    return instances.values().stream().filter(i -> i.live).map(i -> i.id).toList();
+  }
+
+  NodeState state(InstanceId id) {
+    return instances.get(id).state;
+  }
+
+  List<InstanceId> hubs() {
+    return liveIds().stream().filter(id -> state(id).gateway().isHub()).toList();
+  }
+
+  boolean followsStore(InstanceId id) {
+    return instances.get(id).followMs > 0;
+  }
+
+  int links(InstanceId id) {
+    return instances.get(id).links.size();
+  }
+
+  /** Returns the number of reads of the list of engines since the last call. */
+  long takeStoreReads() {
+    long result = storeReads;
+    storeReads = 0;
+    return result;
+  }
+
+  /** Returns the number of messages between instances since the last call. */
+  long takePeerMessages() {
+    long result = peerMessages;
+    peerMessages = 0;
+    return result;
+  }
+
+  InstanceId any(List<InstanceId> among) {
+    return among.get(random.nextInt(among.size()));
+  }
+
+  /** Ends an instance without notice; its links end. */
+  void kill(InstanceId id) {
+    Instance killed = instances.get(id);
+    killed.live = false;
+    killed.followMs = 0;
+    for (InstanceId peer : Set.copyOf(killed.links)) {
+      disconnect(killed, instances.get(peer));
+    }
+  }
+
+  /** Stops an instance for some time; its links stay open and messages to it are delayed. */
+  void freeze(InstanceId id, boolean frozen) {
+    instances.get(id).frozen = frozen;
+  }
+
+  void cutFromStore(InstanceId id, boolean cut) {
+    if (cut) {
+      cutFromStore.add(id);
+    } else {
+      cutFromStore.remove(id);
+    }
+  }
+
+  void publish(long version) {
+    routes = routes(version);
+    for (Instance instance : instances.values()) {
+      after(STORE_MS, () -> readRoutes(instance));
+    }
+  }
+
+  void drainEngine(int index) {
+    engines.set(index, engines.get(index).withDraining());
+    listOffset++;
+  }
+
+  void call(InstanceId id, long number) {
+    CallSpec spec =
+        new CallSpec(
+            number,
+            "c" + number,
+            GatewayFixture.HOST,
+            "/safe/x",
+            Optional.of(2_000_000),
+            Optional.empty(),
+            0,
+            0,
+            number);
+    reduce(instances.get(id), new CallArrived(nowMs, spec, nowMs));
+  }
+
+  int ownCalls(InstanceId id, BackendId engine) {
+    return state(id).gateway().engines().find(engine).map(e -> e.load().inFlight()).orElse(0);
+  }
+
+  List<BackendId> engineIds() {
+    return engines.stream().map(EngineEntry::id).toList();
+  }
+
+  void advance(long ms) {
+    long untilMs = nowMs + ms;
+    while (true) {
+      long timerMs =
+          instances.values().stream()
+              .filter(i -> i.live && !i.frozen)
+              .mapToLong(i -> i.state.nextDeadlineMs())
+              .min()
+              .orElse(Long.MAX_VALUE);
+      long deliveryMs = deliveries.isEmpty() ? Long.MAX_VALUE : deliveries.peek().atMs();
+      long nextMs = Math.min(timerMs, deliveryMs);
+      if (nextMs > untilMs) {
+        nowMs = untilMs;
+        return;
+      }
+      nowMs = Math.max(nowMs, nextMs);
+      if (deliveryMs <= timerMs) {
+        deliveries.remove().action().run();
+      } else {
+        fireTimers();
+      }
+    }
+  }
+
+  private void fireTimers() {
+    for (Instance instance : instances.values()) {
+      if (instance.live && !instance.frozen && instance.state.nextDeadlineMs() <= nowMs) {
+        reduce(instance, new TimerFired(nowMs));
+      }
+    }
+  }
+
+  private void after(long delayMs, Runnable action) {
+    deliveries.add(new Delivery(nowMs + delayMs, nextNumber++, action));
+  }
+
+  private void reduce(Instance instance, Event event) {
+    Transition<NodeState, Effect> transition = reducer.reduce(instance.state, event);
+    instance.state = transition.state();
+    transition.effects().forEach(effect -> execute(instance, effect));
+  }
+
+  private void execute(Instance instance, Effect effect) {
+    if (effect instanceof ConnectPeer connection) {
+      int index = Integer.parseInt(connection.address().split(":", 2)[1]) - 1_000;
+      after(CONNECT_MS, () -> connect(instance, instances.get(ids().get(index))));
+    } else if (effect instanceof SendToPeer message) {
+      peerMessages++;
+      after(LATENCY_MS, () -> deliver(instance, message.peer(), message.message()));
+    } else if (effect instanceof FollowStore follow) {
+      follow(instance, follow.engineIntervalMs());
+    }
+  }
+
+  private void connect(Instance from, Instance to) {
+    if (!from.live || !to.live || to.frozen || !from.links.add(to.id)) {
+      return;
+    }
+    to.links.add(from.id);
+    reduce(from, new PeerLinkUp(nowMs, to.id));
+    reduce(to, new PeerLinkUp(nowMs, from.id));
+  }
+
+  private void disconnect(Instance one, Instance other) {
+    one.links.remove(other.id);
+    other.links.remove(one.id);
+    if (one.live) {
+      reduce(one, new PeerLinkDown(nowMs, other.id));
+    }
+    if (other.live) {
+      reduce(other, new PeerLinkDown(nowMs, one.id));
+    }
+  }
+
+  private void deliver(Instance from, InstanceId peer, PeerMessage message) {
+    Instance to = instances.get(peer);
+    if (!to.live || !to.links.contains(from.id)) {
+      return;
+    }
+    if (to.frozen) {
+      after(100, () -> deliver(from, peer, message));
+      return;
+    }
+    reduce(to, new PeerMessageReceived(nowMs, from.id, message));
+  }
+
+  private void follow(Instance instance, long intervalMs) {
+    boolean wasFollowing = instance.followMs > 0;
+    instance.followMs = intervalMs;
+    instance.followRun++;
+    if (intervalMs == 0) {
+      return;
+    }
+    instance.readOffset = wasFollowing ? instance.readOffset : -1;
+    int run = instance.followRun;
+    after(STORE_MS, () -> readEngines(instance, run));
+    after(STORE_MS, () -> readRoutes(instance));
+    after(STORE_MS, () -> readInstances(instance));
+  }
+
+  private void readRoutes(Instance instance) {
+    if (instance.live && instance.followMs > 0 && !cutFromStore.contains(instance.id)) {
+      reduce(instance, new RoutesRead(nowMs, routes, RoutesRead.Source.STORE));
+    }
+  }
+
+  private void readInstances(Instance instance) {
+    if (instance.live && instance.followMs > 0 && !cutFromStore.contains(instance.id)) {
+      reduce(instance, new InstancesListed(nowMs, listed));
+    }
+  }
+
+  private void readEngines(Instance instance, int run) {
+    if (!instance.live || instance.followRun != run) {
+      return;
+    }
+    after(instance.followMs, () -> readEngines(instance, run));
+    if (instance.frozen) {
+      return;
+    }
+    storeReads++;
+    boolean cut = cutFromStore.contains(instance.id);
+    reduce(instance, new StoreContactChanged(nowMs, !cut));
+    if (!cut) {
+      boolean complete = instance.readOffset < 0;
+      long fromOffset = complete ? 0 : instance.readOffset;
+      instance.readOffset = listOffset;
+      reduce(
+          instance,
+          new EnginesRead(
+              nowMs, new EngineListing(fromOffset, listOffset, engines, List.of(), complete)));
+    }
+  }
+}
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
@@ -26,7 +26,10 @@
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.membership.DigestScope;
+import org.limpetdoor.core.membership.PeerMessage.DigestTimes;
 import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
+import org.limpetdoor.core.membership.PeerMessage.StoreFacts;
 import org.pcollections.HashTreePMap;
 import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
@@ -35,7 +38,8 @@
 final class GatewayFixture {
   static final String HOST = "shop.example";
   static final ModelKey SMALL = ModelKey.of("small");
-  static final GatewaySettings SETTINGS = new GatewaySettings(7_000, 0.2, 50, 3_000, true, 2_300);
+  static final GatewaySettings SETTINGS =
+      new GatewaySettings(7_000, 0.2, 50, 3_000, true, 2_300, 1_000, 1_200);
 
   private final NodeReducer reducer = new NodeReducer();
   private final List<Effect> effects = new ArrayList<>();
@@ -43,6 +47,7 @@
       NodeState.initial(new Self(new InstanceId("node-1"), 1, new ZoneId("zone-a")));
   private long nowMs = 1_000;
   private long nextCall = 1;
+  private long listOffset;
   private boolean hasSmallModel;
 
   GatewayFixture() {
@@ -111,7 +116,16 @@
   }
 
   void engines(EngineEntry... entries) {
-    reduce(new EnginesRead(nowMs, List.of(entries), List.of(), false));
+    engineList(List.of(entries), List.of(), false);
+  }
+
+  /** Delivers the next range of the list of engines, or the complete list. */
+  void engineList(List<EngineEntry> entries, List<BackendId> removed, boolean complete) {
+    long fromOffset = complete ? 0 : listOffset;
+    listOffset++;
+    reduce(
+        new EnginesRead(
+            nowMs, new EngineListing(fromOffset, listOffset, entries, removed, complete)));
   }
 
   long call(String path, Optional<ModelKey> model, int timeLeftMs) {
@@ -119,7 +133,8 @@
     reduce(
         new CallArrived(
             nowMs,
-            new CallSpec(id, "c" + id, HOST, path, Optional.of(timeLeftMs), model, 100, 0, 7)));
+            new CallSpec(id, "c" + id, HOST, path, Optional.of(timeLeftMs), model, 100, 0, 7),
+            nowMs));
     return id;
   }
 
@@ -128,8 +143,9 @@
     InstanceId id = new InstanceId(peer);
     LoadDigest digest =
         new LoadDigest(
-            1,
-            storeReachable,
+            DigestScope.GROUP,
+            new DigestTimes(nowMs, 0),
+            new StoreFacts(1, 0, storeReachable, 0),
             fencingNumber,
             HashTreePMap.empty(),
             HashTreePMap.empty(),
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/StoreEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/StoreEventsTest.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.limpetdoor.core.effect.ForwardCall;
-import org.limpetdoor.core.event.EnginesRead;
 import org.limpetdoor.core.event.StoreContactChanged;
 import org.limpetdoor.core.id.BackendId;
 
@@ -18,8 +17,7 @@
   }
 
   private void removeEntry(String engine) {
-    fixture.reduce(
-        new EnginesRead(fixture.nowMs(), List.of(), List.of(new BackendId(engine)), false));
+    fixture.engineList(List.of(), List.of(new BackendId(engine)), false);
   }
 
   /** Guards against reverting to an older configuration when older records are read again. */
@@ -93,8 +91,7 @@
     fixture.engines(GatewayFixture.plain("e1"), GatewayFixture.plain("e2"));
     fixture.advance(5_000);
 
-    fixture.reduce(
-        new EnginesRead(fixture.nowMs(), List.of(GatewayFixture.plain("e2")), List.of(), true));
+    fixture.engineList(List.of(GatewayFixture.plain("e2")), List.of(), true);
 
     assertThat(isKnown("e1")).isFalse();
     assertThat(isKnown("e2")).isTrue();
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
@@ -1,28 +1,29 @@
 package org.limpetdoor.format.peer;
 
 import java.io.IOException;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Set;
 import org.limpetdoor.core.LimpetdoorException;
 import org.limpetdoor.core.gateway.ModelKey;
 import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.membership.DigestScope;
 import org.limpetdoor.core.membership.PeerMessage;
+import org.limpetdoor.core.membership.PeerMessage.DigestTimes;
 import org.limpetdoor.core.membership.PeerMessage.DutyHandedOver;
 import org.limpetdoor.core.membership.PeerMessage.DutyReleased;
+import org.limpetdoor.core.membership.PeerMessage.EnginesPassedOn;
+import org.limpetdoor.core.membership.PeerMessage.FactsRequested;
 import org.limpetdoor.core.membership.PeerMessage.Heartbeat;
+import org.limpetdoor.core.membership.PeerMessage.InstancesPassedOn;
 import org.limpetdoor.core.membership.PeerMessage.Leaving;
 import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
 import org.limpetdoor.core.membership.PeerMessage.LoadedModelChanged;
 import org.limpetdoor.core.membership.PeerMessage.ModelRequested;
+import org.limpetdoor.core.membership.PeerMessage.RoutesPassedOn;
+import org.limpetdoor.core.membership.PeerMessage.StoreFacts;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
-import org.pcollections.HashTreePMap;
-import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
 import org.pcollections.PSet;
 
@@ -102,40 +103,51 @@
       @Override
       void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
         LoadDigest digest = (LoadDigest) message;
-        packer.packLong(digest.configurationVersion());
-        packer.packBoolean(digest.storeReachable());
+        packer.packInt(digest.scope().ordinal());
+        packer.packLong(digest.times().sentAtMs());
+        packer.packLong(digest.times().echoedAtMs());
+        packer.packLong(digest.facts().configurationVersion());
+        packer.packLong(digest.facts().listOffset());
+        packer.packBoolean(digest.facts().storeReachable());
+        packer.packLong(digest.facts().ageMs());
         packer.packLong(digest.fencingNumber());
         packEngines(packer, digest.inFlight());
         packEngines(packer, digest.gapsMs());
-        packer.packArrayHeader(digest.adaptersInUse().size());
-        for (ModelKey adapter : digest.adaptersInUse()) {
-          packKey(packer, adapter);
-        }
+        Values.packKeys(packer, digest.adaptersInUse());
         packer.packMapHeader(digest.arrivals().size());
         for (Map.Entry<ModelKey, Integer> entry : digest.arrivals().entrySet()) {
-          packKey(packer, entry.getKey());
+          Values.packKey(packer, entry.getKey());
           packer.packInt(entry.getValue());
         }
         packer.packMapHeader(digest.lostEngines().size());
-        for (Map.Entry<Long, Integer> entry : digest.lostEngines().entrySet()) {
+        for (Map.Entry<Long, PSet<String>> entry : digest.lostEngines().entrySet()) {
           packer.packLong(entry.getKey());
-          packer.packInt(entry.getValue());
+          Values.packTexts(packer, entry.getValue());
         }
       }
 
       @Override
       PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
-        long configurationVersion = unpacker.unpackLong();
-        boolean storeReachable = unpacker.unpackBoolean();
+        DigestScope scope = Values.constant(unpacker, DigestScope.values());
+        DigestTimes times = new DigestTimes(unpacker.unpackLong(), unpacker.unpackLong());
+        StoreFacts facts =
+            new StoreFacts(
+                unpacker.unpackLong(),
+                unpacker.unpackLong(),
+                unpacker.unpackBoolean(),
+                unpacker.unpackLong());
         long fencingNumber = unpacker.unpackLong();
         PMap<BackendId, Integer> inFlight = unpackEngines(unpacker);
         PMap<BackendId, Integer> gapsMs = unpackEngines(unpacker);
-        PSet<ModelKey> adaptersInUse = unpackKeys(unpacker);
-        PMap<ModelKey, Integer> arrivals = unpackMap(unpacker, Kind::unpackKey);
-        PMap<Long, Integer> lostEngines = unpackMap(unpacker, MessageUnpacker::unpackLong);
+        PSet<ModelKey> adaptersInUse = Values.unpackKeys(unpacker);
+        PMap<ModelKey, Integer> arrivals =
+            Values.unpackMap(unpacker, Values::unpackKey, MessageUnpacker::unpackInt);
+        PMap<Long, PSet<String>> lostEngines =
+            Values.unpackMap(unpacker, MessageUnpacker::unpackLong, Values::unpackTexts);
         return new LoadDigest(
-            configurationVersion,
-            storeReachable,
+            scope,
+            times,
+            facts,
             fencingNumber,
             inFlight,
             gapsMs,
@@ -149,12 +161,12 @@
       void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
         ModelRequested request = (ModelRequested) message;
         packer.packString(request.service());
-        packKey(packer, request.key());
+        Values.packKey(packer, request.key());
       }
 
       @Override
       PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
-        return new ModelRequested(unpacker.unpackString(), unpackKey(unpacker));
+        return new ModelRequested(unpacker.unpackString(), Values.unpackKey(unpacker));
       }
     },
     LOADED_MODEL_CHANGED(LoadedModelChanged.class) {
@@ -164,7 +176,7 @@
         packer.packString(changed.engine().value());
         packer.packLong(changed.startedAtMs());
         packer.packLong(changed.ordersAccepted());
-        packKey(packer, changed.key());
+        Values.packKey(packer, changed.key());
         packer.packBoolean(changed.held());
       }
 
@@ -173,7 +185,7 @@
         BackendId engine = new BackendId(unpacker.unpackString());
         long startedAtMs = unpacker.unpackLong();
         long ordersAccepted = unpacker.unpackLong();
-        ModelKey key = unpackKey(unpacker);
+        ModelKey key = Values.unpackKey(unpacker);
         return new LoadedModelChanged(
             engine, startedAtMs, ordersAccepted, key, unpacker.unpackBoolean());
       }
@@ -199,6 +211,54 @@
       PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
         return new DutyHandedOver(unpacker.unpackLong());
       }
+    },
+    FACTS_REQUESTED(FactsRequested.class) {
+      @Override
+      void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
+        FactsRequested request = (FactsRequested) message;
+        packer.packLong(request.configurationVersion());
+        packer.packLong(request.listOffset());
+        packer.packBoolean(request.withInstances());
+      }
+
+      @Override
+      PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
+        return new FactsRequested(
+            unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackBoolean());
+      }
+    },
+    ROUTES_PASSED_ON(RoutesPassedOn.class) {
+      @Override
+      void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
+        RouteTableCodec.pack(packer, ((RoutesPassedOn) message).table());
+      }
+
+      @Override
+      PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
+        return new RoutesPassedOn(RouteTableCodec.unpack(unpacker));
+      }
+    },
+    ENGINES_PASSED_ON(EnginesPassedOn.class) {
+      @Override
+      void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
+        ListingCodec.packEngines(packer, ((EnginesPassedOn) message).list());
+      }
+
+      @Override
+      PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
+        return new EnginesPassedOn(ListingCodec.unpackEngines(unpacker));
+      }
+    },
+    INSTANCES_PASSED_ON(InstancesPassedOn.class) {
+      @Override
+      void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
+        ListingCodec.packInstances(packer, ((InstancesPassedOn) message).instances());
+      }
+
+      @Override
+      PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
+        return new InstancesPassedOn(ListingCodec.unpackInstances(unpacker));
+      }
     };
 
     private final Class<? extends PeerMessage> type;
@@ -220,21 +280,6 @@
       throw new MalformedFrameException("a peer message that is sent between instances", null);
     }
 
-    private interface KeyReader<K> {
-      K read(MessageUnpacker unpacker) throws IOException;
-    }
-
-    private static <K> PMap<K, Integer> unpackMap(MessageUnpacker unpacker, KeyReader<K> keyReader)
-        throws IOException {
-      int size = unpacker.unpackMapHeader();
-      Map<K, Integer> map = new HashMap<>();
-      for (int i = 0; i < size; i++) {
-        K key = keyReader.read(unpacker);
-        map.put(key, unpacker.unpackInt());
-      }
-      return HashTreePMap.from(map);
-    }
-
     private static void packEngines(MessageBufferPacker packer, PMap<BackendId, Integer> engines)
         throws IOException {
       packer.packMapHeader(engines.size());
@@ -246,27 +291,8 @@
 
     private static PMap<BackendId, Integer> unpackEngines(MessageUnpacker unpacker)
         throws IOException {
-      return unpackMap(unpacker, u -> new BackendId(u.unpackString()));
-    }
-
-    private static PSet<ModelKey> unpackKeys(MessageUnpacker unpacker) throws IOException {
-      int size = unpacker.unpackArrayHeader();
-      Set<ModelKey> keys = new HashSet<>();
-      for (int i = 0; i < size; i++) {
-        keys.add(unpackKey(unpacker));
-      }
-      return HashTreePSet.from(keys);
-    }
-
-    private static void packKey(MessageBufferPacker packer, ModelKey key) throws IOException {
-      packer.packString(key.model());
-      packer.packString(key.adapter().orElse(""));
-    }
-
-    private static ModelKey unpackKey(MessageUnpacker unpacker) throws IOException {
-      String model = unpacker.unpackString();
-      String adapter = unpacker.unpackString();
-      return new ModelKey(model, Optional.of(adapter).filter(name -> !name.isEmpty()));
+      return Values.unpackMap(
+          unpacker, u -> new BackendId(u.unpackString()), MessageUnpacker::unpackInt);
     }
   }
 }
--- a/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
@@ -5,17 +5,38 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.gateway.CallKind;
+import org.limpetdoor.core.gateway.EngineEntry;
+import org.limpetdoor.core.gateway.EngineListing;
 import org.limpetdoor.core.gateway.ModelKey;
+import org.limpetdoor.core.gateway.Route;
+import org.limpetdoor.core.gateway.Route.WeightedService;
+import org.limpetdoor.core.gateway.RouteTable;
+import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
+import org.limpetdoor.core.gateway.ServiceSpec;
+import org.limpetdoor.core.gateway.ServiceSpec.EngineSpec;
+import org.limpetdoor.core.gateway.ServiceSpec.ModelSpec;
 import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.membership.DigestScope;
+import org.limpetdoor.core.membership.ListedInstance;
 import org.limpetdoor.core.membership.PeerMessage;
+import org.limpetdoor.core.membership.PeerMessage.DigestTimes;
 import org.limpetdoor.core.membership.PeerMessage.DutyHandedOver;
 import org.limpetdoor.core.membership.PeerMessage.DutyReleased;
+import org.limpetdoor.core.membership.PeerMessage.EnginesPassedOn;
+import org.limpetdoor.core.membership.PeerMessage.FactsRequested;
 import org.limpetdoor.core.membership.PeerMessage.Heartbeat;
+import org.limpetdoor.core.membership.PeerMessage.InstancesPassedOn;
 import org.limpetdoor.core.membership.PeerMessage.Leaving;
 import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
 import org.limpetdoor.core.membership.PeerMessage.LoadedModelChanged;
 import org.limpetdoor.core.membership.PeerMessage.ModelRequested;
+import org.limpetdoor.core.membership.PeerMessage.RoutesPassedOn;
+import org.limpetdoor.core.membership.PeerMessage.StoreFacts;
 import org.pcollections.HashTreePMap;
 import org.pcollections.HashTreePSet;
 
@@ -25,19 +46,70 @@
           new Heartbeat(3, -1),
           new Leaving(),
           new LoadDigest(
-              7,
-              true,
+              DigestScope.GROUP,
+              new DigestTimes(123, 456),
+              new StoreFacts(7, 99, true, 250),
               41,
               HashTreePMap.singleton(new BackendId("g1"), 3),
               HashTreePMap.singleton(new BackendId("g2"), 74),
               HashTreePSet.singleton(ModelKey.of("m1", "a2")),
               HashTreePMap.singleton(ModelKey.of("m1", "a1"), 2),
-              HashTreePMap.singleton(-5L, 1)),
+              HashTreePMap.singleton(-5L, HashTreePSet.singleton("g1@9"))),
           new DutyReleased(41),
           new DutyHandedOver(42),
           new ModelRequested("llm", ModelKey.of("m1")),
+          new FactsRequested(7, 99, true),
+          new RoutesPassedOn(routes()),
+          new EnginesPassedOn(
+              new EngineListing(
+                  5,
+                  9,
+                  List.of(
+                      new EngineEntry(
+                          new BackendId("g1"),
+                          "llm",
+                          "10.0.0.1:80",
+                          new ZoneId("z"),
+                          16,
+                          true,
+                          1_700_000_000_000L,
+                          4,
+                          HashTreePSet.singleton(ModelKey.of("m1", "a1")),
+                          HashTreePSet.singleton("m2"))),
+                  List.of(new BackendId("g2")),
+                  false)),
+          new InstancesPassedOn(
+              List.of(
+                  new ListedInstance(
+                      new InstanceId("n1"), "10.0.1.1:80", new ZoneId("z"), "r", false, 0.36))),
           new LoadedModelChanged(new BackendId("g1"), 1, 9, ModelKey.of("m1", "a1"), true));
 
+  private static RouteTable routes() {
+    Route route =
+        new Route(
+            "r",
+            "host",
+            "/p/",
+            CallKind.STREAM,
+            10_000,
+            300,
+            2,
+            1,
+            true,
+            150,
+            List.of(new WeightedService("llm", 3)));
+    EngineSpec engine =
+        new EngineSpec(
+            1_000, 83_000, 8, 2.5, HashTreePMap.singleton("m1", new ModelSpec("m1", 1, 2, 3, 4)));
+    return RouteTable.of(
+        7,
+        List.of(route),
+        List.of(
+            new ServiceSpec("llm", 100, Optional.of(engine)),
+            new ServiceSpec("plain", 50, Optional.empty())),
+        new CallerLimits(1, 2, 3, 4));
+  }
+
   /** Guards against fields that are encoded and decoded in different orders. */
   @Test
   void messagesRoundTrip() {
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
@@ -15,6 +15,7 @@
 import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.event.ForwardStarted;
 import org.limpetdoor.core.gateway.ForwardResult;
+import org.limpetdoor.runtime.MonotonicClock;
 
 /**
  * One attempt to run a call on an engine. It reports its end exactly once. Confined to the traffic
@@ -24,8 +25,11 @@
  * failure another attempt can still provide the response.
  */
 final class EngineAttempt {
-  /** Largest response that is buffered in memory, in bytes. */
-  private static final int MAX_RESPONSE_BYTES = 32 << 20;
+  /**
+   * Largest response that is buffered in memory, in bytes. Engines may send bytes without end, and
+   * a process has a heap of 220 MB for all its calls.
+   */
+  private static final int MAX_RESPONSE_BYTES = 4 << 20;
 
   /**
    * Initial size of the response buffer, in bytes; most responses have about 1 kB. The buffer grows
@@ -47,12 +51,13 @@
   private final EventSink eventSink;
   private final EventLoop loop;
   private final PaceMeter paceMeter;
+  private final MonotonicClock clock;
   private final EventSplitter splitter = new EventSplitter();
   private EngineChannel channel;
   private HttpResponse responseHead;
   private final ByteBuf body = Unpooled.buffer(INITIAL_RESPONSE_BYTES);
   private ScheduledFuture<?> silenceCheck;
-  private long lastByteNs;
+  private long lastProgressNs;
   private boolean streaming;
   private boolean startReported;
   private boolean ended;
@@ -63,13 +68,15 @@
       CallProtocol protocol,
       EventSink eventSink,
       EventLoop loop,
-      PaceMeter paceMeter) {
+      PaceMeter paceMeter,
+      MonotonicClock clock) {
     this.forward = forward;
     this.call = call;
     this.protocol = protocol;
     this.eventSink = eventSink;
     this.loop = loop;
     this.paceMeter = paceMeter;
+    this.clock = clock;
   }
 
   int number() {
@@ -100,7 +107,7 @@
   /** Called when the request is being written to a channel. */
   void requestSent(EngineChannel value) {
     channel = value;
-    lastByteNs = System.nanoTime();
+    lastProgressNs = System.nanoTime();
     scheduleSilenceCheck(forward.firstByteTimeoutMs());
   }
 
@@ -108,6 +115,23 @@
     end(ForwardResult.CONNECT_FAILED);
   }
 
+  /**
+   * Ends the attempt if the caller's deadline has passed, and returns whether it has. Called right
+   * before the request is written, since the decision to send it may be old in a busy process.
+   */
+  boolean endIfDeadlinePassed() {
+    boolean passed = clock.nowMs() >= forward.deadlineAtMs();
+    if (passed) {
+      end(ForwardResult.DEADLINE_PASSED);
+    }
+    return passed;
+  }
+
+  /** Returns what to send, with the time that is left now. */
+  ForwardCall forwardNow() {
+    return forward.at(clock.nowMs());
+  }
+
   /** Returns whether the response belongs to this call; other responses are skipped. */
   boolean accepts(HttpResponse head) {
     return !protocol.isForOtherCall(head, call.spec().callerAttemptId());
@@ -115,7 +139,7 @@
 
   void responseStarted(HttpResponse head) {
     responseHead = head;
-    lastByteNs = System.nanoTime();
+    lastProgressNs = System.nanoTime();
     boolean success = head.status().codeClass() == HttpStatusClass.SUCCESS;
     streaming = forward.streamed() && success && protocol.isSigned(head);
   }
@@ -124,12 +148,6 @@
     if (ended) {
       return;
     }
-    long previousByteNs = lastByteNs;
-    lastByteNs = System.nanoTime();
-    if (startReported) {
-      long gapMs = TimeUnit.NANOSECONDS.toMillis(lastByteNs - previousByteNs);
-      paceMeter.recordGap(forward.engine(), gapMs, lastByteNs);
-    }
     if (streaming) {
       relayContent(content);
     } else if (body.readableBytes() + content.readableBytes() > MAX_RESPONSE_BYTES) {
@@ -181,8 +199,12 @@
     ByteBuf events = splitter.split(content);
     if (!events.isReadable()) {
       events.release();
+      if (splitter.isTooLong()) {
+        failAndAbort(ForwardResult.INVALID_ANSWER);
+      }
       return;
     }
+    recordProgress();
     call.relayEvents(this, events, splitter.lastId());
     if (!startReported) {
       startReported = true;
@@ -190,6 +212,19 @@
     }
   }
 
+  /**
+   * Records that whole events have arrived. Bytes alone are no progress: an engine that sends one
+   * now and then would never be found silent.
+   */
+  private void recordProgress() {
+    long previousNs = lastProgressNs;
+    lastProgressNs = System.nanoTime();
+    if (startReported) {
+      long gapMs = TimeUnit.NANOSECONDS.toMillis(lastProgressNs - previousNs);
+      paceMeter.recordGap(forward.engine(), gapMs, lastProgressNs);
+    }
+  }
+
   private void completeStream() {
     if (splitter.hasIncompleteEvent() || !call.headSent()) {
       end(ForwardResult.INVALID_ANSWER);
@@ -254,7 +289,7 @@
 
   private void checkSilence() {
     long timeoutMs = startReported ? forward.gapTimeoutMs() : forward.firstByteTimeoutMs();
-    long silentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastByteNs);
+    long silentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastProgressNs);
     if (silentMs < timeoutMs) {
       scheduleSilenceCheck(timeoutMs - silentMs);
       return;
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
@@ -95,7 +95,7 @@
             Unpooled.wrappedBuffer(call.body()));
     HopByHopHeaders.copyEndToEnd(call.head().headers(), request.headers());
     protocol.writeHeaders(
-        call.head().headers(), request.headers(), next.forward(), call.lastEventId());
+        call.head().headers(), request.headers(), next.forwardNow(), call.lastEventId());
     boolean hasBody =
         call.body().length > 0 || call.head().headers().contains(HttpHeaderNames.CONTENT_LENGTH);
     if (hasBody) {
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
@@ -49,6 +49,9 @@
 
   /** Sends the request of an attempt on an idle or a new connection. */
   void send(EngineAttempt attempt) {
+    if (attempt.endIfDeadlinePassed()) {
+      return;
+    }
     EngineChannel pooled = pollIdle(attempt);
     if (pooled != null) {
       pooled.send(attempt, protocol);
@@ -58,13 +61,14 @@
     ChannelFuture connecting = connect(attempt.forward().address(), opened);
     connecting.addListener(
         done -> {
-          if (attempt.hasEnded()) {
-            connecting.channel().close();
-          } else if (done.isSuccess()) {
-            opened.send(attempt, protocol);
-          } else {
+          if (!attempt.hasEnded() && !done.isSuccess()) {
             attempt.connectFailed();
           }
+          if (attempt.hasEnded() || attempt.endIfDeadlinePassed()) {
+            connecting.channel().close();
+            return;
+          }
+          opened.send(attempt, protocol);
         });
   }
 
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EventSplitter.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EventSplitter.java
@@ -11,8 +11,17 @@
  * event, and the resumed stream then repeats that event from its start.
  */
 final class EventSplitter {
+  /** Longest blank line with the end of the line before it, less its last byte. */
+  private static final int SEPARATOR_OVERLAP_BYTES = 3;
+
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+  /**
+   * Longest event, in bytes. An engine in trouble may send bytes without an end of an event until
+   * its connection is closed.
+   */
+  static final int MAX_EVENT_BYTES = 1 << 20;
+
   private ByteBuf incomplete = Unpooled.EMPTY_BUFFER;
   private Optional<String> lastId = Optional.empty();
 
@@ -21,11 +30,17 @@
    * caller must release it.
    */
   ByteBuf split(ByteBuf received) {
+    // Only the new bytes and the end of the old ones can complete an event.
+    int searchedBytes = Math.max(0, incomplete.readableBytes() - SEPARATOR_OVERLAP_BYTES);
+    if (incomplete.isReadable() && endsNoEvent(received)) {
+      incomplete.writeBytes(received, received.readerIndex(), received.readableBytes());
+      return Unpooled.EMPTY_BUFFER;
+    }
     ByteBuf bytes =
         incomplete.isReadable()
             ? Unpooled.wrappedBuffer(incomplete, received.retain())
             : received.retain();
-    int end = lastEventEnd(bytes);
+    int end = lastEventEnd(bytes, bytes.readerIndex() + searchedBytes);
     if (end < 0) {
       incomplete = copyAndRelease(bytes);
       return Unpooled.EMPTY_BUFFER;
@@ -63,9 +78,18 @@
     }
   }
 
-  /** Returns the index after the last blank line, or -1 if there is none. */
-  private static int lastEventEnd(ByteBuf bytes) {
-    for (int i = bytes.writerIndex() - 1; i > bytes.readerIndex(); i--) {
+  /** Returns whether the incomplete event is longer than {@link #MAX_EVENT_BYTES}. */
+  boolean isTooLong() {
+    return incomplete.readableBytes() > MAX_EVENT_BYTES;
+  }
+
+  private static boolean endsNoEvent(ByteBuf received) {
+    return received.indexOf(received.readerIndex(), received.writerIndex(), (byte) '\n') < 0;
+  }
+
+  /** Returns the index after the last blank line that ends after an index, or -1. */
+  private static int lastEventEnd(ByteBuf bytes, int fromIndex) {
+    for (int i = bytes.writerIndex() - 1; i > Math.max(fromIndex, bytes.readerIndex()); i--) {
       if (bytes.getByte(i) != '\n') {
         continue;
       }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
@@ -8,6 +8,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
+import java.nio.channels.spi.SelectorProvider;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -50,8 +51,10 @@
   private final PrometheusMeterRegistry metrics =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final DecisionLog log = new DecisionLog(System.out, metrics);
+  private final ReadTimes readTimes = new ReadTimes(clock);
   private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+      new MultiThreadIoEventLoopGroup(
+          1, NioIoHandler.newFactory(SelectorProvider.provider(), readTimes));
   private final CompletableFuture<StopInstance.Reason> flushed = new CompletableFuture<>();
   private final GatewayTraffic traffic;
   private final ControlLoop<NodeState, Event, Effect> control;
@@ -68,6 +71,22 @@
 
     /** Returns the client that requests the placement duty. */
     DutyClient dutyClient(ControlHttpClient httpClient);
+
+    /** Returns the follower of the store, whose reads are made on the given traffic thread. */
+    StoreFollower storeFollower(
+        ControlHttpClient httpClient, EventLoop loop, StoreFollower.Sink sink);
+  }
+
+  private final class StoreSink implements StoreFollower.Sink {
+    @Override
+    public void submit(Function<Long, Event> event) {
+      control.submit(event);
+    }
+
+    @Override
+    public void log(LogLine line) {
+      log.write(line);
+    }
   }
 
   private GatewayServer(GatewayOptions options, Platform platform) {
@@ -80,7 +99,9 @@
             platform.callProtocol(),
             platform.engineClient(httpClient),
             platform.dutyClient(httpClient),
+            platform.storeFollower(httpClient, loop, new StoreSink()),
             clock,
+            readTimes,
             this::submit);
     this.peers = new PeerLinks(this::submit);
     this.control =
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -12,6 +12,7 @@
 import org.limpetdoor.core.effect.AbortCall;
 import org.limpetdoor.core.effect.ApplyCallerLimits;
 import org.limpetdoor.core.effect.CancelForward;
+import org.limpetdoor.core.effect.FollowStore;
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.effect.GatewayEffect;
 import org.limpetdoor.core.effect.GatewayEffectHandler;
@@ -43,7 +44,9 @@
   private final CallProtocol protocol;
   private final EngineClient engineClient;
   private final DutyClient dutyClient;
+  private final StoreFollower storeFollower;
   private final MonotonicClock clock;
+  private final ReadTimes readTimes;
   private final EngineAttempt.EventSink eventSink;
   private final EngineConnectionPool pool;
   private final PaceMeter paceMeter;
@@ -58,13 +61,17 @@
       CallProtocol protocol,
       EngineClient engineClient,
       DutyClient dutyClient,
+      StoreFollower storeFollower,
       MonotonicClock clock,
+      ReadTimes readTimes,
       EngineAttempt.EventSink eventSink) {
     this.loop = loop;
     this.protocol = protocol;
     this.engineClient = engineClient;
     this.dutyClient = dutyClient;
+    this.storeFollower = storeFollower;
     this.clock = clock;
+    this.readTimes = readTimes;
     this.eventSink = eventSink;
     this.pool = new EngineConnectionPool(loop, protocol);
     this.paceMeter = new PaceMeter(this);
@@ -98,7 +105,8 @@
   OpenCall openCall(HttpRequest head, byte[] body, CallerChannel caller) {
     OpenCall call = new OpenCall(protocol.parseCall(nextCallId++, head, body), head, body, caller);
     calls.put(call.spec().id(), call);
-    submit(atMs -> new CallArrived(atMs, call.spec()));
+    long receivedAtMs = readTimes.earliestArrivalMs();
+    submit(atMs -> new CallArrived(atMs, call.spec(), receivedAtMs));
     return call;
   }
 
@@ -129,7 +137,7 @@
     if (call == null) {
       return;
     }
-    EngineAttempt attempt = new EngineAttempt(effect, call, protocol, this, loop, paceMeter);
+    EngineAttempt attempt = new EngineAttempt(effect, call, protocol, this, loop, paceMeter, clock);
     call.attemptStarted(attempt);
     pool.send(attempt);
   }
@@ -217,6 +225,15 @@
     callerLimits = effect.limits();
   }
 
+  @Override
+  public void followStore(FollowStore effect) {
+    if (effect.started()) {
+      storeFollower.follow(effect.engineIntervalMs());
+    } else {
+      storeFollower.stop();
+    }
+  }
+
   /** Closes the connections of callers: all of them, or only idle ones. */
   void closeCallers(boolean all) {
     for (CallerChannel caller : Set.copyOf(callers)) {
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/StateGauges.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/StateGauges.java
@@ -13,7 +13,7 @@
   /** Number of calls that have not ended. */
   OPEN_CALLS("limpetdoor.calls.open", node -> node.gateway().openCalls()),
   /** Number of calls that wait for an engine. */
-  WAITING_CALLS("limpetdoor.calls.waiting", node -> node.gateway().waiting().size()),
+  WAITING_CALLS("limpetdoor.calls.waiting", node -> node.gateway().waitingCalls()),
   /** Waiting time of the call that has waited longest for an engine, in milliseconds. */
   OLDEST_WAIT_MS(
       "limpetdoor.calls.oldest.wait.ms", node -> node.gateway().oldestWaitMs(node.nowMs())),
@@ -21,6 +21,10 @@
   ENGINES("limpetdoor.engines", node -> node.gateway().engineCount()),
   /** 1 if the store is reachable, 0 otherwise. */
   STORE_REACHABLE("limpetdoor.store.reachable", node -> node.gateway().storeReachable() ? 1 : 0),
+  /** 1 if other instances exchange messages through this one, 0 if it is a spoke of a hub. */
+  HUB("limpetdoor.fleet.hub", node -> node.gateway().isHub() ? 1 : 0),
+  /** Age of the routes and the list of engines, in milliseconds. */
+  FACTS_AGE("limpetdoor.facts.age.ms", node -> node.gateway().factsAgeMs(node.nowMs())),
   /** 1 if this instance holds the placement duty, 0 otherwise. */
   DUTY_HELD("limpetdoor.duty.held", node -> node.gateway().holdsDuty() ? 1 : 0),
   /** 1 if the instance is shutting down, 0 otherwise. */
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
@@ -53,9 +53,11 @@
   private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
   private final BlockingQueue<List<String>> scriptedResponses = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> receivedRequests = new LinkedBlockingQueue<>();
+  private final MonotonicClock clock = MonotonicClock.startingNow();
   private GatewayTraffic traffic;
   private Channel callers;
   private Channel engine;
+  private long deadlineInMs = 60_000;
 
   @BeforeEach
   void open() {
@@ -66,7 +68,9 @@
             new TestCallProtocol(),
             null,
             null,
-            MonotonicClock.startingNow(),
+            null,
+            clock,
+            new ReadTimes(clock),
             event -> events.add(event.apply(0L)));
     callers = Listeners.listenForCallers(group, ANY_LOOPBACK_PORT, traffic);
     engine = startEngine();
@@ -189,6 +193,7 @@
             new BackendId("e1"),
             "127.0.0.1:" + address.getPort(),
             1_000,
+            clock.nowMs() + deadlineInMs,
             0,
             streamed,
             false,
