--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DigestWriter.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DigestWriter.java
@@ -19,7 +19,7 @@
  *
  * @param node state of the instance
  * @param group load of this instance and its spokes
- * @param fleet load of all instances
+ * @param fleet load of all instances, which only spokes receive
  */
 record DigestWriter(NodeState node, Load group, Load fleet) {
   /**
@@ -58,11 +58,16 @@
     for (ReceivedDigest peer : state.peers().byPeer().values()) {
       group = peer.digest().scope() == DigestScope.INSTANCE ? group.plus(peer.digest()) : group;
     }
+    return new DigestWriter(node, group, state.peers().hasSpokes() ? fleet(node, group) : group);
+  }
+
+  private static Load fleet(NodeState node, Load group) {
+    PeerLoads peers = node.gateway().peers();
     Load fleet = group;
-    for (ReceivedDigest peer : state.peers().byPeer().values()) {
+    for (ReceivedDigest peer : peers.byPeer().values()) {
       fleet = peer.digest().scope() == DigestScope.GROUP ? fleet.plus(peer.digest()) : fleet;
     }
-    return new DigestWriter(node, group, fleet);
+    return fleet;
   }
 
   /** Returns the digest for a peer. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -1,6 +1,8 @@
 package org.limpetdoor.core.gateway;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
@@ -27,25 +29,42 @@
  * holds the placement duty.
  */
 public final class Digests {
+  /** Interval of digests that report no change, in milliseconds. */
+  private static final long UNCHANGED_INTERVAL_MS = 2 * GatewayTick.INTERVAL_MS;
+
   private Digests() {}
 
-  /** Sends a digest to each hub and spoke of a hub, or to the hub of a spoke. */
+  /**
+   * Sends a digest to each hub and spoke of a hub, or to the hub of a spoke. A receiver that would
+   * learn nothing new gets one only as often as it must to know that this instance is live.
+   */
   static Transition<NodeState, Effect> send(NodeState node) {
     GatewayState state = node.gateway();
-    Placement placement = state.placement().withArrivals(state.arrivals(), node.nowMs());
+    DigestWriter writer = DigestWriter.of(node);
+    PMap<InstanceId, LoadDigest> sentDigests = HashTreePMap.empty();
+    List<Effect> messages = new ArrayList<>();
+    for (Map.Entry<InstanceId, DigestScope> receiver : receivers(node).entrySet()) {
+      LoadDigest digest = writer.write(receiver.getKey(), receiver.getValue());
+      LoadDigest previous = state.fleet().sent().get(receiver.getKey());
+      boolean due = previous == null || isDue(previous, digest, node.nowMs());
+      sentDigests = sentDigests.plus(receiver.getKey(), due ? digest : previous);
+      if (due) {
+        messages.add(new SendToPeer(receiver.getKey(), digest));
+      }
+    }
     NodeState sent =
         node.withGateway(
             state
-                .withPlacement(placement)
+                .withFleet(state.fleet().withSent(sentDigests))
+                .withPlacement(state.placement().withArrivals(state.arrivals(), node.nowMs()))
                 .withArrivals(HashTreePMap.empty())
                 .withCrashRecords(state.crashRecords().withAllReported(node.nowMs())));
-    DigestWriter writer = DigestWriter.of(node);
-    Transition<NodeState, Effect> result = Transition.of(sent);
-    for (Map.Entry<InstanceId, DigestScope> receiver : receivers(node).entrySet()) {
-      LoadDigest digest = writer.write(receiver.getKey(), receiver.getValue());
-      result = result.with(new SendToPeer(receiver.getKey(), digest));
-    }
-    return result;
+    return Transition.<NodeState, Effect>of(sent).withAll(messages);
+  }
+
+  private static boolean isDue(LoadDigest previous, LoadDigest next, long nowMs) {
+    boolean live = nowMs - previous.times().sentAtMs() >= UNCHANGED_INTERVAL_MS;
+    return live || !next.saysTheSameAs(previous);
   }
 
   private static Map<InstanceId, DigestScope> receivers(NodeState node) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/FleetEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/FleetEvents.java
@@ -92,7 +92,8 @@
         }
       }
     }
-    return new Choice(new FleetView(FleetRole.HUB, Optional.empty(), hubs), dialed);
+    FleetView view = node.gateway().fleet().withPeers(FleetRole.HUB, Optional.empty(), hubs);
+    return new Choice(view, dialed);
   }
 
   private static int missingHubs(NodeState node, FleetLayout layout, ZoneId zone) {
@@ -113,11 +114,11 @@
     boolean pending = false;
     for (InstanceId candidate : membership.layout().preferred()) {
       if (candidate.equals(node.self().id())) {
-        return pending ? spoke(Optional.empty(), dialed) : asHub(node);
+        return pending ? spoke(node, Optional.empty(), dialed) : asHub(node);
       }
       PeerLink link = membership.link(candidate);
       if (link.isUsable(nowMs)) {
-        return spoke(Optional.of(candidate), dialed);
+        return spoke(node, Optional.of(candidate), dialed);
       }
       boolean due = link.isConnectionDue(nowMs);
       if (due && !pending) {
@@ -125,11 +126,12 @@
       }
       pending = pending || due || link.isConnecting(nowMs);
     }
-    return spoke(Optional.empty(), dialed);
+    return spoke(node, Optional.empty(), dialed);
   }
 
-  private static Choice spoke(Optional<InstanceId> hub, List<InstanceId> dialed) {
-    return new Choice(new FleetView(FleetRole.SPOKE, hub, HashTreePSet.empty()), dialed);
+  private static Choice spoke(NodeState node, Optional<InstanceId> hub, List<InstanceId> dialed) {
+    FleetView view = node.gateway().fleet().withPeers(FleetRole.SPOKE, hub, HashTreePSet.empty());
+    return new Choice(view, dialed);
   }
 
   /** Drops digests that an instance in the given role does not count. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
@@ -97,7 +97,24 @@
       PSet<ModelKey> adaptersInUse,
       PMap<ModelKey, Integer> arrivals,
       PMap<Long, PSet<String>> lostEngines)
-      implements PeerMessage {}
+      implements PeerMessage {
+    /**
+     * Returns whether a receiver of the other digest learns nothing new from this one but that its
+     * sender is live. Calls and losses since the last digest are always new.
+     */
+    public boolean saysTheSameAs(LoadDigest other) {
+      return arrivals.isEmpty()
+          && lostEngines.isEmpty()
+          && scope == other.scope
+          && fencingNumber == other.fencingNumber
+          && facts.configurationVersion() == other.facts.configurationVersion()
+          && facts.listOffset() == other.facts.listOffset()
+          && facts.storeReachable() == other.facts.storeReachable()
+          && inFlight.equals(other.inFlight)
+          && gapsMs.equals(other.gapsMs)
+          && adaptersInUse.equals(other.adaptersInUse);
+    }
+  }
 
   /**
    * Times of a digest. The clocks of two instances are not compared: the age of a digest is bounded
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
@@ -134,6 +134,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
+    traffic.recordRead();
     if (call != null) {
       pipelined.addLast(message);
       channel.config().setAutoRead(pipelined.size() < MAX_PIPELINED_MESSAGES);
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -81,7 +81,11 @@
 
   /** Executes an effect on the traffic thread. */
   void apply(GatewayEffect effect) {
-    loop.execute(() -> effect.applyTo(this));
+    loop.execute(
+        () -> {
+          readTimes.recordWork();
+          effect.applyTo(this);
+        });
   }
 
   /** Closes idle connections now and the others after their next response. */
@@ -101,6 +105,11 @@
     return callerLimits;
   }
 
+  /** Called when a connection of a caller has received something. */
+  void recordRead() {
+    readTimes.recordWork();
+  }
+
   /** Opens a call for a request that has been received completely. */
   OpenCall openCall(HttpRequest head, byte[] body, CallerChannel caller) {
     OpenCall call = new OpenCall(protocol.parseCall(nextCallId++, head, body), head, body, caller);
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/Authenticator.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/Authenticator.java
@@ -23,10 +23,19 @@
 
   private static final String ALGORITHM = "HmacSHA256";
 
-  private final SecretKeySpec key;
+  /**
+   * An initialized code that is only copied. A copy saves the look-up of the algorithm and half of
+   * the hashing of a short frame.
+   */
+  private final Mac initialized;
 
   Authenticator(byte[] secret) {
-    this.key = new SecretKeySpec(secret, ALGORITHM);
+    try {
+      this.initialized = Mac.getInstance(ALGORITHM);
+      initialized.init(new SecretKeySpec(secret, ALGORITHM));
+    } catch (GeneralSecurityException e) {
+      throw new MissingAlgorithmException(ALGORITHM, e);
+    }
   }
 
   /** Returns the proof that the given side sends in the handshake. */
@@ -87,10 +96,8 @@
 
   private byte[] hmac(byte[] text) {
     try {
-      Mac mac = Mac.getInstance(ALGORITHM);
-      mac.init(key);
-      return mac.doFinal(text);
-    } catch (GeneralSecurityException e) {
+      return ((Mac) initialized.clone()).doFinal(text);
+    } catch (CloneNotSupportedException e) {
       throw new MissingAlgorithmException(ALGORITHM, e);
     }
   }
