Renew the duty with late answers, plan a request once, and refuse absent models until expected

Every instance repeats its model requests four times a second, and the holder planned anew for each, which took its whole share of a core.

An answer in the same generation now renews the duty, since the generation rises with each change of the holder. A repeated request waits for the tick. A call for a model that cannot be loaded while it waits is refused at once with the time at which the model is expected (AbsentModelAdmission).

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.core.gateway;
 
+import java.util.Optional;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.decision.CallDecision;
@@ -37,6 +38,48 @@
     if (node.nowMs() >= call.waitDeadlineMs()) {
       return failWithoutEngine(node, call, verdict);
     }
+    if (verdict == Verdict.MODEL_NOT_LOADED && isModelAbsent(node, call)) {
+      return enqueueForAbsentModel(node, call);
+    }
+    return enqueueNow(node, call, verdict);
+  }
+
+  private static boolean isModelAbsent(NodeState node, Call call) {
+    ModelKey model = call.spec().model().orElseThrow().base();
+    return !ModelRequests.isLoaded(node.gateway(), call.service(), model);
+  }
+
+  /** Queues a call for a model that has to be loaded, or refuses it until the model is loaded. */
+  private static Transition<NodeState, Effect> enqueueForAbsentModel(NodeState node, Call call) {
+    ModelKey key = call.spec().model().orElseThrow();
+    GatewayState state = node.gateway();
+    CallTable calls = state.callTable().withAbsent(key.base(), node.nowMs());
+    NodeState recorded = node.withGateway(state.withCallTable(calls));
+    Optional<Long> returnAfterMs =
+        loadMs(state, call)
+            .flatMap(
+                loadMs ->
+                    AbsentModelAdmission.returnAfterMs(
+                        call, node.nowMs(), calls.absentSinceMs().get(key.base()), loadMs));
+    return returnAfterMs
+        .map(
+            afterMs ->
+                ModelRequests.request(recorded, call.service(), key)
+                    .then(next -> fail(next, call, Reply.MODEL_ABSENT, afterMs)))
+        .orElseGet(() -> enqueueNow(recorded, call, Verdict.MODEL_NOT_LOADED));
+  }
+
+  private static Optional<Long> loadMs(GatewayState state, Call call) {
+    return state
+        .table()
+        .map(table -> table.services().get(call.service()))
+        .flatMap(ServiceSpec::engine)
+        .map(engine -> engine.models().get(call.spec().model().orElseThrow().model()))
+        .map(ServiceSpec.ModelSpec::loadMs);
+  }
+
+  private static Transition<NodeState, Effect> enqueueNow(
+      NodeState node, Call call, Verdict verdict) {
     GatewayState state = node.gateway().withCall(call);
     NodeState waiting =
         node.withGateway(state.withCallTable(state.callTable().withWaiting(call.spec().id())))
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallTable.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallTable.java
@@ -1,5 +1,7 @@
 package org.limpetdoor.core.gateway;
 
+import java.util.Map;
+import java.util.function.Predicate;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 import org.pcollections.TreePSet;
@@ -9,24 +11,52 @@
  *
  * @param open open calls by number
  * @param waiting numbers of the calls that wait for an engine
+ * @param absentSinceMs models that calls found absent, with the time at which the first call did,
+ *     in monotonic milliseconds
  */
-record CallTable(PMap<Long, Call> open, TreePSet<Long> waiting) {
-  static final CallTable EMPTY = new CallTable(HashTreePMap.empty(), TreePSet.empty());
+record CallTable(
+    PMap<Long, Call> open, TreePSet<Long> waiting, PMap<ModelKey, Long> absentSinceMs) {
+  static final CallTable EMPTY =
+      new CallTable(HashTreePMap.empty(), TreePSet.empty(), HashTreePMap.empty());
+
+  /**
+   * Time for which a model is recorded as absent, in milliseconds. A later call starts a new
+   * estimate.
+   */
+  private static final long ABSENCE_RETENTION_MS = 10_000;
+
+  /** Returns a copy that records a model as absent, unless it is recorded already. */
+  CallTable withAbsent(ModelKey model, long nowMs) {
+    return absentSinceMs.containsKey(model)
+        ? this
+        : new CallTable(open, waiting, absentSinceMs.plus(model, nowMs));
+  }
+
+  /** Returns a copy without the models that are loaded now, or were found absent long ago. */
+  CallTable withoutAbsent(Predicate<ModelKey> loaded, long nowMs) {
+    PMap<ModelKey, Long> remaining = absentSinceMs;
+    for (Map.Entry<ModelKey, Long> entry : absentSinceMs.entrySet()) {
+      boolean outdated = nowMs - entry.getValue() > ABSENCE_RETENTION_MS;
+      remaining =
+          outdated || loaded.test(entry.getKey()) ? remaining.minus(entry.getKey()) : remaining;
+    }
+    return new CallTable(open, waiting, remaining);
+  }
 
   CallTable with(Call call) {
-    return new CallTable(open.plus(call.spec().id(), call), waiting);
+    return new CallTable(open.plus(call.spec().id(), call), waiting, absentSinceMs);
   }
 
   CallTable without(long id) {
-    return new CallTable(open.minus(id), waiting.minus(id));
+    return new CallTable(open.minus(id), waiting.minus(id), absentSinceMs);
   }
 
   CallTable withWaiting(long id) {
-    return new CallTable(open, waiting.plus(id));
+    return new CallTable(open, waiting.plus(id), absentSinceMs);
   }
 
   CallTable withoutWaiting(long id) {
-    return new CallTable(open, waiting.minus(id));
+    return new CallTable(open, waiting.minus(id), absentSinceMs);
   }
 
   /** Returns how long the oldest waiting call has waited, in milliseconds; 0 if none waits. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
@@ -95,16 +95,22 @@
     return held && !superseded() && nowMs >= ordersFromMs;
   }
 
-  /** Applies a response from the store, unless its generation is older than the known one. */
+  /**
+   * Applies a response from the store, unless its generation is older than the known one. The duty
+   * is granted anew only with a new fencing number: the generation rises with each change of the
+   * holder, so a late answer in the same generation renews it.
+   */
   Duty withStoreResponse(
       DutyAnswered response, long nowMs, GatewaySettings settings, boolean otherHolderSilent) {
     if (response.generation() < generation) {
       return this;
     }
-    boolean granted = response.held() && (!held || nowMs >= validUntilMs);
+    int handoversAfter = handoversAfter(response);
+    boolean renewed = held && response.generation() == generation && handoversAfter == handovers;
+    boolean granted = response.held() && !renewed;
     return new Duty(
         response.generation(),
-        handoversAfter(response),
+        handoversAfter,
         response.held(),
         granted ? nowMs : heldSinceMs,
         response.held() ? response.requestedAtMs() + TTL_MS - MARGIN_MS : 0,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
@@ -1,5 +1,7 @@
 package org.limpetdoor.core.gateway;
 
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Timer;
 import org.limpetdoor.core.TimerKind;
@@ -37,7 +39,8 @@
     Timer next = new Timer(node.nowMs() + INTERVAL_MS, TimerKind.GATEWAY_TICK, "");
     NodeState timed = node.withTimers(node.timers().plus(next));
     NodeState current =
-        PlacementPlanner.refillLoadTokens(StoreEvents.dropUnlisted(decayDemand(timed)));
+        PlacementPlanner.refillLoadTokens(
+            StoreEvents.dropUnlisted(dropLoadedModels(decayDemand(timed))));
     return DutyEvents.tick(current)
         .then(FleetEvents::tick)
         .then(FactsEvents::tick)
@@ -66,6 +69,22 @@
     return result;
   }
 
+  private static NodeState dropLoadedModels(NodeState node) {
+    GatewayState state = node.gateway();
+    if (state.callTable().absentSinceMs().isEmpty()) {
+      return node;
+    }
+    Set<String> loaded =
+        state.engines().byId().values().stream()
+            .filter(EngineState::usable)
+            .flatMap(engine -> engine.held().stream())
+            .map(ModelKey::model)
+            .collect(Collectors.toSet());
+    return node.withGateway(
+        state.withCallTable(
+            state.callTable().withoutAbsent(key -> loaded.contains(key.model()), node.nowMs())));
+  }
+
   private static NodeState decayDemand(NodeState node) {
     GatewayState state = node.gateway();
     Placement placement = state.placement().decayed(INTERVAL_MS, node.nowMs());
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ModelRequests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ModelRequests.java
@@ -63,12 +63,16 @@
   }
 
   /**
-   * Records at the holder that an instance requests a model or adapter, and plans the placement.
+   * Records at the holder that an instance requests a model or adapter, and plans for it if it was
+   * not requested before. Every instance repeats its requests several times a second, so repeated
+   * ones are left to the next tick.
    */
   static Transition<NodeState, Effect> recordRequest(NodeState node, String service, ModelKey key) {
     GatewayState state = node.gateway();
+    boolean repeated = state.placement().modelRequests().containsKey(key);
     Placement recorded = state.placement().withModelRequest(key, service, node.nowMs());
-    return PlacementPlanner.plan(node.withGateway(state.withPlacement(recorded)));
+    NodeState next = node.withGateway(state.withPlacement(recorded));
+    return repeated ? Transition.of(next) : PlacementPlanner.planRequested(next, service, key);
   }
 
   static boolean isLoaded(GatewayState state, String service, ModelKey key) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PlacementPlanner.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PlacementPlanner.java
@@ -75,6 +75,21 @@
     return result;
   }
 
+  /** Sends the orders that a model or adapter that was just requested needs. */
+  static Transition<NodeState, Effect> planRequested(NodeState node, String service, ModelKey key) {
+    Optional<EngineSpec> spec =
+        node.gateway()
+            .table()
+            .map(table -> table.services().get(service))
+            .flatMap(ServiceSpec::engine);
+    if (!DutyEvents.maySendOrders(node) || spec.isEmpty()) {
+      return Transition.of(node);
+    }
+    return key.adapter().isPresent()
+        ? planAdapter(node, service, spec.get(), key)
+        : planModels(node, service, spec.get());
+  }
+
   private static Transition<NodeState, Effect> inspectEngines(NodeState node, String service) {
     Transition<NodeState, Effect> result = Transition.of(node);
     for (EngineState engine : node.gateway().engines().ofService(service)) {
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/DutyTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/DutyTest.java
@@ -175,4 +175,24 @@
     assertThat(duty.maySendOrders(10_600)).isFalse();
     assertThat(duty.mayContinueWithoutStore(20_000)).isFalse();
   }
+
+  /**
+   * Guards against a holder that starts anew after each late answer of a slow store, which stopped
+   * placement for as long as the store was slow.
+   */
+  @Test
+  void aLateAnswerInTheSameGenerationRenewsTheDuty() {
+    Duty held =
+        Duty.NONE.withStoreResponse(new DutyAnswered(5_000, 4_990, 5, true), 5_000, FENCED, false);
+
+    Duty renewed =
+        held.withStoreResponse(new DutyAnswered(6_900, 6_400, 5, true), 6_900, FENCED, false);
+    Duty granted =
+        held.withStoreResponse(new DutyAnswered(6_900, 6_400, 6, true), 6_900, FENCED, false);
+
+    assertThat(held.maySendOrders(6_800)).isFalse();
+    assertThat(renewed.heldSinceMs()).isEqualTo(held.heldSinceMs());
+    assertThat(renewed.maySendOrders(6_900)).isTrue();
+    assertThat(granted.heldSinceMs()).isEqualTo(6_900);
+  }
 }
