Cut off endless answers in tests, and wait while engines reject calls as full

An engine that rejected a call got the next one 100 ms later, and at once if all others had rejected calls too; after all machines of a small twin had lost power, one gateway sent 15 of 20 logged calls to an engine that rejected them. A rejection now keeps an engine out of the choice for 100 ms, doubled each time, and calls wait. UNREACHABLE takes the later of two times of avoidance.

Tests over sockets: an event, a body, a head, a line and a chunk extension without end are cut off, a stream of bytes without events counts as silent, and nothing is sent after the deadline.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineHealth.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineHealth.java
@@ -6,12 +6,19 @@
  * @param avoidUntilMs time until which the engine receives calls only if there is no alternative,
  *     in monotonic milliseconds
  * @param consecutiveFailures number of consecutive calls for which the engine was unreachable
+ * @param fullUntilMs time until which the engine is taken to be full, in monotonic milliseconds
+ * @param consecutiveRejections number of consecutive calls that the engine rejected as full
  * @param failureShare smoothed share of failed calls, from 0 to 1
  * @param latencyMs smoothed time to the response or its first event, in milliseconds; 0 if unknown
  */
 record EngineHealth(
-    long avoidUntilMs, int consecutiveFailures, double failureShare, double latencyMs) {
-  static final EngineHealth UNKNOWN = new EngineHealth(0, 0, 0, 0);
+    long avoidUntilMs,
+    int consecutiveFailures,
+    long fullUntilMs,
+    int consecutiveRejections,
+    double failureShare,
+    double latencyMs) {
+  static final EngineHealth UNKNOWN = new EngineHealth(0, 0, 0, 0, 0, 0);
 
   /** Weight of the newest observation in the exponential moving averages. */
   private static final double SMOOTHING = 0.1;
@@ -22,15 +29,18 @@
    */
   private static final long INITIAL_AVOID_MS = 500;
 
-  private static final int MAX_DOUBLINGS = 3;
+  /**
+   * Time for which an engine that rejected a call is taken to be full, in milliseconds. It doubles
+   * with each consecutive rejection, each of which uses up a retry of the deployment.
+   */
+  private static final long INITIAL_FULL_MS = 100;
 
-  /** Time for which an engine that reported that it is full is avoided, in milliseconds. */
-  private static final long FULL_AVOID_MS = 100;
+  private static final int MAX_DOUBLINGS = 3;
 
   /** Records a response, or its first event, that arrived after the given time. */
   EngineHealth withResponse(long tookMs) {
     double latency = latencyMs == 0 ? tookMs : latencyMs + SMOOTHING * (tookMs - latencyMs);
-    return new EngineHealth(0, 0, failureShare * (1 - SMOOTHING), latency);
+    return new EngineHealth(0, 0, 0, 0, failureShare * (1 - SMOOTHING), latency);
   }
 
   /** Records a failed attempt. */
@@ -39,20 +49,35 @@
       case NONE, MISSING -> this;
       case FULL ->
           new EngineHealth(
-              Math.max(avoidUntilMs, nowMs + FULL_AVOID_MS),
+              avoidUntilMs,
               consecutiveFailures,
+              Math.max(fullUntilMs, nowMs + doubled(INITIAL_FULL_MS, consecutiveRejections)),
+              consecutiveRejections + 1,
               failureShare,
               latencyMs);
       case ERROR, BROKEN ->
-          new EngineHealth(avoidUntilMs, consecutiveFailures, increasedFailureShare(), latencyMs);
-      case UNREACHABLE -> {
-        long avoidMs = INITIAL_AVOID_MS << Math.min(consecutiveFailures, MAX_DOUBLINGS);
-        yield new EngineHealth(
-            nowMs + avoidMs, consecutiveFailures + 1, increasedFailureShare(), latencyMs);
-      }
+          new EngineHealth(
+              avoidUntilMs,
+              consecutiveFailures,
+              fullUntilMs,
+              consecutiveRejections,
+              increasedFailureShare(),
+              latencyMs);
+      case UNREACHABLE ->
+          new EngineHealth(
+              Math.max(avoidUntilMs, nowMs + doubled(INITIAL_AVOID_MS, consecutiveFailures)),
+              consecutiveFailures + 1,
+              fullUntilMs,
+              consecutiveRejections,
+              increasedFailureShare(),
+              latencyMs);
     };
   }
 
+  private static long doubled(long initialMs, int repetitions) {
+    return initialMs << Math.min(repetitions, MAX_DOUBLINGS);
+  }
+
   private double increasedFailureShare() {
     return failureShare + SMOOTHING * (1 - failureShare);
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
@@ -165,7 +165,7 @@
     boolean promptHeldBack = false;
     for (EngineState engine : candidates) {
       double load = load(node, engine);
-      if (load >= maxLoad(call)) {
+      if (load >= maxLoad(call) || engine.health().fullUntilMs() > nowMs) {
         continue;
       }
       if (mustHoldBack(node, call, engine)) {
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -294,6 +294,25 @@
     assertThat(fixture.take(ForwardCall.class).get(0).call()).isEqualTo(waiting);
   }
 
+  /**
+   * Guards against sending calls again and again to engines that reject them, which uses up the
+   * retries of the deployment.
+   */
+  @Test
+  void callsWaitWhileAllEnginesRejectThem() {
+    setUpTwoPlainEngines();
+    for (int i = 0; i < 2; i++) {
+      long id = fixture.call("/once/x", Optional.empty(), 2_000);
+      fixture.endForward(id, 1, ForwardResult.BUSY);
+    }
+    fixture.take(ForwardCall.class);
+
+    long waiting = fixture.call("/once/x", Optional.empty(), 2_000);
+
+    assertThat(fixture.take(ForwardCall.class)).isEmpty();
+    assertThat(fixture.gateway().waiting()).contains(waiting);
+  }
+
   /** Guards against a repeated request that crashes one engine after another. */
   @Test
   void refusesARequestAfterThreeLostConnections() {
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
@@ -28,6 +28,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -38,6 +39,7 @@
 import org.limpetdoor.core.event.CallCancelled;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.ForwardEnded;
+import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.gateway.CallSpec;
 import org.limpetdoor.core.gateway.ForwardResult;
 import org.limpetdoor.core.id.BackendId;
@@ -46,6 +48,7 @@
 /** Tests the forwarding of calls on loopback with an engine that sends scripted responses. */
 class GatewayTrafficTest {
   private static final long TIMEOUT_S = 30;
+  private static final String ENDLESS = "ENDLESS ";
   private static final InetSocketAddress ANY_LOOPBACK_PORT = new InetSocketAddress("127.0.0.1", 0);
 
   private final EventLoopGroup group =
@@ -57,7 +60,9 @@
   private GatewayTraffic traffic;
   private Channel callers;
   private Channel engine;
+  private final CountDownLatch endlessResponsesClosed = new CountDownLatch(1);
   private long deadlineInMs = 60_000;
+  private long silenceTimeoutMs;
 
   @BeforeEach
   void open() {
@@ -135,7 +140,10 @@
         .channel();
   }
 
-  /** Sends the next scripted response; the part {@code CLOSE} closes the connection. */
+  /**
+   * Sends the next scripted response. The part {@code CLOSE} closes the connection, and a part that
+   * begins with {@code ENDLESS} is sent again and again until the other side closes it.
+   */
   private final class ScriptedEngine extends SimpleChannelInboundHandler<FullHttpRequest> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
@@ -144,11 +152,26 @@
       for (String part : scriptedResponses.remove()) {
         if (part.equals("CLOSE")) {
           context.close();
+        } else if (part.startsWith(ENDLESS)) {
+          sendEndlessly(context, part.substring(ENDLESS.length()));
         } else {
           context.writeAndFlush(Unpooled.copiedBuffer(part, StandardCharsets.UTF_8));
         }
       }
     }
+
+    private void sendEndlessly(ChannelHandlerContext context, String text) {
+      context
+          .writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8))
+          .addListener(
+              sent -> {
+                if (sent.isSuccess()) {
+                  context.executor().execute(() -> sendEndlessly(context, text));
+                } else {
+                  endlessResponsesClosed.countDown();
+                }
+              });
+    }
   }
 
   private Socket connectCaller() throws IOException {
@@ -197,8 +220,8 @@
             0,
             streamed,
             false,
-            0,
-            0));
+            silenceTimeoutMs,
+            silenceTimeoutMs));
     return id;
   }
 
@@ -312,6 +335,74 @@
     }
   }
 
+  private void assertCutOff(boolean streamed, String... parts) throws Exception {
+    scriptedResponses.add(List.of(parts));
+    try (Socket socket = connectCaller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, streamed);
+
+      assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.INVALID_ANSWER);
+      assertThat(endlessResponsesClosed.await(TIMEOUT_S, TimeUnit.SECONDS)).isTrue();
+    }
+  }
+
+  /** Guards against an event without end, which would fill the memory of the process. */
+  @Test
+  void cutsOffAnEventWithoutEnd() throws Exception {
+    assertCutOff(true, STREAM_HEAD, ENDLESS + chunk("x".repeat(16_000)));
+  }
+
+  /** Guards against a body without end, which would fill the memory of the process. */
+  @Test
+  void cutsOffAResponseWithoutEnd() throws Exception {
+    assertCutOff(
+        false, "HTTP/1.1 200 OK\r\nSigned: s\r\nCall: c1\r\n\r\n", ENDLESS + "x".repeat(16_000));
+  }
+
+  /** Guards against header lines without end, which would fill the memory of the process. */
+  @Test
+  void cutsOffAHeadWithoutEnd() throws Exception {
+    assertCutOff(false, "HTTP/1.1 200 OK\r\n", ENDLESS + "Name: value\r\n");
+  }
+
+  /** Guards against one line without end, which would fill the memory of the process. */
+  @Test
+  void cutsOffALineWithoutEnd() throws Exception {
+    assertCutOff(false, ENDLESS + "x".repeat(1_000));
+  }
+
+  /** Guards against the extension of a chunk without end, which belongs to no body. */
+  @Test
+  void cutsOffAChunkExtensionWithoutEnd() throws Exception {
+    assertCutOff(true, STREAM_HEAD + "5;", ENDLESS + "x".repeat(1_000));
+  }
+
+  /** Guards against a stalled stream that never ends because bytes still arrive now and then. */
+  @Test
+  void reportsAStreamWithoutWholeEventsAsSilent() throws Exception {
+    silenceTimeoutMs = 100;
+    scriptedResponses.add(List.of(STREAM_HEAD + chunk("id: 1\ndata: a\n\n"), ENDLESS + chunk("d")));
+    try (Socket socket = connectCaller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, true);
+
+      assertThat(next(ForwardSilent.class)).isNotNull();
+    }
+  }
+
+  /** Guards against work for a caller that has left while the decision to send it was waiting. */
+  @Test
+  void sendsNothingAfterTheDeadline() throws Exception {
+    deadlineInMs = -1;
+    try (Socket socket = connectCaller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, false);
+
+      assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.DEADLINE_PASSED);
+      assertThat(receivedRequests).isEmpty();
+    }
+  }
+
   /** Guards against engines that keep running calls of disconnected callers. */
   @Test
   void reportsCallerDisconnects() throws Exception {
