Stop orders after a possible suspension until the store confirms the duty

The monotonic clock does not count the time for which a machine is suspended, so a holder of the placement duty that woke up took its grant as valid, also where engines do not check fencing numbers. A step of the time of day against the monotonic clock now ends the duty before the next event is reduced, and only an answer to a request sent afterwards confirms it. A clock that is set looks the same and costs one request.

A second copy of a response on a pooled connection gets a test of its own.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -38,6 +38,7 @@
 import org.limpetdoor.core.event.RequestArrived;
 import org.limpetdoor.core.event.RoutesRead;
 import org.limpetdoor.core.event.StoreContactChanged;
+import org.limpetdoor.core.event.SuspensionSuspected;
 import org.limpetdoor.core.event.TimerFired;
 import org.limpetdoor.core.gateway.CallEvents;
 import org.limpetdoor.core.gateway.DutyEvents;
@@ -112,6 +113,8 @@
   ENGINES_READ(EnginesRead.class, StoreEvents::enginesRead),
   /** {@link StoreContactChanged}. */
   STORE_CONTACT_CHANGED(StoreContactChanged.class, StoreEvents::contactChanged),
+  /** {@link SuspensionSuspected}. */
+  SUSPENSION_SUSPECTED(SuspensionSuspected.class, DutyEvents::suspensionSuspected),
   /** {@link DutyAnswered}. */
   DUTY_ANSWERED(DutyAnswered.class, DutyEvents::answered),
   /** {@link EngineOrderEnded}. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -37,6 +37,7 @@
         RequestArrived,
         RoutesRead,
         StoreContactChanged,
+        SuspensionSuspected,
         TimerFired {
   /** Returns the time of the event, in monotonic milliseconds of this instance. */
   long atMs();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
@@ -102,7 +102,8 @@
    */
   Duty withStoreResponse(
       DutyAnswered response, long nowMs, GatewaySettings settings, boolean otherHolderSilent) {
-    if (response.generation() < generation) {
+    boolean askedBeforeSuspension = !held && response.requestedAtMs() < heldSinceMs;
+    if (response.generation() < generation || askedBeforeSuspension) {
       return this;
     }
     int handoversAfter = handoversAfter(response);
@@ -197,6 +198,14 @@
         generation, handovers, false, heldSinceMs, 0, ordersFromMs, nextRequestAtMs, otherHolder);
   }
 
+  /**
+   * Ends the duty until the store confirms it on a request sent from now on, because the time for
+   * which it was granted may have passed unnoticed.
+   */
+  Duty afterSuspension(long nowMs) {
+    return new Duty(generation, handovers, false, nowMs, 0, ordersFromMs, nowMs, otherHolder);
+  }
+
   /**
    * Records that a peer reports holding the duty. Reports with an older fencing number are ignored.
    */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
@@ -10,6 +10,7 @@
 import org.limpetdoor.core.effect.RequestDuty;
 import org.limpetdoor.core.effect.SendToPeer;
 import org.limpetdoor.core.event.DutyAnswered;
+import org.limpetdoor.core.event.SuspensionSuspected;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.membership.PeerMessage.DutyHandedOver;
 import org.limpetdoor.core.membership.PeerMessage.DutyReleased;
@@ -39,6 +40,22 @@
             next, new RecordDecision(GatewayDecision.duty(duty.held(), duty.fencingNumber())));
   }
 
+  /**
+   * Stops sending orders after a possible suspension, in which another instance may have been
+   * granted the duty. Engines that do not check fencing numbers would carry the orders out.
+   */
+  public static Transition<NodeState, Effect> suspensionSuspected(
+      NodeState node, SuspensionSuspected event) {
+    GatewayState state = node.gateway();
+    if (!state.duty().held()) {
+      return Transition.of(node);
+    }
+    long fencingNumber = state.duty().fencingNumber();
+    return Transition.of(
+        node.withGateway(state.withDuty(state.duty().afterSuspension(node.nowMs()))),
+        new RecordDecision(GatewayDecision.duty(false, fencingNumber)));
+  }
+
   /**
    * Returns whether this instance may send orders now. While the store answers none of the
    * instances in contact, it cannot grant the duty to another instance, so the holder continues.
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
@@ -17,6 +17,7 @@
 import org.limpetdoor.core.event.EngineOrderEnded;
 import org.limpetdoor.core.event.PeerMessageReceived;
 import org.limpetdoor.core.event.StoreContactChanged;
+import org.limpetdoor.core.event.SuspensionSuspected;
 import org.limpetdoor.core.gateway.EngineOrder.Action;
 import org.limpetdoor.core.gateway.ServiceSpec.EngineSpec;
 import org.limpetdoor.core.id.BackendId;
@@ -529,4 +530,24 @@
 
     assertThat(fixture.take(SendEngineOrder.class).size()).isAtLeast(2);
   }
+
+  /**
+   * Guards against orders of a holder that was suspended while another instance was granted the
+   * duty, at engines that do not check fencing numbers.
+   */
+  @Test
+  void sendsNoOrdersAfterASuspensionUntilTheStoreConfirmsTheDuty() {
+    setUpOneEngine(M1);
+    long askedAtMs = fixture.nowMs();
+    fixture.take(SendEngineOrder.class);
+    fixture.reduce(new SuspensionSuspected(fixture.nowMs() + 1, 5_000));
+    fixture.advance(10);
+
+    fixture.reduce(new DutyAnswered(fixture.nowMs(), askedAtMs, 5, true));
+    assertThat(fixture.gateway().holdsDuty()).isFalse();
+    assertThat(fixture.take(SendEngineOrder.class)).isEmpty();
+
+    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+    assertThat(fixture.gateway().holdsDuty()).isTrue();
+  }
 }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
@@ -9,6 +9,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.nio.channels.spi.SelectorProvider;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -19,10 +20,12 @@
 import org.limpetdoor.core.event.DrainRequested;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.GatewayStarted;
+import org.limpetdoor.core.event.SuspensionSuspected;
 import org.limpetdoor.core.event.TimerFired;
 import org.limpetdoor.format.peer.HandshakeFrame.PeerIdentity;
 import org.limpetdoor.runtime.ControlLoop;
 import org.limpetdoor.runtime.MonotonicClock;
+import org.limpetdoor.runtime.SuspensionDetector;
 import org.limpetdoor.runtime.decision.LogLine;
 import org.limpetdoor.runtime.peer.PeerTransport;
 import org.limpetdoor.runtime.peer.PeerTransportSettings;
@@ -51,6 +54,8 @@
   private final PrometheusMeterRegistry metrics =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final DecisionLog log = new DecisionLog(System.out, metrics);
+  private final SuspensionDetector suspensions =
+      new SuspensionDetector(System::currentTimeMillis, clock.nowMs());
   private final ReadTimes readTimes = new ReadTimes(clock);
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(
@@ -111,7 +116,8 @@
             new NodeReducer(),
             clock,
             TimerFired::new,
-            new GatewayEffectDispatcher(traffic, peers, log, this::stop)::dispatch);
+            new GatewayEffectDispatcher(traffic, peers, log, this::stop)::dispatch,
+            this::suspicion);
     this.control.failure().thenAccept(failure -> stop(StopInstance.Reason.TIMED_OUT));
   }
 
@@ -172,6 +178,11 @@
     return flushed;
   }
 
+  private Optional<Event> suspicion(long nowMs) {
+    long lostMs = suspensions.lostMs(nowMs);
+    return lostMs > 0 ? Optional.of(new SuspensionSuspected(nowMs, lostMs)) : Optional.empty();
+  }
+
   private void stop(StopInstance.Reason reason) {
     trafficThread().schedule(() -> flushed.complete(reason), FLUSH_MS, TimeUnit.MILLISECONDS);
   }
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
@@ -271,6 +271,24 @@
     }
   }
 
+  /** Guards against a second copy of a response that reaches the next caller of a connection. */
+  @Test
+  void dropsASecondCopyOfAResponse() throws Exception {
+    scriptedResponses.add(List.of(response("c1", "first"), response("c1", "first")));
+    scriptedResponses.add(List.of(response("c2", "other")));
+    try (Socket socket = connectCaller();
+        Socket next = connectCaller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, false);
+      readUntil(socket, "first");
+
+      send(next, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c2\r\n\r\n");
+      forward(1, false);
+
+      assertThat(readUntil(next, "other")).doesNotContain("first");
+    }
+  }
+
   /** Guards against treating a truncated response as complete. */
   @Test
   void reportsATruncatedResponseAsConnectionLost() throws Exception {
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/ControlLoop.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/ControlLoop.java
@@ -2,6 +2,7 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -31,6 +32,7 @@
   private final MonotonicClock clock;
   private final LongFunction<E> timerEventFactory;
   private final Consumer<F> effectHandler;
+  private final LongFunction<Optional<E>> check;
   private final BlockingQueue<Function<Long, E>> queue = new LinkedBlockingQueue<>();
   private final AtomicReference<S> state;
   private final CompletableFuture<ReducerFailedException> failure = new CompletableFuture<>();
@@ -54,6 +56,32 @@
       MonotonicClock clock,
       LongFunction<E> timerEventFactory,
       Consumer<F> effectHandler) {
+    this(
+        name, initial, reducer, clock, timerEventFactory, effectHandler, nowMs -> Optional.empty());
+  }
+
+  /**
+   * Creates a loop that makes a check before each event.
+   *
+   * @param name name of the thread
+   * @param initial initial state
+   * @param reducer reducer that makes the decisions
+   * @param clock clock for the times of events
+   * @param timerEventFactory creates the event of a timer that is due, from the time in monotonic
+   *     milliseconds
+   * @param effectHandler executes effects; must not block
+   * @param check returns an event that is reduced before the next one, if there is any, from the
+   *     time in monotonic milliseconds; called on the control thread
+   */
+  public ControlLoop(
+      String name,
+      S initial,
+      Reducer<S, E, F> reducer,
+      MonotonicClock clock,
+      LongFunction<E> timerEventFactory,
+      Consumer<F> effectHandler,
+      LongFunction<Optional<E>> check) {
+    this.check = check;
     this.reducer = reducer;
     this.clock = clock;
     this.timerEventFactory = timerEventFactory;
@@ -101,7 +129,9 @@
   private void run() {
     try {
       while (!Thread.currentThread().isInterrupted()) {
-        process(nextEvent());
+        E event = nextEvent();
+        check.apply(clock.nowMs()).ifPresent(this::process);
+        process(event);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
