--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/AbsentModelAdmission.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/AbsentModelAdmission.java
@@ -3,10 +3,10 @@
 import java.util.Optional;
 
 /**
- * Decides whether a call for a model that no engine has loaded waits, or is told at once when to
- * come back. It answers the load at which demand moves to models that are not loaded: a load from
- * the weight store takes longer than most callers wait for a first event, and a call that waits in
- * vain loses more time than one that returns when the model is there.
+ * Decides whether a call for a model that no engine has loaded waits, or is refused at once with a
+ * time to return. It answers the load at which demand moves to models that are not loaded: a load
+ * from the weight store takes longer than most callers wait for a first event, and a call that
+ * waits in vain loses more time than one that returns when the model is there.
  */
 final class AbsentModelAdmission {
   /**
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ModelRequests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ModelRequests.java
@@ -63,16 +63,17 @@
   }
 
   /**
-   * Records at the holder that an instance requests a model or adapter, and plans for it if it was
-   * not requested before. Every instance repeats its requests several times a second, so repeated
-   * ones are left to the next tick.
+   * Records at the holder that an instance requests a model or adapter, and plans for it. Every
+   * instance repeats its requests several times a second, so repeated ones for models, whose plan
+   * compares all models, are left to the next tick.
    */
   static Transition<NodeState, Effect> recordRequest(NodeState node, String service, ModelKey key) {
     GatewayState state = node.gateway();
-    boolean repeated = state.placement().modelRequests().containsKey(key);
+    boolean leftToTick =
+        key.adapter().isEmpty() && state.placement().modelRequests().containsKey(key);
     Placement recorded = state.placement().withModelRequest(key, service, node.nowMs());
     NodeState next = node.withGateway(state.withPlacement(recorded));
-    return repeated ? Transition.of(next) : PlacementPlanner.planRequested(next, service, key);
+    return leftToTick ? Transition.of(next) : PlacementPlanner.planRequested(next, service, key);
   }
 
   static boolean isLoaded(GatewayState state, String service, ModelKey key) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PlacementPlanner.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PlacementPlanner.java
@@ -1,9 +1,5 @@
 package org.limpetdoor.core.gateway;
 
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
@@ -14,7 +10,6 @@
 import org.limpetdoor.core.effect.SendEngineOrder;
 import org.limpetdoor.core.gateway.EngineOrder.Action;
 import org.limpetdoor.core.gateway.EngineOrder.Source;
-import org.limpetdoor.core.gateway.Placement.ModelRequest;
 import org.limpetdoor.core.gateway.ServiceSpec.EngineSpec;
 import org.limpetdoor.core.gateway.ServiceSpec.ModelSpec;
 
@@ -38,9 +33,6 @@
   /** Maximum number of replicas that one plan changes; the next plan follows within 250 ms. */
   private static final int MAX_CHANGES = 4;
 
-  /** Time since its last call after which an adapter may be evicted, in milliseconds. */
-  private static final long ADAPTER_IDLE_MS = 300;
-
   /**
    * Time since its last call after which the only replica of a model may be evicted, in
    * milliseconds.
@@ -68,7 +60,7 @@
         result =
             result
                 .then(next -> inspectEngines(next, service.name()))
-                .then(next -> planAdapters(next, service.name(), spec))
+                .then(next -> AdapterPlanner.planAll(next, service.name(), spec))
                 .then(next -> planModels(next, service.name(), spec));
       }
     }
@@ -86,7 +78,7 @@
       return Transition.of(node);
     }
     return key.adapter().isPresent()
-        ? planAdapter(node, service, spec.get(), key)
+        ? AdapterPlanner.plan(node, service, spec.get(), key)
         : planModels(node, service, spec.get());
   }
 
@@ -112,94 +104,10 @@
     return result;
   }
 
-  private static Transition<NodeState, Effect> planAdapters(
-      NodeState node, String service, EngineSpec spec) {
-    Transition<NodeState, Effect> result = Transition.of(node);
-    for (Map.Entry<ModelKey, ModelRequest> request :
-        node.gateway().placement().modelRequests().entrySet()) {
-      ModelKey key = request.getKey();
-      if (request.getValue().service().equals(service) && key.adapter().isPresent()) {
-        result = result.then(next -> planAdapter(next, service, spec, key));
-      }
-    }
-    return result;
-  }
-
-  private static Transition<NodeState, Effect> planAdapter(
-      NodeState node, String service, EngineSpec spec, ModelKey key) {
-    GatewayState state = node.gateway();
-    Placement placement = state.placement();
-    if (ModelRequests.isLoaded(state, service, key)) {
-      return Transition.of(
-          node.withGateway(state.withPlacement(placement.withoutModelRequest(key))));
-    }
-    List<EngineState> candidates = new ArrayList<>();
-    for (EngineState engine : state.engines().ofService(service)) {
-      OrderSlot slot = placement.slot(engine.entry().id());
-      boolean alreadyLoading = slot.loadingAdapters().containsKey(key) || hasOpenOrder(slot, key);
-      if (alreadyLoading) {
-        return Transition.of(node);
-      }
-      boolean mayLoadAdapter =
-          slot.adapterCount() < spec.adapterCapacity() || slot.unloadingAdapters().isEmpty();
-      if (engine.usable() && engine.holds(key.base()) && slot.readyForOrder() && mayLoadAdapter) {
-        candidates.add(engine);
-      }
-    }
-    Optional<EngineState> chosen =
-        candidates.stream()
-            .min(
-                Comparator.comparingDouble(
-                    engine ->
-                        slot(node, engine).adapterCount() / (double) spec.adapterCapacity()
-                            + EngineSelector.load(node, engine)));
-    if (chosen.isEmpty()) {
-      return Transition.of(node);
-    }
-    EngineState engine = chosen.get();
-    if (slot(node, engine).adapterCount() < spec.adapterCapacity()) {
-      return sendOrder(node, engine, Action.LOAD, key);
-    }
-    return idleAdapter(node, engine)
-        .map(idle -> sendOrder(node, engine, Action.UNLOAD, idle))
-        .orElse(Transition.of(node));
-  }
-
-  private static boolean hasOpenOrder(OrderSlot slot, ModelKey key) {
-    return slot.openOrder().filter(order -> order.target().equals(key)).isPresent();
-  }
-
-  private static OrderSlot slot(NodeState node, EngineState engine) {
+  static OrderSlot slot(NodeState node, EngineState engine) {
     return node.gateway().placement().slot(engine.entry().id());
   }
 
-  /**
-   * Returns the least recently used adapter of an engine, among those that are idle and may be
-   * evicted.
-   */
-  private static Optional<ModelKey> idleAdapter(NodeState node, EngineState engine) {
-    Placement placement = node.gateway().placement();
-    OrderSlot slot = slot(node, engine);
-    return slot.contents().stream()
-        .filter(key -> key.adapter().isPresent() && !slot.loadingAdapters().containsKey(key))
-        .filter(key -> !slot.unloadingAdapters().contains(key))
-        .filter(key -> !inUse(node, key))
-        .filter(key -> node.nowMs() - placement.demandOf(key).lastCallAtMs() > ADAPTER_IDLE_MS)
-        .min(
-            Comparator.comparingLong((ModelKey key) -> placement.demandOf(key).lastCallAtMs())
-                .thenComparing(ModelKey::toString));
-  }
-
-  /** Returns whether this instance or a peer has calls of an adapter in flight. */
-  private static boolean inUse(NodeState node, ModelKey adapter) {
-    GatewayState state = node.gateway();
-    return state.adaptersInUse().contains(adapter)
-        || state.peers().byPeer().values().stream()
-            .anyMatch(
-                peer ->
-                    peer.isRecent(node.nowMs()) && peer.digest().adaptersInUse().contains(adapter));
-  }
-
   private static Transition<NodeState, Effect> planModels(
       NodeState node, String service, EngineSpec spec) {
     Transition<NodeState, Effect> result = loadReplacements(node, service, spec);
@@ -305,7 +213,7 @@
     return loading < maxLoading && node.gateway().placement().loadTokens() >= 1;
   }
 
-  private static Transition<NodeState, Effect> sendOrder(
+  static Transition<NodeState, Effect> sendOrder(
       NodeState node, EngineState engine, Action action, ModelKey target) {
     GatewayState state = node.gateway();
     Placement placement = state.placement();
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/PeerTransport.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/PeerTransport.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -32,6 +33,12 @@
   private static final int CONNECT_TIMEOUT_MS = 2_000;
   private static final long SHUTDOWN_TIMEOUT_MS = 1_000;
 
+  /**
+   * Bytes queued for a peer from which a link takes no more messages, as a multiple of the longest
+   * frame. A message of that length must not end the link because a shorter one follows it.
+   */
+  private static final int MAX_QUEUED_FRAMES = 2;
+
   private final PeerTransportSettings settings;
   private final PeerListener listener;
   private final EventLoopGroup group;
@@ -53,6 +60,7 @@
         new ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel.class)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, queueBounds())
             .childHandler(initializer(LinkRole.ACCEPTOR, "accepted"))
             .bind(settings.address())
             .syncUninterruptibly()
@@ -83,6 +91,7 @@
         .channel(NioSocketChannel.class)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, queueBounds())
         .handler(initializer(LinkRole.DIALER, address.toString()))
         .connect(address)
         .addListener(
@@ -118,6 +127,11 @@
     }
   }
 
+  private WriteBufferWaterMark queueBounds() {
+    return new WriteBufferWaterMark(
+        settings.maxFrameBytes(), MAX_QUEUED_FRAMES * settings.maxFrameBytes());
+  }
+
   private ChannelInitializer<SocketChannel> initializer(LinkRole role, String label) {
     return new ChannelInitializer<>() {
       @Override
--- a/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/peer/PeerTransportTest.java
+++ b/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/peer/PeerTransportTest.java
@@ -68,6 +68,26 @@
     }
   }
 
+  /** Guards against a long message that ends its link because another one follows at once. */
+  @Test
+  void aLongMessageDoesNotEndTheLink() throws InterruptedException {
+    RecordingListener listenerA = new RecordingListener();
+    RecordingListener listenerB = new RecordingListener();
+    try (PeerTransport a = start("a", SECRET, 16 << 20, listenerA);
+        PeerTransport b = start("b", SECRET, 16 << 20, listenerB)) {
+      a.connect(b.address());
+      assertThat(listenerA.nextEvent()).isEqualTo("up b");
+      assertThat(listenerB.nextEvent()).isEqualTo("up a");
+
+      String text = "x".repeat(12_000_000);
+      a.send(new InstanceId("b"), text.getBytes(StandardCharsets.UTF_8));
+      a.send(new InstanceId("b"), "next".getBytes(StandardCharsets.UTF_8));
+
+      assertThat(listenerB.nextEvent()).isEqualTo("message a " + text);
+      assertThat(listenerB.nextEvent()).isEqualTo("message a next");
+    }
+  }
+
   /** Guards against a failed connection attempt that is not reported. */
   @Test
   void unreachablePeerIsReported() throws InterruptedException {
@@ -108,10 +128,15 @@
   }
 
   private static PeerTransport start(String name, byte[] secret, PeerListener listener) {
+    return start(name, secret, MAX_FRAME_BYTES, listener);
+  }
+
+  private static PeerTransport start(
+      String name, byte[] secret, int maxFrameBytes, PeerListener listener) {
     PeerIdentity self = new PeerIdentity(new InstanceId(name), 1, new ZoneId("zone-1"));
     InetSocketAddress address = new InetSocketAddress("127.0.0.1", 0);
     return PeerTransport.start(
-        new PeerTransportSettings(self, address, secret, MAX_FRAME_BYTES, EVENT_TIMEOUT_S * 1_000),
+        new PeerTransportSettings(self, address, secret, maxFrameBytes, EVENT_TIMEOUT_S * 1_000),
         listener);
   }
 
