Send digests between hubs and spokes twice a second

Most messages of a large fleet pass between hubs and spokes; changes there are collected for half a second now. Hubs still exchange changes four times a second. Such digests count as outdated after 1.5 s.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -29,20 +29,21 @@
  * holds the placement duty.
  */
 public final class Digests {
-  /** Interval of digests that report no change, in milliseconds. */
+  /** Interval of digests that report no change, or pass between hub and spoke, in milliseconds. */
   private static final long UNCHANGED_INTERVAL_MS = 2 * GatewayTick.INTERVAL_MS;
 
   private Digests() {}
 
   /**
-   * Sends a digest to each hub and spoke of a hub, or to the hub of a spoke. A receiver that would
-   * learn nothing new gets one only as often as it must to know that this instance is live.
+   * Sends a digest to each hub and spoke of a hub, or to the hub of a spoke, if it is due. Calls of
+   * models are counted on until a digest has reported them.
    */
   static Transition<NodeState, Effect> send(NodeState node) {
     GatewayState state = node.gateway();
     DigestWriter writer = DigestWriter.of(node);
     PMap<InstanceId, LoadDigest> sentDigests = HashTreePMap.empty();
     List<Effect> messages = new ArrayList<>();
+    boolean arrivalsKept = false;
     for (Map.Entry<InstanceId, DigestScope> receiver : receivers(node).entrySet()) {
       LoadDigest digest = writer.write(receiver.getKey(), receiver.getValue());
       LoadDigest previous = state.fleet().sent().get(receiver.getKey());
@@ -50,21 +51,32 @@
       sentDigests = sentDigests.plus(receiver.getKey(), due ? digest : previous);
       if (due) {
         messages.add(new SendToPeer(receiver.getKey(), digest));
+      } else {
+        arrivalsKept = arrivalsKept || !digest.arrivals().isEmpty();
       }
     }
-    NodeState sent =
-        node.withGateway(
-            state
-                .withFleet(state.fleet().withSent(sentDigests))
-                .withPlacement(state.placement().withArrivals(state.arrivals(), node.nowMs()))
-                .withArrivals(HashTreePMap.empty())
-                .withCrashRecords(state.crashRecords().withAllReported(node.nowMs())));
-    return Transition.<NodeState, Effect>of(sent).withAll(messages);
+    GatewayState sent =
+        state
+            .withFleet(state.fleet().withSent(sentDigests))
+            .withCrashRecords(state.crashRecords().withAllReported(node.nowMs()));
+    GatewayState reported =
+        arrivalsKept
+            ? sent
+            : sent.withPlacement(sent.placement().withArrivals(state.arrivals(), node.nowMs()))
+                .withArrivals(HashTreePMap.empty());
+    return Transition.<NodeState, Effect>of(node.withGateway(reported)).withAll(messages);
   }
 
+  /**
+   * Returns whether a digest is sent now. A receiver that would learn nothing new gets one only as
+   * often as it must to know that this instance is live. Between a hub and its spokes, which
+   * exchange most of the digests of a fleet, changes are collected for as long.
+   */
   private static boolean isDue(LoadDigest previous, LoadDigest next, long nowMs) {
-    boolean live = nowMs - previous.times().sentAtMs() >= UNCHANGED_INTERVAL_MS;
-    return live || !next.saysTheSameAs(previous);
+    boolean overdue = nowMs - previous.times().sentAtMs() >= UNCHANGED_INTERVAL_MS;
+    boolean betweenHubs = next.scope() == DigestScope.GROUP;
+    boolean urgent = !next.lostEngines().isEmpty() || next.scope() != previous.scope();
+    return overdue || urgent || (betweenHubs && !next.saysTheSameAs(previous));
   }
 
   private static Map<InstanceId, DigestScope> receivers(NodeState node) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ReceivedDigest.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ReceivedDigest.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.core.gateway;
 
+import org.limpetdoor.core.membership.DigestScope;
 import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
 
 /**
@@ -9,11 +10,15 @@
  * @param recentUntilMs time from which the digest is outdated, in monotonic milliseconds
  */
 record ReceivedDigest(LoadDigest digest, long recentUntilMs) {
-  /** Number of digest intervals after which a digest is outdated. */
-  private static final int RECENT_INTERVALS = 4;
+  /** Number of ticks after which a digest from a hub to another is outdated. */
+  private static final int RECENT_TICKS = 4;
+
+  /** Number of ticks after which a digest between a hub and a spoke, sent half as often, is. */
+  private static final int RECENT_SPOKE_TICKS = 6;
 
   static ReceivedDigest of(LoadDigest digest, long nowMs) {
-    return new ReceivedDigest(digest, nowMs + RECENT_INTERVALS * GatewayTick.INTERVAL_MS);
+    int ticks = digest.scope() == DigestScope.GROUP ? RECENT_TICKS : RECENT_SPOKE_TICKS;
+    return new ReceivedDigest(digest, nowMs + ticks * GatewayTick.INTERVAL_MS);
   }
 
   boolean isRecent(long nowMs) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerLink.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerLink.java
@@ -21,10 +21,10 @@
   private static final int MAX_DOUBLINGS = 4;
 
   /**
-   * Time without a message after which a link is not used, in milliseconds. Peers send a digest
-   * four times a second.
+   * Time without a message after which a link is not used, in milliseconds. Peers send a digest at
+   * least twice a second.
    */
-  private static final long UNUSABLE_SILENCE_MS = 1_000;
+  private static final long UNUSABLE_SILENCE_MS = 1_500;
 
   /** Time for which an attempt to connect is awaited, in milliseconds. */
   private static final long CONNECT_WAIT_MS = 700;
