--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/FactsEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/FactsEvents.java
@@ -27,8 +27,17 @@
  * store does not answer takes the facts of another hub.
  */
 public final class FactsEvents {
-  /** Part of the interval of an own read at which a hub of a large fleet reads for its spokes. */
-  private static final int HUB_INTERVAL_DIVISOR = 2;
+  /**
+   * Number of reads by a hub of a large fleet for each read that an instance would make for itself.
+   * What a hub has read reaches its spokes one step later.
+   */
+  private static final int HUB_READS_PER_OWN_READ = 2;
+
+  /**
+   * Part of the age from which spokes read the store themselves, at which their hub requests the
+   * facts of another one.
+   */
+  private static final int REQUEST_AGE_DIVISOR = 2;
 
   private FactsEvents() {}
 
@@ -173,7 +182,7 @@
     long ownIntervalMs = state.settings().listIntervalMs();
     if (state.fleet().role().readsStore()) {
       boolean forSpokes = node.membership().layout().large();
-      return forSpokes ? ownIntervalMs / HUB_INTERVAL_DIVISOR : ownIntervalMs;
+      return forSpokes ? ownIntervalMs / HUB_READS_PER_OWN_READ : ownIntervalMs;
     }
     return hubHasRecentFacts(node) ? FollowStore.STOPPED : ownIntervalMs;
   }
@@ -198,7 +207,7 @@
       return Transition.of(node);
     }
     boolean outdated =
-        state.factsAgeMs(node.nowMs()) > state.settings().factsMaxAgeMs() / HUB_INTERVAL_DIVISOR;
+        state.factsAgeMs(node.nowMs()) > state.settings().factsMaxAgeMs() / REQUEST_AGE_DIVISOR;
     for (var entry : state.peers().byPeer().entrySet()) {
       StoreFacts facts = entry.getValue().digest().facts();
       boolean laterList = outdated && facts.listOffset() > state.store().listOffset();
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -36,6 +37,7 @@
 import org.limpetdoor.core.id.ZoneId;
 import org.limpetdoor.core.membership.ListedInstance;
 import org.limpetdoor.core.membership.PeerMessage;
+import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
 
 /** A fleet of gateways on virtual time, with the store and the links between the instances. */
 final class FleetSimulation {
@@ -55,6 +57,7 @@
   private final List<ListedInstance> listed = new ArrayList<>();
   private final List<EngineEntry> engines = new ArrayList<>();
   private final Set<InstanceId> cutFromStore = new HashSet<>();
+  private final Map<InstanceId, Integer> reportedCalls = new HashMap<>();
   private RouteTable routes;
   private long listOffset = 10;
   private long nowMs = 1_000;
@@ -173,6 +176,11 @@
     return result;
   }
 
+  /** Returns the number of calls of models that digests have reported to an instance. */
+  int reportedCalls(InstanceId id) {
+    return reportedCalls.getOrDefault(id, 0);
+  }
+
   InstanceId any(List<InstanceId> among) {
     return among.get(random.nextInt(among.size()));
   }
@@ -213,6 +221,14 @@
   }
 
   void call(InstanceId id, long number) {
+    call(id, number, Optional.empty());
+  }
+
+  void call(InstanceId id, long number, ModelKey model) {
+    call(id, number, Optional.of(model));
+  }
+
+  private void call(InstanceId id, long number, Optional<ModelKey> model) {
     CallSpec spec =
         new CallSpec(
             number,
@@ -220,7 +236,7 @@
             GatewayFixture.HOST,
             "/safe/x",
             Optional.of(LONG_TIMEOUT_MS),
-            Optional.empty(),
+            model,
             0,
             0,
             number);
@@ -318,6 +334,10 @@
       after(100, () -> deliver(from, peer, message));
       return;
     }
+    if (message instanceof LoadDigest digest) {
+      int calls = digest.arrivals().values().stream().mapToInt(Integer::intValue).sum();
+      reportedCalls.merge(peer, calls, Integer::sum);
+    }
     reduce(to, new PeerMessageReceived(nowMs, from.id, message));
   }
 
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetTest.java
@@ -72,6 +72,24 @@
     }
   }
 
+  /** Guards against demand that a hub counts twice, or that is lost between two digests. */
+  @Test
+  void everyHubKnowsTheDemandOfAllInstances() {
+    FleetSimulation fleet = new FleetSimulation(40, 4, 9);
+    fleet.advance(SETTLE_MS);
+    long number = 1;
+    for (InstanceId id : fleet.liveIds()) {
+      fleet.call(id, number++, GatewayFixture.SMALL);
+    }
+    fleet.advance(SETTLE_MS);
+
+    for (InstanceId hub : fleet.hubs()) {
+      assertWithMessage("calls of others that were reported to %s", hub)
+          .that(fleet.reportedCalls(hub))
+          .isEqualTo(fleet.liveIds().size() - 1);
+    }
+  }
+
   /** Guards against an exchange whose messages grow with the square of the fleet. */
   @Test
   void theMessagesOfAnInstanceDoNotGrowWithTheFleet() {
