Drop engines that a complete list of another hub does not name

A hub that the store does not answer takes the list of another hub, but kept the engines that this list does not name, as it does in an outage of the store. Their sender has already kept those that the store may have lost, so the others are gone.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/FactsEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/FactsEvents.java
@@ -121,7 +121,7 @@
     if (message instanceof EnginesPassedOn engines) {
       return engines.list().leavesGapAfter(node.gateway().store().listOffset())
           ? request(node, peer, false)
-          : StoreEvents.applyList(node, engines.list());
+          : StoreEvents.applyList(node, engines.list(), RoutesRead.Source.PEER);
     }
     InstancesPassedOn passedOn = (InstancesPassedOn) message;
     return MembershipEvents.listed(node, new InstancesListed(node.nowMs(), passedOn.instances()));
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
@@ -38,14 +38,19 @@
   /** Applies entries and removals of the list of engines that this instance read itself. */
   public static Transition<NodeState, Effect> enginesRead(NodeState node, EnginesRead event) {
     StoreView store = node.gateway().store().withFactsAsOfMs(node.nowMs());
-    return applyList(node.withGateway(node.gateway().withStore(store)), event.list());
+    return applyList(
+        node.withGateway(node.gateway().withStore(store)), event.list(), RoutesRead.Source.STORE);
   }
 
   /**
    * Applies changes of the list of engines, unless they are already known, and passes on what has
    * changed. Entries that only confirm that an engine is live are not passed on.
+   *
+   * <p>A complete list of a peer still names the engines whose entries the store may have lost, so
+   * others are gone, whether or not the store answers this instance.
    */
-  static Transition<NodeState, Effect> applyList(NodeState node, EngineListing list) {
+  static Transition<NodeState, Effect> applyList(
+      NodeState node, EngineListing list, RoutesRead.Source source) {
     StoreView store = node.gateway().store();
     if (list.isContainedIn(store.listOffset())) {
       return Transition.of(node);
@@ -55,7 +60,7 @@
     if (list.isEmpty()) {
       return Transition.of(node.withGateway(node.gateway().withStore(next)));
     }
-    Transition<NodeState, Effect> result = applyEntries(node, list);
+    Transition<NodeState, Effect> result = applyEntries(node, list, source);
     if (changes.isEmpty()) {
       return result.then(
           applied -> Transition.of(applied.withGateway(applied.gateway().withStore(next))));
@@ -97,7 +102,8 @@
         list.complete());
   }
 
-  private static Transition<NodeState, Effect> applyEntries(NodeState node, EngineListing list) {
+  private static Transition<NodeState, Effect> applyEntries(
+      NodeState node, EngineListing list, RoutesRead.Source source) {
     Transition<NodeState, Effect> result = Transition.of(node);
     Set<BackendId> listed = new HashSet<>();
     for (EngineEntry entry : list.entries()) {
@@ -109,7 +115,11 @@
     }
     if (list.complete()) {
       for (BackendId id : node.gateway().engines().byId().keySet()) {
-        result = listed.contains(id) ? result : result.then(next -> removed(next, id));
+        boolean gone = source == RoutesRead.Source.PEER;
+        result =
+            listed.contains(id)
+                ? result
+                : result.then(next -> gone ? drop(next, id) : removed(next, id));
       }
     }
     return result;
@@ -184,6 +194,11 @@
                           : engine);
       return Transition.of(node.withGateway(state.withEngines(kept)));
     }
+    return drop(node, id);
+  }
+
+  private static Transition<NodeState, Effect> drop(NodeState node, BackendId id) {
+    GatewayState state = node.gateway();
     return Transition.of(
         node.withGateway(state.withEngines(state.engines().without(id))),
         new RecordDecision(GatewayDecision.engineGone(id)));
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
@@ -56,6 +56,7 @@
           Comparator.comparingLong(Delivery::atMs).thenComparingLong(Delivery::number));
   private final List<ListedInstance> listed = new ArrayList<>();
   private final List<EngineEntry> engines = new ArrayList<>();
+  private final List<BackendId> removed = new ArrayList<>();
   private final Set<InstanceId> cutFromStore = new HashSet<>();
   private final Map<InstanceId, Integer> reportedCalls = new HashMap<>();
   private RouteTable routes;
@@ -215,6 +216,12 @@
     }
   }
 
+  /** Removes the entry of an engine that never said that it leaves. */
+  void removeEngine(int index) {
+    removed.add(engines.remove(index).id());
+    listOffset++;
+  }
+
   void drainEngine(int index) {
     engines.set(index, engines.get(index).withDraining());
     listOffset++;
@@ -385,7 +392,7 @@
       reduce(
           instance,
           new EnginesRead(
-              nowMs, new EngineListing(fromOffset, listOffset, engines, List.of(), complete)));
+              nowMs, new EngineListing(fromOffset, listOffset, engines, removed, complete)));
     }
   }
 }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetTest.java
@@ -216,6 +216,28 @@
     assertAllSeeEngineDrain(fleet, 2);
   }
 
+  /**
+   * Guards against engines that are kept because the store does not answer a hub, although other
+   * hubs have read that their entries were removed.
+   */
+  @Test
+  void aHubThatTheStoreDoesNotAnswerDropsEnginesThatAreGone() {
+    FleetSimulation fleet = new FleetSimulation(62, 3, 10);
+    fleet.advance(SETTLE_MS);
+    fleet.cutFromStore(fleet.hubs().get(0), true);
+    fleet.advance(2_000);
+    BackendId gone = fleet.engineIds().get(4);
+
+    fleet.removeEngine(4);
+    fleet.advance(2 * FACTS_BOUND_MS);
+
+    for (InstanceId id : fleet.liveIds()) {
+      assertWithMessage("engine at %s", id)
+          .that(fleet.state(id).gateway().engines().find(gone).isPresent())
+          .isFalse();
+    }
+  }
+
   /** Guards against states that only a sequence of faults leads to. */
   @Test
   void randomFaultsLeaveACompleteExchange() {
