--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -202,8 +202,7 @@
         state
             .engines()
             .update(attempt.engine(), engine -> withResult(node, engine, call, attempt, result));
-    CrashRecords crashRecords =
-        updateCrashRecords(node, call.spec().fingerprint(), attempt, result);
+    CrashRecords crashRecords = updateCrashRecords(node, call, attempt, result);
     return node.withGateway(state.withEngines(engines).withCrashRecords(crashRecords));
   }
 
@@ -212,25 +211,20 @@
    * earlier losses are cleared.
    */
   private static CrashRecords updateCrashRecords(
-      NodeState node, long fingerprint, Attempt attempt, ForwardResult result) {
+      NodeState node, Call call, Attempt attempt, ForwardResult result) {
+    long fingerprint = call.spec().fingerprint();
     CrashRecords crashRecords = node.gateway().crashRecords();
     return switch (result) {
       case CONNECTION_LOST ->
-          crashRecords.withLoss(fingerprint, engineStart(node, attempt), node.nowMs());
+          crashRecords.withLoss(fingerprint, lossId(call, attempt), node.nowMs());
       case COMPLETED, ERROR_ANSWER -> crashRecords.withoutLosses(fingerprint);
       default -> crashRecords;
     };
   }
 
-  /** Returns a text that identifies one start of the engine of an attempt. */
-  private static String engineStart(NodeState node, Attempt attempt) {
-    long startedAtMs =
-        node.gateway()
-            .engines()
-            .find(attempt.engine())
-            .map(engine -> engine.entry().startedAtMs())
-            .orElse(0L);
-    return attempt.engine() + "@" + startedAtMs;
+  /** Returns an identifier of the loss of an attempt, which differs between all instances. */
+  private static String lossId(Call call, Attempt attempt) {
+    return call.spec().callerAttemptId() + "/" + attempt.number();
   }
 
   private static EngineState withResult(
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
@@ -7,9 +7,9 @@
 import org.pcollections.PSet;
 
 /**
- * The engines that were lost while they ran a request, so that a request that crashes engines is
- * refused after a few attempts. Requests are identified by fingerprint, because callers may send
- * them again to any instance. Each loss names the engine and its start, so that a loss that is
+ * The connections to engines that were lost while they ran a request, so that a request that
+ * crashes engines is refused after a few attempts. Requests are identified by fingerprint, because
+ * callers may send them again to any instance. Each loss has an identifier, so that one that is
  * reported on several ways counts once.
  *
  * @param losses losses by fingerprint, including those reported by peers
@@ -32,30 +32,30 @@
   /**
    * Losses attributed to one request.
    *
-   * @param engineStarts starts of engines that were lost
+   * @param lossIds identifiers of the losses
    * @param lastAtMs time of the last loss, in monotonic milliseconds
    */
-  record EngineLosses(PSet<String> engineStarts, long lastAtMs) {}
+  record EngineLosses(PSet<String> lossIds, long lastAtMs) {}
 
   boolean isBanned(long fingerprint) {
     EngineLosses recorded = losses.get(fingerprint);
-    return recorded != null && recorded.engineStarts().size() >= MAX_LOSSES;
+    return recorded != null && recorded.lossIds().size() >= MAX_LOSSES;
   }
 
   /**
    * Records that the connection to an engine was lost while it ran the request. A loss that is not
    * known yet is reported to the peers.
    */
-  CrashRecords withLoss(long fingerprint, String engineStart, long nowMs) {
+  CrashRecords withLoss(long fingerprint, String lossId, long nowMs) {
     EngineLosses current =
         losses.getOrDefault(fingerprint, new EngineLosses(HashTreePSet.empty(), nowMs));
-    if (current.engineStarts().contains(engineStart)) {
+    if (current.lossIds().contains(lossId)) {
       return this;
     }
     PSet<String> reports = unreported.getOrDefault(fingerprint, HashTreePSet.empty());
     return new CrashRecords(
-        losses.plus(fingerprint, new EngineLosses(current.engineStarts().plus(engineStart), nowMs)),
-        unreported.plus(fingerprint, reports.plus(engineStart)));
+        losses.plus(fingerprint, new EngineLosses(current.lossIds().plus(lossId), nowMs)),
+        unreported.plus(fingerprint, reports.plus(lossId)));
   }
 
   /** Removes the losses of a request that an engine has answered. */
@@ -69,8 +69,8 @@
   CrashRecords withPeerLosses(PMap<Long, PSet<String>> reported, long nowMs) {
     CrashRecords result = this;
     for (Map.Entry<Long, PSet<String>> entry : reported.entrySet()) {
-      for (String engineStart : entry.getValue()) {
-        result = result.withLoss(entry.getKey(), engineStart, nowMs);
+      for (String lossId : entry.getValue()) {
+        result = result.withLoss(entry.getKey(), lossId, nowMs);
       }
     }
     return result;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
@@ -84,8 +84,8 @@
    * @param adaptersInUse adapters with calls in flight; empty in a digest of the fleet
    * @param arrivals number of calls that arrived for each model since the last digest; empty in a
    *     digest of the fleet
-   * @param lostEngines starts of engines that were lost while each call ran, since the last digest,
-   *     by fingerprint of the call
+   * @param lostEngines identifiers of the losses of connections while each call ran, since the last
+   *     digest, by fingerprint of the call
    */
   record LoadDigest(
       DigestScope scope,
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -317,10 +317,7 @@
   @Test
   void refusesARequestAfterThreeLostConnections() {
     setUpTwoPlainEngines();
-    for (int start = 1; start <= 3; start++) {
-      fixture.engines(
-          GatewayFixture.entry("e1", "plain", start, 0),
-          GatewayFixture.entry("e2", "plain", start, 0));
+    for (int i = 0; i < 3; i++) {
       long id = fixture.call("/once/x", Optional.empty(), 1_000);
       fixture.endForward(id, 1, ForwardResult.CONNECTION_LOST);
     }
@@ -338,10 +335,7 @@
   @Test
   void clearsTheLossesOfAnAnsweredRequest() {
     setUpTwoPlainEngines();
-    for (int start = 1; start <= 3; start++) {
-      fixture.engines(
-          GatewayFixture.entry("e1", "plain", start, 0),
-          GatewayFixture.entry("e2", "plain", start, 0));
+    for (int i = 0; i < 3; i++) {
       long lost = fixture.call("/once/x", Optional.empty(), 1_000);
       fixture.endForward(lost, 1, ForwardResult.CONNECTION_LOST);
       long answered = fixture.call("/once/x", Optional.empty(), 1_000);
