Send nothing more to an engine that states in a response that it is leaving

Engines now set Server-Leaving: 1 on all their responses once they shut down, which can be before the list of engines says so, or while the store is away. The gateway went by the list alone, so an entry that still said ready kept the engine in use.

The connection reports it as soon as the head of a response arrives, also if the response is skipped or not relayed. The event names the start of the engine that the request was sent to, so a late response of an earlier start, as after a freeze, does not mark the new one.

What one start of an engine has stated is kept beside its entry and beside the table of listed engines, so neither a ready entry, a list of a peer, an outage of the store nor a lapsed entry ends it. A leaving engine is treated as a draining one: no call, retry or resumed stream, and no replica for placement. Marks of engines that are not listed are dropped after an hour, which bounds the memory.

Peers are not told. The bound holds for each machine by itself, the list reaches the peers within the drain time, and a false statement stays local. The entry that lists pass on is unchanged, so the statement is not spread by a complete list either.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -18,6 +18,7 @@
 import org.limpetdoor.core.event.DrainRequested;
 import org.limpetdoor.core.event.DutyAnswered;
 import org.limpetdoor.core.event.EngineInspected;
+import org.limpetdoor.core.event.EngineNoticeReceived;
 import org.limpetdoor.core.event.EngineOrderEnded;
 import org.limpetdoor.core.event.EnginePaceChanged;
 import org.limpetdoor.core.event.EnginesRead;
@@ -42,6 +43,7 @@
 import org.limpetdoor.core.event.TimerFired;
 import org.limpetdoor.core.gateway.CallEvents;
 import org.limpetdoor.core.gateway.DutyEvents;
+import org.limpetdoor.core.gateway.EngineNoticeEvents;
 import org.limpetdoor.core.gateway.EngineOrders;
 import org.limpetdoor.core.gateway.FactsEvents;
 import org.limpetdoor.core.gateway.GatewayTick;
@@ -107,6 +109,8 @@
   FORWARD_ENDED(ForwardEnded.class, CallEvents::ended),
   /** {@link EnginePaceChanged}. */
   ENGINE_PACE_CHANGED(EnginePaceChanged.class, CallEvents::paceChanged),
+  /** {@link EngineNoticeReceived}. */
+  ENGINE_NOTICE_RECEIVED(EngineNoticeReceived.class, EngineNoticeEvents::received),
   /** {@link RoutesRead}. */
   ROUTES_READ(RoutesRead.class, StoreEvents::routesRead),
   /** {@link EnginesRead}. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/GatewayDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/GatewayDecision.java
@@ -53,6 +53,12 @@
             Field.of("orders_accepted", entry.ordersAccepted())));
   }
 
+  /** Returns the decision that records that an engine stated that it is shutting down. */
+  public static GatewayDecision engineLeaving(BackendId id) {
+    return new GatewayDecision(
+        DecisionKind.ENGINE, id.value(), List.of(Field.of("state", "leaving")));
+  }
+
   /** Returns the decision that records that an engine is no longer listed. */
   public static GatewayDecision engineGone(BackendId id) {
     return new GatewayDecision(DecisionKind.ENGINE, id.value(), List.of(Field.of("state", "gone")));
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/ForwardCall.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/ForwardCall.java
@@ -8,6 +8,7 @@
  * @param call number of the call
  * @param attempt number of the attempt, from 1
  * @param engine intended engine; a different engine at the same address refuses the call
+ * @param engineStartedAtMs known start of the engine, in Unix milliseconds
  * @param address address as {@code ip:port}
  * @param timeLeftMs time until the response must be complete, in milliseconds
  * @param deadlineAtMs time at which the caller leaves, in monotonic milliseconds; nothing is sent
@@ -23,6 +24,7 @@
     long call,
     int attempt,
     BackendId engine,
+    long engineStartedAtMs,
     String address,
     long timeLeftMs,
     long deadlineAtMs,
@@ -38,6 +40,7 @@
         call,
         attempt,
         engine,
+        engineStartedAtMs,
         address,
         deadlineAtMs - nowMs,
         deadlineAtMs,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -18,6 +18,7 @@
         DrainRequested,
         DutyAnswered,
         EngineInspected,
+        EngineNoticeReceived,
         EngineOrderEnded,
         EnginePaceChanged,
         EnginesRead,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineState.java
@@ -12,6 +12,7 @@
  * @param load calls of this instance at the engine
  * @param health health observed through these calls
  * @param pace pace observed through the streams of this instance
+ * @param stated what the engine has stated about its availability
  * @param unlistedAtMs time at which the entry was removed while the store may have lost entries, in
  *     monotonic milliseconds, or {@link Timed#NEVER_MS}
  */
@@ -21,6 +22,7 @@
     Load load,
     EngineHealth health,
     EnginePace pace,
+    StatedAvailability stated,
     long unlistedAtMs) {
 
   /**
@@ -50,7 +52,13 @@
   static EngineState of(EngineEntry entry) {
     LoadedModels loadedModels = LoadedModels.of(entry.held(), entry.ordersAccepted());
     return new EngineState(
-        entry, loadedModels, Load.NONE, EngineHealth.UNKNOWN, EnginePace.UNKNOWN, Timed.NEVER_MS);
+        entry,
+        loadedModels,
+        Load.NONE,
+        EngineHealth.UNKNOWN,
+        EnginePace.UNKNOWN,
+        StatedAvailability.unknown(entry.startedAtMs()),
+        Timed.NEVER_MS);
   }
 
   /**
@@ -65,35 +73,47 @@
       return of(next).withLoad(unused -> load);
     }
     return new EngineState(
-        next, loadedModels.withListEntry(next), load, health, pace, Timed.NEVER_MS);
+        next, loadedModels.withListEntry(next), load, health, pace, stated, Timed.NEVER_MS);
   }
 
   EngineState withLoadedModels(UnaryOperator<LoadedModels> change) {
-    return new EngineState(entry, change.apply(loadedModels), load, health, pace, unlistedAtMs);
+    return new EngineState(
+        entry, change.apply(loadedModels), load, health, pace, stated, unlistedAtMs);
   }
 
   EngineState withLoad(UnaryOperator<Load> change) {
-    return new EngineState(entry, loadedModels, change.apply(load), health, pace, unlistedAtMs);
+    return new EngineState(
+        entry, loadedModels, change.apply(load), health, pace, stated, unlistedAtMs);
   }
 
   EngineState withHealth(UnaryOperator<EngineHealth> change) {
-    return new EngineState(entry, loadedModels, load, change.apply(health), pace, unlistedAtMs);
+    return new EngineState(
+        entry, loadedModels, load, change.apply(health), pace, stated, unlistedAtMs);
   }
 
   EngineState withPace(EnginePace value) {
-    return new EngineState(entry, loadedModels, load, health, value, unlistedAtMs);
+    return new EngineState(entry, loadedModels, load, health, value, stated, unlistedAtMs);
   }
 
   EngineState withUnlistedAtMs(long value) {
-    return new EngineState(entry, loadedModels, load, health, pace, value);
+    return new EngineState(entry, loadedModels, load, health, pace, stated, value);
   }
 
   EngineState withDraining() {
-    return new EngineState(entry.withDraining(), loadedModels, load, health, pace, unlistedAtMs);
+    return new EngineState(
+        entry.withDraining(), loadedModels, load, health, pace, stated, unlistedAtMs);
+  }
+
+  /** Applies what this start of the engine has stated; statements of other starts are ignored. */
+  EngineState withStated(StatedAvailability value) {
+    return value.startedAtMs() == entry.startedAtMs()
+        ? new EngineState(entry, loadedModels, load, health, pace, value, unlistedAtMs)
+        : this;
   }
 
+  /** Returns whether the engine stays, according to its entry and its own statements. */
   boolean usable() {
-    return !entry.draining();
+    return !entry.draining() && !stated.leaving();
   }
 
   boolean holds(ModelKey key) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardCallFactory.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardCallFactory.java
@@ -28,6 +28,7 @@
         call.spec().id(),
         call.activeAttempt().orElseThrow().number(),
         engine.entry().id(),
+        engine.entry().startedAtMs(),
         engine.entry().address(),
         call.deadlineMs() - node.nowMs(),
         call.deadlineMs(),
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PlacementPlanner.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PlacementPlanner.java
@@ -98,7 +98,10 @@
                 next ->
                     Transition.of(
                         next.withGateway(next.gateway().withPlacement(placement)),
-                        new InspectEngine(engine.entry().id(), engine.entry().address())));
+                        new InspectEngine(
+                            engine.entry().id(),
+                            engine.entry().startedAtMs(),
+                            engine.entry().address())));
       }
     }
     return result;
@@ -239,7 +242,7 @@
     return Transition.<NodeState, Effect>of(
             node.withGateway(state.withPlacement(sent)),
             new RecordDecision(new EngineOrderDecision(order, Optional.empty())))
-        .with(new SendEngineOrder(order, engine.entry().address()));
+        .with(new SendEngineOrder(order, engine.entry().startedAtMs(), engine.entry().address()));
   }
 
   private static Source source(OrderSlot slot, EngineState engine, Action action, ModelKey target) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
@@ -155,9 +155,7 @@
   private static Transition<NodeState, Effect> entryRead(NodeState node, EngineEntry entry) {
     GatewayState state = node.gateway();
     var existing = state.engines().find(entry.id());
-    EngineState next =
-        existing.map(engine -> engine.withEntry(entry)).orElse(EngineState.of(entry));
-    NodeState updated = node.withGateway(state.withEngines(state.engines().with(next)));
+    NodeState updated = node.withGateway(state.withEngines(state.engines().withEntry(entry)));
     boolean changed =
         existing.isEmpty()
             || existing.get().entry().draining() != entry.draining()
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallProtocol.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallProtocol.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.gateway.CallSpec;
+import org.limpetdoor.core.gateway.EngineNotice;
 
 /**
  * Headers and formats that callers and engines use over HTTP. Implementations only translate
@@ -40,4 +41,7 @@
 
   /** Returns whether the response carries the signature of an engine that ran the call. */
   boolean isSigned(HttpResponse response);
+
+  /** Returns what the engine states about itself in the response. */
+  EngineNotice engineNotice(HttpResponse response);
 }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ControlHttpClient.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ControlHttpClient.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
@@ -74,11 +75,12 @@
    * A response.
    *
    * @param status HTTP status
+   * @param headers response headers
    * @param body complete response body
    */
   // The body is only read and never compared, so array equality doesn't matter.
   @SuppressWarnings("ArrayRecordComponent")
-  public record Response(int status, byte[] body) {}
+  public record Response(int status, HttpHeaders headers, byte[] body) {}
 
   /**
    * Sends a request. The future completes on the traffic thread; it fails with a {@link
@@ -217,7 +219,8 @@
         context.close();
       }
       response.complete(
-          new Response(message.status().code(), ByteBufUtil.getBytes(message.content())));
+          new Response(
+              message.status().code(), message.headers(), ByteBufUtil.getBytes(message.content())));
     }
 
     @Override
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
@@ -41,6 +41,9 @@
     /** Called when the connection has finished a call and may serve another one. */
     void channelIdle(EngineChannel channel);
 
+    /** Called when the head of a response has arrived, also if the response is skipped. */
+    void headReceived(EngineAttempt attempt, HttpResponse head);
+
     /** Called when the connection has ended. */
     void channelClosed(EngineChannel channel);
   }
@@ -173,6 +176,7 @@
       return;
     }
     boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    owner.headReceived(attempt, head);
     skipping = informational || !attempt.accepts(head);
     if (skipping) {
       return;
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineClient.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineClient.java
@@ -12,8 +12,9 @@
  */
 public interface EngineClient {
   /** Sends an order once, without retries. */
-  CompletableFuture<EngineOrderResult> sendOrder(EngineOrder order, String address);
+  CompletableFuture<EngineResponse<EngineOrderResult>> sendOrder(EngineOrder order, String address);
 
-  /** Requests the inventory of an engine. The result is empty if there is no valid response. */
-  CompletableFuture<Optional<EngineInventory>> requestInventory(String engine, String address);
+  /** Requests the inventory of an engine. The content is empty if there is no valid response. */
+  CompletableFuture<EngineResponse<Optional<EngineInventory>>> requestInventory(
+      String engine, String address);
 }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
@@ -8,12 +8,14 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.id.BackendId;
 
 /**
@@ -38,11 +40,13 @@
 
   private final EventLoop loop;
   private final CallProtocol protocol;
+  private final EngineNotices notices;
   private final Map<BackendId, Deque<EngineChannel>> idle = new HashMap<>();
 
-  EngineConnectionPool(EventLoop loop, CallProtocol protocol) {
+  EngineConnectionPool(EventLoop loop, CallProtocol protocol, EngineNotices notices) {
     this.loop = loop;
     this.protocol = protocol;
+    this.notices = notices;
     loop.scheduleWithFixedDelay(
         this::closeIdle, CLEANUP_INTERVAL_MS, CLEANUP_INTERVAL_MS, TimeUnit.MILLISECONDS);
   }
@@ -77,6 +81,12 @@
     idle.computeIfAbsent(channel.engine(), engine -> new ArrayDeque<>()).addLast(channel);
   }
 
+  @Override
+  public void headReceived(EngineAttempt attempt, HttpResponse head) {
+    ForwardCall forward = attempt.forward();
+    notices.received(forward.engine(), forward.engineStartedAtMs(), protocol.engineNotice(head));
+  }
+
   @Override
   public void channelClosed(EngineChannel channel) {
     Deque<EngineChannel> channels = idle.get(channel.engine());
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -27,6 +27,7 @@
 import org.limpetdoor.core.event.EngineInspected;
 import org.limpetdoor.core.event.EngineOrderEnded;
 import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.gateway.EngineOrder;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
 import org.limpetdoor.runtime.MonotonicClock;
 
@@ -48,6 +49,7 @@
   private final MonotonicClock clock;
   private final ReadTimes readTimes;
   private final EngineAttempt.EventSink eventSink;
+  private final EngineNotices notices;
   private final EngineConnectionPool pool;
   private final PaceMeter paceMeter;
   private final Map<Long, OpenCall> calls = new HashMap<>();
@@ -73,7 +75,8 @@
     this.clock = clock;
     this.readTimes = readTimes;
     this.eventSink = eventSink;
-    this.pool = new EngineConnectionPool(loop, protocol);
+    this.notices = new EngineNotices(this);
+    this.pool = new EngineConnectionPool(loop, protocol, notices);
     this.paceMeter = new PaceMeter(this);
     loop.scheduleWithFixedDelay(
         this::cleanUp, CLEANUP_INTERVAL_MS, CLEANUP_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -214,11 +217,14 @@
     engineClient
         .sendOrder(effect.order(), effect.address())
         .thenAccept(
-            result ->
-                submit(
-                    atMs ->
-                        new EngineOrderEnded(
-                            atMs, effect.order().engine(), effect.order().number(), result)));
+            response -> {
+              EngineOrder order = effect.order();
+              notices.received(order.engine(), effect.startedAtMs(), response.notice());
+              submit(
+                  atMs ->
+                      new EngineOrderEnded(
+                          atMs, order.engine(), order.number(), response.content()));
+            });
   }
 
   @Override
@@ -226,7 +232,10 @@
     engineClient
         .requestInventory(effect.engine().value(), effect.address())
         .thenAccept(
-            inventory -> submit(atMs -> new EngineInspected(atMs, effect.engine(), inventory)));
+            response -> {
+              notices.received(effect.engine(), effect.startedAtMs(), response.notice());
+              submit(atMs -> new EngineInspected(atMs, effect.engine(), response.content()));
+            });
   }
 
   @Override
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
@@ -37,10 +37,12 @@
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.event.CallArrived;
 import org.limpetdoor.core.event.CallCancelled;
+import org.limpetdoor.core.event.EngineNoticeReceived;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.ForwardEnded;
 import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.gateway.CallSpec;
+import org.limpetdoor.core.gateway.EngineNotice;
 import org.limpetdoor.core.gateway.ForwardResult;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.runtime.MonotonicClock;
@@ -49,6 +51,7 @@
 class GatewayTrafficTest {
   private static final long TIMEOUT_S = 30;
   private static final String ENDLESS = "ENDLESS ";
+  private static final long ENGINE_STARTED_AT_MS = 7;
   private static final InetSocketAddress ANY_LOOPBACK_PORT = new InetSocketAddress("127.0.0.1", 0);
 
   private final EventLoopGroup group =
@@ -119,6 +122,11 @@
     public boolean isSigned(HttpResponse response) {
       return response.headers().contains("Signed");
     }
+
+    @Override
+    public EngineNotice engineNotice(HttpResponse response) {
+      return new EngineNotice(response.headers().contains("Leaving"));
+    }
   }
 
   private Channel startEngine() {
@@ -214,6 +222,7 @@
             id,
             attempt,
             new BackendId("e1"),
+            ENGINE_STARTED_AT_MS,
             "127.0.0.1:" + address.getPort(),
             1_000,
             clock.nowMs() + deadlineInMs,
@@ -421,6 +430,46 @@
     }
   }
 
+  private void assertLeavingReported(boolean streamed, String... parts) throws Exception {
+    scriptedResponses.add(List.of(parts));
+    try (Socket socket = connectCaller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, streamed);
+
+      assertThat(next(EngineNoticeReceived.class))
+          .isEqualTo(
+              new EngineNoticeReceived(
+                  0, new BackendId("e1"), ENGINE_STARTED_AT_MS, new EngineNotice(true)));
+    }
+  }
+
+  /** Guards against the loss of the statement of an engine that it is leaving, before the body. */
+  @Test
+  void reportsALeavingEngineAtTheHeadOfAStream() throws Exception {
+    assertLeavingReported(
+        true, STREAM_HEAD.replace("Signed", "Leaving: 1\r\nSigned") + chunk("id: 1\ndata: a\n\n"));
+  }
+
+  /** Guards against the loss of the statement in a refusal, which the caller does not get. */
+  @Test
+  void reportsALeavingEngineInARefusal() throws Exception {
+    assertLeavingReported(
+        false, "HTTP/1.1 503 x\r\nNot-Run: 1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n");
+  }
+
+  /** Guards against the loss of the statement in an error response. */
+  @Test
+  void reportsALeavingEngineInAnErrorResponse() throws Exception {
+    assertLeavingReported(
+        false, "HTTP/1.1 500 x\r\nSigned: s\r\nLeaving: 1\r\nContent-Length: 9\r\n\r\n", "CLOSE");
+  }
+
+  /** Guards against the loss of the statement in a response that is skipped. */
+  @Test
+  void reportsALeavingEngineInAResponseToAnotherCall() throws Exception {
+    assertLeavingReported(false, response("c0", "late").replace("Signed", "Leaving: 1\r\nSigned"));
+  }
+
   /** Guards against engines that keep running calls of disconnected callers. */
   @Test
   void reportsCallerDisconnects() throws Exception {
