Log why a call was not sent to another engine, and why a caller's connection was closed

Of a stream that was cut, the log said "outcome_unknown" and nothing about the reason: no engine left that had not been tried, all engines full, an empty retry budget, no further run allowed by the route, or an expired deadline. A connection that the gateway closed while a request was on it left no line at all, or only call_ended with reason caller_left.

FailureCause is now part of each failed CallDecision, and its log line and the new counter limpetdoor_calls_failed_total come from it. Verdict.NO_UNTRIED_ENGINE is split from NO_ENGINE. The traffic thread reports connections that it closes while a request is on them as an event, from which the line caller_closed comes. No decision about a call changes.

The existing tests of DecisionLogTest construct the decision with its new fields; what they check is unchanged.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -13,6 +13,7 @@
 import org.limpetdoor.core.event.BackendLoadReported;
 import org.limpetdoor.core.event.CallArrived;
 import org.limpetdoor.core.event.CallCancelled;
+import org.limpetdoor.core.event.CallerConnectionClosed;
 import org.limpetdoor.core.event.CallerDisconnected;
 import org.limpetdoor.core.event.DemandReported;
 import org.limpetdoor.core.event.DrainRequested;
@@ -97,6 +98,8 @@
   GATEWAY_SETTINGS_READ(GatewaySettingsRead.class, GatewayTick::settingsRead),
   /** {@link CallArrived}. */
   CALL_ARRIVED(CallArrived.class, CallEvents::arrived),
+  /** {@link CallerConnectionClosed}. */
+  CALLER_CONNECTION_CLOSED(CallerConnectionClosed.class, CallEvents::connectionClosed),
   /** {@link CallCancelled}. */
   CALL_CANCELLED(CallCancelled.class, CallEvents::cancelled),
   /** {@link ForwardStarted}. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/CallDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/CallDecision.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import org.limpetdoor.core.gateway.CallSpec;
 import org.limpetdoor.core.gateway.ForwardResult;
 import org.limpetdoor.core.gateway.Reply;
@@ -54,6 +55,24 @@
   public record Subject(
       String callerAttemptId, String route, String service, String model, int attempts) {}
 
+  /**
+   * Failure or refusal of a call for which a route was found.
+   *
+   * @param reply reply to the caller, unless the response was aborted
+   * @param cause why the call was not sent to another engine
+   * @param aborted whether the caller had received part of a response
+   * @param tookMs time since the arrival of the call, in milliseconds
+   * @param retriesLeft retries left in the budget of the service
+   * @param timeLeftMs time until the deadline of the call, in milliseconds
+   */
+  public record Failure(
+      Reply reply,
+      FailureCause cause,
+      boolean aborted,
+      long tookMs,
+      double retriesLeft,
+      long timeLeftMs) {}
+
   /** Returns the decision to send a call to an engine. */
   public static CallDecision routed(Subject call, BackendId engine, int candidates) {
     return new CallDecision(
@@ -105,7 +124,8 @@
   /**
    * Returns the decision that records the failure or refusal of a call for which a route was found.
    */
-  public static CallDecision failed(Subject call, Reply reply, boolean aborted, long tookMs) {
+  public static CallDecision failed(Subject call, Failure failure) {
+    Reply reply = failure.reply();
     return new CallDecision(
         DecisionKind.CALL_REFUSED,
         call,
@@ -113,8 +133,23 @@
             Field.of("reason", reply.label()),
             Field.of("status", reply.status()),
             Field.of("not_run", reply.notRun()),
-            Field.of("broken_off", aborted),
-            Field.of("took_ms", tookMs)));
+            Field.of("broken_off", failure.aborted()),
+            Field.of("took_ms", failure.tookMs()),
+            Field.of("cause", failure.cause().label()),
+            Field.of("retries_left", (long) failure.retriesLeft()),
+            Field.of("time_left_ms", failure.timeLeftMs())));
+  }
+
+  /**
+   * Returns the decision that records that the connection of a caller was closed before the caller
+   * had received a complete response.
+   */
+  public static CallDecision connectionClosed(
+      Optional<Subject> call, ConnectionCloseReason reason, RequestProgress progress) {
+    return new CallDecision(
+        DecisionKind.CALLER_CLOSED,
+        call.orElse(new Subject("none", "none", "none", "none", 0)),
+        List.of(Field.of("reason", reason.label()), Field.of("request", progress.label())));
   }
 
   /** Returns the decision that records the refusal of a call for which no route was selected. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -26,6 +26,8 @@
   CALL_ENDED("call_ended", "call"),
   /** A forwarded call was refused, failed or was aborted during its response. */
   CALL_REFUSED("call_refused", "call"),
+  /** The instance closed the connection of a caller that had not received a complete response. */
+  CALLER_CLOSED("caller_closed", "call"),
   /** Another version of the routes came into force. */
   ROUTES("routes", "version"),
   /** A dependency of the instance became unreachable or reachable. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -13,6 +13,7 @@
         BackendLoadReported,
         CallArrived,
         CallCancelled,
+        CallerConnectionClosed,
         CallerDisconnected,
         DemandReported,
         DrainRequested,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -3,17 +3,22 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.decision.CallDecision;
 import org.limpetdoor.core.decision.CallDecision.SilenceOutcome;
+import org.limpetdoor.core.decision.FailureCause;
+import org.limpetdoor.core.decision.RequestProgress;
 import org.limpetdoor.core.effect.CancelForward;
 import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.effect.RelayErrorResponse;
 import org.limpetdoor.core.event.CallArrived;
 import org.limpetdoor.core.event.CallCancelled;
+import org.limpetdoor.core.event.CallerConnectionClosed;
 import org.limpetdoor.core.event.EnginePaceChanged;
 import org.limpetdoor.core.event.ForwardEnded;
 import org.limpetdoor.core.event.ForwardSilent;
@@ -101,7 +106,7 @@
     }
     Attempt attempt = found.get().activeAttempt().orElseThrow();
     Call call = found.get().withAttemptEnded(ForwardResult.SILENT, false);
-    if (!mayRetry(node, call, ForwardResult.SILENT)) {
+    if (retryObstacle(node, call, ForwardResult.SILENT).isPresent()) {
       return Transition.of(
           node, CallSteps.silenceRecord(node, call, attempt, SilenceOutcome.NO_RETRY));
     }
@@ -160,6 +165,24 @@
         .then(CallEvents::serveWaiting);
   }
 
+  /** Records that the connection of a caller was closed before its response was complete. */
+  public static Transition<NodeState, Effect> connectionClosed(
+      NodeState node, CallerConnectionClosed event) {
+    if (event.progress() == RequestProgress.NONE) {
+      return Transition.of(node);
+    }
+    Optional<CallDecision.Subject> subject =
+        event.call().stream()
+            .mapToObj(id -> node.gateway().calls().get(id))
+            .filter(Objects::nonNull)
+            .map(CallSteps::subject)
+            .findFirst();
+    return Transition.of(
+        node,
+        new RecordDecision(
+            CallDecision.connectionClosed(subject, event.reason(), event.progress())));
+  }
+
   /** Fails a call whose deadline has passed. */
   public static Transition<NodeState, Effect> expired(NodeState node, String key) {
     Call call = node.gateway().calls().get(Long.parseLong(key));
@@ -169,7 +192,7 @@
     boolean mayHaveRun = call.mayHaveRun() || call.activeAttempt().isPresent();
     Reply reply = mayHaveRun ? Reply.TIMED_OUT : Reply.EXPIRED_UNSENT;
     return CallSteps.cancelAttempt(node, call)
-        .then(next -> CallSteps.fail(next, call, reply, 0))
+        .then(next -> CallSteps.fail(next, call, reply, 0, FailureCause.EXPIRED))
         .then(CallEvents::serveWaiting);
   }
 
@@ -268,15 +291,18 @@
   private static Transition<NodeState, Effect> retryOrFail(
       NodeState node, Call call, Attempt attempt, ForwardResult result) {
     boolean hasErrorResponse = result == ForwardResult.ERROR_ANSWER;
-    if (mayRetry(node, call, result)) {
+    Optional<FailureCause> obstacle = retryObstacle(node, call, result);
+    FailureCause cause = obstacle.orElse(FailureCause.NO_ENGINE);
+    if (obstacle.isEmpty()) {
       Choice choice = EngineSelector.choose(node, call);
+      cause = choice.verdict().cause();
       Call waiting =
           call.delivered() ? call.withWaitDeadlineMs(node.nowMs() + RESUME_WAIT_MS) : call;
       boolean canWait = !hasErrorResponse && node.nowMs() < waiting.waitDeadlineMs();
       if (choice.verdict() == Verdict.CHOSEN) {
         return CallSteps.send(CallSteps.chargeRetry(node, call, result), call, choice);
       }
-      if (canWait && choice.verdict() != Verdict.NO_ENGINE) {
+      if (canWait && choice.verdict().mayChange()) {
         return CallSteps.enqueue(
             CallSteps.chargeRetry(node, waiting, result), waiting, choice.verdict());
       }
@@ -287,21 +313,29 @@
           .then(next -> CallSteps.finish(next, call, CallDecision.Outcome.ENGINE_ERROR));
     }
     if (call.mayHaveRun()) {
-      return CallSteps.fail(node, call, Reply.OUTCOME_UNKNOWN, 0);
+      return CallSteps.fail(node, call, Reply.OUTCOME_UNKNOWN, 0, cause);
     }
     return result == ForwardResult.DEADLINE_PASSED
-        ? CallSteps.fail(node, call, Reply.EXPIRED_UNSENT, 0)
-        : CallSteps.fail(node, call, Reply.NO_ENGINE, CallSteps.RETRY_AFTER_FULL_MS);
+        ? CallSteps.fail(node, call, Reply.EXPIRED_UNSENT, 0, FailureCause.EXPIRED)
+        : CallSteps.fail(node, call, Reply.NO_ENGINE, CallSteps.RETRY_AFTER_FULL_MS, cause);
   }
 
-  private static boolean mayRetry(NodeState node, Call call, ForwardResult result) {
+  /** Returns why a call may not be sent to another engine, or nothing if it may. */
+  private static Optional<FailureCause> retryObstacle(
+      NodeState node, Call call, ForwardResult result) {
+    if (!call.mayRunAgain()) {
+      return Optional.of(FailureCause.NO_RUN_LEFT);
+    }
+    if (node.nowMs() >= call.deadlineMs()) {
+      return Optional.of(FailureCause.EXPIRED);
+    }
+    if (node.gateway().crashRecords().isBanned(call.spec().fingerprint())) {
+      return Optional.of(FailureCause.REQUEST_BANNED);
+    }
     boolean affordable =
         result == ForwardResult.CONNECT_FAILED
             || CallSteps.budget(node, call.service()).allowsRetry();
-    return affordable
-        && call.mayRunAgain()
-        && node.nowMs() < call.deadlineMs()
-        && !node.gateway().crashRecords().isBanned(call.spec().fingerprint());
+    return affordable ? Optional.empty() : Optional.of(FailureCause.RETRY_BUDGET_EMPTY);
   }
 
   private static Optional<Call> findWithAttempt(NodeState node, long id, int attempt) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -4,6 +4,7 @@
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.decision.CallDecision;
+import org.limpetdoor.core.decision.FailureCause;
 import org.limpetdoor.core.effect.AbortCall;
 import org.limpetdoor.core.effect.CancelForward;
 import org.limpetdoor.core.effect.Effect;
@@ -65,7 +66,14 @@
         .map(
             afterMs ->
                 ModelRequests.request(recorded, call.service(), key)
-                    .then(next -> fail(next, call, Reply.MODEL_ABSENT, afterMs)))
+                    .then(
+                        next ->
+                            fail(
+                                next,
+                                call,
+                                Reply.MODEL_ABSENT,
+                                afterMs,
+                                FailureCause.MODEL_NOT_LOADED)))
         .orElseGet(() -> enqueueNow(recorded, call, Verdict.MODEL_NOT_LOADED));
   }
 
@@ -96,11 +104,11 @@
   static Transition<NodeState, Effect> failWithoutEngine(
       NodeState node, Call call, Verdict verdict) {
     if (call.mayHaveRun()) {
-      return fail(node, call, Reply.OUTCOME_UNKNOWN, 0);
+      return fail(node, call, Reply.OUTCOME_UNKNOWN, 0, verdict.cause());
     }
     long retryAfterMs =
         verdict == Verdict.MODEL_NOT_LOADED ? RETRY_AFTER_LOAD_MS : RETRY_AFTER_FULL_MS;
-    return fail(node, call, verdict.refusal(), retryAfterMs);
+    return fail(node, call, verdict.refusal(), retryAfterMs, verdict.cause());
   }
 
   /** Sends a call to the chosen engine. */
@@ -141,12 +149,19 @@
    * of a response.
    */
   static Transition<NodeState, Effect> fail(
-      NodeState node, Call call, Reply reply, long retryAfterMs) {
+      NodeState node, Call call, Reply reply, long retryAfterMs, FailureCause cause) {
     long id = call.spec().id();
     Effect effect = call.delivered() ? new AbortCall(id) : new ReplyToCall(id, reply, retryAfterMs);
     CallDecision decision =
         CallDecision.failed(
-            subject(call), reply, call.delivered(), node.nowMs() - call.arrivedAtMs());
+            subject(call),
+            new CallDecision.Failure(
+                reply,
+                cause,
+                call.delivered(),
+                node.nowMs() - call.arrivedAtMs(),
+                budget(node, call.service()).available(),
+                call.deadlineMs() - node.nowMs()));
     return Transition.<NodeState, Effect>of(remove(node, call), effect)
         .with(new RecordDecision(decision));
   }
@@ -294,7 +309,7 @@
         CallDecision.silent(subject(call), attempt.engine(), silence, retriesLeft));
   }
 
-  private static CallDecision.Subject subject(Call call) {
+  static CallDecision.Subject subject(Call call) {
     return new CallDecision.Subject(
         call.spec().callerAttemptId(),
         call.route().name(),
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.decision.FailureCause;
 import org.limpetdoor.core.request.Rendezvous;
 
 /**
@@ -74,20 +75,34 @@
   /** Outcome of a selection. */
   enum Verdict {
     /** An engine was selected. */
-    CHOSEN(Reply.NO_ENGINE),
+    CHOSEN(Reply.NO_ENGINE, FailureCause.NO_ENGINE),
     /** Engines are available for the call, but all are full. */
-    FULL(Reply.ENGINES_FULL),
+    FULL(Reply.ENGINES_FULL, FailureCause.ENGINES_FULL),
     /** Engines have free slots, but still process earlier prompts of this instance. */
-    PROMPT_HELD_BACK(Reply.ENGINES_FULL),
+    PROMPT_HELD_BACK(Reply.ENGINES_FULL, FailureCause.ENGINES_FULL),
     /** No engine has the model or adapter loaded. */
-    MODEL_NOT_LOADED(Reply.MODEL_ABSENT),
-    /** The service has no engine that could run the call. */
-    NO_ENGINE(Reply.NO_ENGINE);
+    MODEL_NOT_LOADED(Reply.MODEL_ABSENT, FailureCause.MODEL_NOT_LOADED),
+    /** All engines that could run the call may have run it already. */
+    NO_UNTRIED_ENGINE(Reply.NO_ENGINE, FailureCause.NO_UNTRIED_ENGINE),
+    /** The service has no usable engine. */
+    NO_ENGINE(Reply.NO_ENGINE, FailureCause.NO_ENGINE);
 
     private final Reply refusal;
+    private final FailureCause cause;
 
-    Verdict(Reply refusal) {
+    Verdict(Reply refusal, FailureCause cause) {
       this.refusal = refusal;
+      this.cause = cause;
+    }
+
+    /** Returns whether an engine may become available for the call while it waits. */
+    boolean mayChange() {
+      return this != NO_UNTRIED_ENGINE && this != NO_ENGINE;
+    }
+
+    /** Returns why a call that gets no engine fails. */
+    FailureCause cause() {
+      return cause;
     }
 
     /** Returns the reply to a call that has not run and whose wait deadline has passed. */
@@ -130,7 +145,7 @@
       return new Choice(Verdict.MODEL_NOT_LOADED, Optional.empty(), 0);
     }
     if (available.isEmpty()) {
-      Verdict verdict = call.mayHaveRun() ? Verdict.NO_ENGINE : Verdict.FULL;
+      Verdict verdict = call.mayHaveRun() ? Verdict.NO_UNTRIED_ENGINE : Verdict.FULL;
       return new Choice(verdict, Optional.empty(), 0);
     }
     return chooseBest(node, call, available);
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -5,8 +5,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.decision.ConnectionCloseReason;
 import org.limpetdoor.core.decision.DecisionKind;
+import org.limpetdoor.core.decision.RequestProgress;
 import org.limpetdoor.core.effect.AbortCall;
 import org.limpetdoor.core.effect.CancelForward;
 import org.limpetdoor.core.effect.ForwardCall;
@@ -16,6 +19,7 @@
 import org.limpetdoor.core.effect.ReplyToCall;
 import org.limpetdoor.core.effect.SendToPeer;
 import org.limpetdoor.core.event.CallCancelled;
+import org.limpetdoor.core.event.CallerConnectionClosed;
 import org.limpetdoor.core.event.DrainRequested;
 import org.limpetdoor.core.event.EnginePaceChanged;
 import org.limpetdoor.core.event.ForwardEnded;
@@ -514,4 +518,88 @@
 
     assertThat(fixture.take(ForwardCall.class).get(0).engine()).isEqualTo(slowedEngine);
   }
+
+  /** Returns the fields of the last line about a failed call. */
+  private String failureFields() {
+    List<String> lines = decisions(DecisionKind.CALL_REFUSED);
+    return lines.get(lines.size() - 1);
+  }
+
+  private List<String> decisions(DecisionKind kind) {
+    return fixture.take(RecordDecision.class).stream()
+        .map(effect -> effect.decision())
+        .filter(decision -> decision.kind() == kind)
+        .map(decision -> decision.fields().toString())
+        .toList();
+  }
+
+  /** Starts a stream and breaks it off after its first event. */
+  private long breakOffStream() {
+    long id = fixture.call("/stream/x", Optional.empty(), 2_000);
+    fixture.reduce(new ForwardStarted(fixture.nowMs(), id, 1));
+    fixture.reduce(new ForwardEnded(fixture.nowMs(), id, 1, ForwardResult.CONNECTION_LOST, true));
+    return id;
+  }
+
+  /** Guards against an aborted stream whose line does not tell that all engines were tried. */
+  @Test
+  void recordsThatNoUntriedEngineIsLeft() {
+    fixture.routes(
+        1,
+        GatewayFixture.route("/safe/", CallKind.IDEMPOTENT, 2),
+        GatewayFixture.route("/stream/", CallKind.STREAM, 2));
+    fixture.engines(GatewayFixture.plain("e1"));
+    earnRetries(1);
+
+    breakOffStream();
+
+    String fields = failureFields();
+    assertThat(fields).contains("key=cause, value=no_untried_engine");
+    assertThat(fields).contains("key=retries_left, value=1");
+    assertThat(fields).contains("key=time_left_ms, value=2000");
+  }
+
+  /**
+   * Guards against an aborted stream whose line does not tell that its route allows no more runs.
+   */
+  @Test
+  void recordsThatTheRouteAllowsNoFurtherRun() {
+    fixture.routes(1, GatewayFixture.route("/stream/", CallKind.STREAM, 1));
+    fixture.engines(GatewayFixture.plain("e1"), GatewayFixture.plain("e2"));
+
+    breakOffStream();
+
+    assertThat(failureFields()).contains("key=cause, value=no_run_left");
+  }
+
+  /** Guards against an aborted stream whose line does not tell that its deadline passed. */
+  @Test
+  void recordsThatTheDeadlinePassed() {
+    setUpTwoPlainEngines();
+    long id = fixture.call("/stream/x", Optional.empty(), 2_000);
+    fixture.reduce(new ForwardStarted(fixture.nowMs(), id, 1));
+
+    fixture.advance(2_000);
+
+    assertThat(failureFields()).contains("key=cause, value=expired");
+  }
+
+  /** Guards against a connection that is closed during a call without a line about the reason. */
+  @Test
+  void recordsWhyTheConnectionOfAnOpenCallWasClosed() {
+    setUpTwoPlainEngines();
+    long id = fixture.call("/stream/x", Optional.empty(), 2_000);
+
+    fixture.reduce(
+        new CallerConnectionClosed(
+            fixture.nowMs(),
+            OptionalLong.of(id),
+            ConnectionCloseReason.IDLE_TIMEOUT,
+            RequestProgress.OPEN));
+
+    String fields = decisions(DecisionKind.CALLER_CLOSED).get(0);
+    assertThat(fields).contains("key=route, value=r/stream/");
+    assertThat(fields).contains("key=reason, value=idle_timeout");
+    assertThat(fields).contains("key=request, value=open");
+  }
 }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
@@ -27,8 +27,12 @@
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.limpetdoor.core.decision.ConnectionCloseReason;
+import org.limpetdoor.core.decision.RequestProgress;
 import org.limpetdoor.core.event.CallCancelled;
+import org.limpetdoor.core.event.CallerConnectionClosed;
 import org.limpetdoor.core.gateway.Reply;
 
 /**
@@ -66,10 +70,28 @@
     return call == null && head == null;
   }
 
-  void close() {
+  /** Closes the connection; a request on it gets no complete response. */
+  void close(ConnectionCloseReason reason) {
+    reportClose(reason);
     channel.close();
   }
 
+  private void reportClose(ConnectionCloseReason reason) {
+    RequestProgress progress = progress();
+    if (progress == RequestProgress.NONE) {
+      return;
+    }
+    OptionalLong id = call == null ? OptionalLong.empty() : OptionalLong.of(call.spec().id());
+    traffic.submit(atMs -> new CallerConnectionClosed(atMs, id, reason, progress));
+  }
+
+  private RequestProgress progress() {
+    if (call != null) {
+      return RequestProgress.OPEN;
+    }
+    return head != null ? RequestProgress.READING : RequestProgress.NONE;
+  }
+
   /** Writes the head of a streamed response, which is chunked because its length is unknown. */
   void writeStreamHead(HttpResponse engineHead) {
     HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, engineHead.status());
@@ -167,6 +189,7 @@
   /** Closes the connection after an I/O error; {@link #channelInactive} then ends the call. */
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    reportClose(ConnectionCloseReason.CONNECTION_ERROR);
     context.close();
   }
 
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DecisionLog.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DecisionLog.java
@@ -123,6 +123,9 @@
     if (decision.kind() == DecisionKind.CALL_ENDED) {
       durationSummary(route, reason).record(Double.parseDouble(fieldValue(decision, "took_ms")));
     }
+    if (decision.kind() == DecisionKind.CALL_REFUSED) {
+      countFailure(decision, route);
+    }
     metrics
         .counter(
             "limpetdoor.decisions",
@@ -135,6 +138,14 @@
         .increment();
   }
 
+  private void countFailure(Decision decision, String route) {
+    String aborted = fieldValue(decision, "broken_off");
+    String cause = fieldValue(decision, "cause");
+    metrics
+        .counter("limpetdoor.calls.failed", "cause", cause, "broken_off", aborted, "route", route)
+        .increment();
+  }
+
   private DistributionSummary durationSummary(String route, String reason) {
     return DistributionSummary.builder("limpetdoor.call.duration.ms")
         .tag("route", route)
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
@@ -15,6 +15,7 @@
 import java.util.function.Function;
 import org.limpetdoor.core.NodeReducer;
 import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.decision.ConnectionCloseReason;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.StopInstance;
 import org.limpetdoor.core.event.DrainRequested;
@@ -190,7 +191,7 @@
   @Override
   public void close() {
     log(LogLine.event("instance_stopped").with("instance", options.self().id()));
-    trafficThread().execute(() -> traffic.closeCallers(true));
+    trafficThread().execute(() -> traffic.closeCallers(ConnectionCloseReason.STOP));
     group.shutdownGracefully(0, SHUTDOWN_TIMEOUT_MS, TimeUnit.MILLISECONDS).syncUninterruptibly();
     control.close();
     log.close();
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import org.limpetdoor.core.decision.ConnectionCloseReason;
 import org.limpetdoor.core.effect.AbortCall;
 import org.limpetdoor.core.effect.ApplyCallerLimits;
 import org.limpetdoor.core.effect.CancelForward;
@@ -93,7 +94,7 @@
     loop.execute(
         () -> {
           draining = true;
-          closeCallers(false);
+          closeCallers(ConnectionCloseReason.DRAIN);
         });
   }
 
@@ -243,11 +244,11 @@
     }
   }
 
-  /** Closes the connections of callers: all of them, or only idle ones. */
-  void closeCallers(boolean all) {
+  /** Closes the connections of callers: all of them when the process ends, else only idle ones. */
+  void closeCallers(ConnectionCloseReason reason) {
     for (CallerChannel caller : Set.copyOf(callers)) {
-      if (all || caller.isIdle()) {
-        caller.close();
+      if (reason == ConnectionCloseReason.STOP || caller.isIdle()) {
+        caller.close(reason);
       }
     }
   }
@@ -264,7 +265,7 @@
   private void closeIdleCallers() {
     for (CallerChannel caller : Set.copyOf(callers)) {
       if (caller.idleMs() > callerLimits.idleTimeoutMs()) {
-        caller.close();
+        caller.close(ConnectionCloseReason.IDLE_TIMEOUT);
       }
     }
   }
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/DecisionLogTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/DecisionLogTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.limpetdoor.core.decision.CallDecision;
 import org.limpetdoor.core.decision.CallDecision.Subject;
+import org.limpetdoor.core.decision.FailureCause;
 import org.limpetdoor.core.gateway.Reply;
 import org.limpetdoor.core.id.BackendId;
 
@@ -20,6 +21,11 @@
 
   private final SimpleMeterRegistry metrics = new SimpleMeterRegistry();
 
+  private static CallDecision failed(Subject call, Reply reply) {
+    return CallDecision.failed(
+        call, new CallDecision.Failure(reply, FailureCause.ENGINES_FULL, false, 12, 3, 100));
+  }
+
   /**
    * Returns a stream whose writes block until the latch opens, like a pipe whose reader has
    * stopped.
@@ -47,11 +53,11 @@
     CountDownLatch writeStarted = new CountDownLatch(1);
     CountDownLatch resume = new CountDownLatch(1);
     try (DecisionLog log = new DecisionLog(blockingStream(writeStarted, resume), metrics, 8)) {
-      log.record(CallDecision.failed(CALL, Reply.NO_ENGINE, false, 12));
+      log.record(failed(CALL, Reply.NO_ENGINE));
       assertThat(writeStarted.await(30, TimeUnit.SECONDS)).isTrue();
 
       for (int i = 0; i < 100; i++) {
-        log.record(CallDecision.failed(CALL, Reply.NO_ENGINE, false, 12));
+        log.record(failed(CALL, Reply.NO_ENGINE));
       }
 
       assertThat(metrics.counter("limpetdoor.log.dropped.lines").count()).isAtLeast(92.0);
@@ -69,7 +75,7 @@
         new DecisionLog(new PrintStream(out, true, StandardCharsets.UTF_8), metrics)) {
       for (int i = 0; i < 40; i++) {
         log.record(CallDecision.routed(CALL, new BackendId("g1"), 3));
-        log.record(CallDecision.failed(CALL, Reply.TIMED_OUT, false, 12));
+        log.record(failed(CALL, Reply.TIMED_OUT));
       }
     }
 
@@ -87,7 +93,7 @@
     Subject forged = new Subject("c1\nevent=call_ended call=c2", "r1", "llm", "m1", 1);
     try (DecisionLog log =
         new DecisionLog(new PrintStream(out, true, StandardCharsets.UTF_8), metrics)) {
-      log.record(CallDecision.failed(forged, Reply.TIMED_OUT, false, 12));
+      log.record(failed(forged, Reply.TIMED_OUT));
     }
 
     long lines = out.toString(StandardCharsets.UTF_8).lines().count();
@@ -104,7 +110,7 @@
       ByteArrayOutputStream out = new ByteArrayOutputStream();
       DecisionLog log =
           new DecisionLog(new PrintStream(out, true, StandardCharsets.UTF_8), metrics);
-      log.record(CallDecision.failed(CALL, Reply.TIMED_OUT, false, 12));
+      log.record(failed(CALL, Reply.TIMED_OUT));
 
       log.close();
 
@@ -130,4 +136,24 @@
                 .totalAmount())
         .isEqualTo(120.0);
   }
+
+  /** Guards against failures whose cause is missing in the metrics. */
+  @Test
+  void countsFailuresByCause() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try (DecisionLog log =
+        new DecisionLog(new PrintStream(out, true, StandardCharsets.UTF_8), metrics)) {
+      log.record(failed(CALL, Reply.OUTCOME_UNKNOWN));
+    }
+
+    assertThat(
+            metrics
+                .get("limpetdoor.calls.failed")
+                .tag("cause", "engines_full")
+                .tag("broken_off", "false")
+                .tag("route", "r1")
+                .counter()
+                .count())
+        .isEqualTo(1.0);
+  }
 }
