Report why a requested model or adapter is not loaded

The lines could not tell why an adapter or model for which calls were refused was not ordered: they show only the orders that were sent. AdapterPlanner.decide returns the order or the obstacle, so that the line comes from the value on which the planner acts.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/Decision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/Decision.java
@@ -15,6 +15,7 @@
         EngineOrderDecision,
         GatewayDecision,
         LogStopDecision,
+        ModelWaitingDecision,
         PlacementDecision,
         QueueAgeAlarm,
         RoutingDecision {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -38,6 +38,8 @@
   FLEET_ROLE("fleet_role", "role"),
   /** An order to an engine was sent or ended. */
   ENGINE_ORDER("engine_order", "engine"),
+  /** A requested model or adapter is still not loaded. */
+  MODEL_WAITING("model_waiting", "model"),
   /** The instance has stopped reading the log and must be replaced by a later version. */
   LOG_STOP("log_stop", "offset") {
     @Override
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/AdapterPlanner.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/AdapterPlanner.java
@@ -35,25 +35,57 @@
     return result;
   }
 
+  /** Result of the plan for one adapter. */
+  sealed interface Step {
+    /** An engine holds the adapter. */
+    record Loaded() implements Step {}
+
+    /** An order is to be sent. */
+    record Send(EngineState engine, Action action, ModelKey target) implements Step {}
+
+    /** Nothing can be ordered now. */
+    record Blocked(PlacementObstacle obstacle) implements Step {}
+  }
+
   /** Plans for one adapter that calls wait for. */
   static Transition<NodeState, Effect> plan(
       NodeState node, String service, EngineSpec spec, ModelKey key) {
+    Step step = decide(node, service, spec, key);
+    if (step instanceof Step.Send send) {
+      return PlacementPlanner.sendOrder(node, send.engine(), send.action(), send.target());
+    }
+    if (step instanceof Step.Loaded) {
+      GatewayState state = node.gateway();
+      return Transition.of(
+          node.withGateway(state.withPlacement(state.placement().withoutModelRequest(key))));
+    }
+    return Transition.of(node);
+  }
+
+  /** Decides what to order for one adapter that calls wait for. */
+  static Step decide(NodeState node, String service, EngineSpec spec, ModelKey key) {
     GatewayState state = node.gateway();
     Placement placement = state.placement();
     if (ModelRequests.isLoaded(state, service, key)) {
-      return Transition.of(
-          node.withGateway(state.withPlacement(placement.withoutModelRequest(key))));
+      return new Step.Loaded();
     }
     List<EngineState> candidates = new ArrayList<>();
+    boolean baseLoaded = false;
+    boolean unloading = false;
     for (EngineState engine : state.engines().ofService(service)) {
       OrderSlot slot = placement.slot(engine.entry().id());
       boolean alreadyLoading = slot.loadingAdapters().containsKey(key) || hasOpenOrder(slot, key);
       if (alreadyLoading) {
-        return Transition.of(node);
+        return new Step.Blocked(PlacementObstacle.ORDERED);
+      }
+      if (!engine.usable() || !engine.holds(key.base())) {
+        continue;
       }
+      baseLoaded = true;
       boolean mayLoadAdapter =
           slot.adapterCount() < spec.adapterCapacity() || slot.unloadingAdapters().isEmpty();
-      if (engine.usable() && engine.holds(key.base()) && slot.readyForOrder() && mayLoadAdapter) {
+      unloading |= !mayLoadAdapter;
+      if (slot.readyForOrder() && mayLoadAdapter) {
         candidates.add(engine);
       }
     }
@@ -66,15 +98,22 @@
                                 / (double) spec.adapterCapacity()
                             + EngineSelector.load(node, engine)));
     if (chosen.isEmpty()) {
-      return Transition.of(node);
+      return new Step.Blocked(withoutCandidate(baseLoaded, unloading));
     }
     EngineState engine = chosen.get();
     if (PlacementPlanner.slot(node, engine).adapterCount() < spec.adapterCapacity()) {
-      return PlacementPlanner.sendOrder(node, engine, Action.LOAD, key);
+      return new Step.Send(engine, Action.LOAD, key);
     }
     return idleAdapter(node, engine)
-        .map(idle -> PlacementPlanner.sendOrder(node, engine, Action.UNLOAD, idle))
-        .orElse(Transition.of(node));
+        .<Step>map(idle -> new Step.Send(engine, Action.UNLOAD, idle))
+        .orElse(new Step.Blocked(PlacementObstacle.ADAPTERS_IN_USE));
+  }
+
+  private static PlacementObstacle withoutCandidate(boolean baseLoaded, boolean unloading) {
+    if (!baseLoaded) {
+      return PlacementObstacle.BASE_MODEL_ABSENT;
+    }
+    return unloading ? PlacementObstacle.ADAPTERS_UNLOADING : PlacementObstacle.ENGINES_NOT_READY;
   }
 
   private static boolean hasOpenOrder(OrderSlot slot, ModelKey key) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
@@ -70,9 +70,24 @@
    * A request for a model or adapter that calls wait for.
    *
    * @param service service whose engines should hold it
+   * @param sinceMs time at which it was first requested, in monotonic milliseconds
    * @param lastRequestedAtMs time at which an instance last requested it, in monotonic milliseconds
+   * @param reportedAtMs time at which it was last reported as waiting, or first requested, in
+   *     monotonic milliseconds
    */
-  record ModelRequest(String service, long lastRequestedAtMs) {}
+  record ModelRequest(String service, long sinceMs, long lastRequestedAtMs, long reportedAtMs) {
+    static ModelRequest first(String service, long nowMs) {
+      return new ModelRequest(service, nowMs, nowMs, nowMs);
+    }
+
+    ModelRequest repeated(long nowMs) {
+      return new ModelRequest(service, sinceMs, nowMs, reportedAtMs);
+    }
+
+    ModelRequest reported(long nowMs) {
+      return new ModelRequest(service, sinceMs, lastRequestedAtMs, nowMs);
+    }
+  }
 
   Demand demandOf(ModelKey key) {
     return demand.getOrDefault(key, Demand.NONE);
@@ -98,10 +113,16 @@
   }
 
   Placement withModelRequest(ModelKey key, String service, long nowMs) {
+    ModelRequest previous = modelRequests.get(key);
+    return withModelRequest(
+        key, previous == null ? ModelRequest.first(service, nowMs) : previous.repeated(nowMs));
+  }
+
+  Placement withModelRequest(ModelKey key, ModelRequest request) {
     return new Placement(
         demand,
         countedSinceMs,
-        modelRequests.plus(key, new ModelRequest(service, nowMs)),
+        modelRequests.plus(key, request),
         slots,
         loadTokens,
         refilledAtMs,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PlacementPlanner.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PlacementPlanner.java
@@ -82,6 +82,24 @@
         : planModels(node, service, spec.get());
   }
 
+  /** Returns why a requested model or adapter was not ordered, or nothing if an engine holds it. */
+  static Optional<PlacementObstacle> obstacle(
+      NodeState node, String service, EngineSpec spec, ModelKey key) {
+    if (ModelRequests.isLoaded(node.gateway(), service, key)) {
+      return Optional.empty();
+    }
+    if (key.adapter().isPresent()) {
+      return AdapterPlanner.decide(node, service, spec, key)
+              instanceof AdapterPlanner.Step.Blocked b
+          ? Optional.of(b.obstacle())
+          : Optional.of(PlacementObstacle.BEHIND_OTHERS);
+    }
+    ReplicaSelector selector =
+        ReplicaSelector.of(node, service, spec, mayLoadFromStore(node, service, spec));
+    return Optional.ofNullable(spec.models().get(key.model()))
+        .map(model -> selector.obstacle(model, SWAP_GAIN, MODEL_IDLE_MS));
+  }
+
   private static Transition<NodeState, Effect> inspectEngines(NodeState node, String service) {
     Transition<NodeState, Effect> result = Transition.of(node);
     for (EngineState engine : node.gateway().engines().ofService(service)) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ReplicaSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ReplicaSelector.java
@@ -182,6 +182,22 @@
     return Optional.empty();
   }
 
+  /** Returns why no load of a requested model was ordered. */
+  PlacementObstacle obstacle(ModelSpec model, double gain, long idleMs) {
+    if (replicaCount(model.name()) > 0) {
+      return PlacementObstacle.ORDERED;
+    }
+    if (engines.stream().noneMatch(this::isFree)) {
+      return PlacementObstacle.ENGINES_NOT_READY;
+    }
+    if (engines.stream().noneMatch(engine -> canLoad(engine, model))) {
+      return PlacementObstacle.STORE_LIMIT;
+    }
+    boolean placeable =
+        engineWithFreeMemory(model).isPresent() || victimFor(model, gain, idleMs).isPresent();
+    return placeable ? PlacementObstacle.BEHIND_OTHERS : PlacementObstacle.NO_VICTIM;
+  }
+
   /** Returns whether an engine has free memory for another model besides its present contents. */
   boolean hasFreeMemory(EngineState engine, ModelSpec model) {
     return usedMb(engine) + model.weightsMb() <= spec.weightsMb();
@@ -199,9 +215,14 @@
 
   private boolean canLoad(EngineState engine, ModelSpec model) {
     OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
-    boolean free = engine.usable() && slot.readyForOrder() && slot.replacement().isEmpty();
     boolean loadable = storeLoads || hasCopy(engine, model);
-    return free && loadable && !slot.contents().contains(ModelKey.of(model.name()));
+    return isFree(engine) && loadable && !slot.contents().contains(ModelKey.of(model.name()));
+  }
+
+  /** Returns whether an engine has no order under way and none planned. */
+  private boolean isFree(EngineState engine) {
+    OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
+    return engine.usable() && slot.readyForOrder() && slot.replacement().isEmpty();
   }
 
   /** Returns whether an engine has a copy of the weights, which spares the weight store a load. */
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.decision.ModelWaitingDecision;
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.effect.InspectEngine;
+import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.effect.ReleaseDuty;
 import org.limpetdoor.core.effect.RequestDuty;
 import org.limpetdoor.core.effect.SendEngineOrder;
@@ -550,4 +552,46 @@
     fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
     assertThat(fixture.gateway().holdsDuty()).isTrue();
   }
+
+  private List<ModelWaitingDecision> takeWaitingReports() {
+    return fixture.take(RecordDecision.class).stream()
+        .map(RecordDecision::decision)
+        .filter(ModelWaitingDecision.class::isInstance)
+        .map(ModelWaitingDecision.class::cast)
+        .toList();
+  }
+
+  /** Guards against an adapter that is never loaded without a line that says why. */
+  @Test
+  void reportsOnceASecondWhyARequestedAdapterIsNotLoaded() {
+    setUpOneEngine(M1, M2, adapter(1), adapter(2));
+    fixture.call("/m/x", Optional.of(adapter(1)), 10_000);
+    fixture.call("/m/x", Optional.of(adapter(2)), 10_000);
+    fixture.call("/m/x", Optional.of(adapter(3)), 10_000);
+    fixture.take(RecordDecision.class);
+    fixture.reduce(new StoreContactChanged(fixture.nowMs(), false));
+
+    fixture.advance(800);
+    assertThat(takeWaitingReports()).isEmpty();
+    fixture.advance(400);
+
+    List<ModelWaitingDecision> reports = takeWaitingReports();
+    assertThat(reports).hasSize(1);
+    assertThat(reports.get(0).model()).isEqualTo(adapter(3));
+    assertThat(reports.get(0).obstacle()).isEqualTo(PlacementObstacle.ADAPTERS_IN_USE);
+    assertThat(reports.get(0).baseEngines()).isEqualTo(1);
+  }
+
+  /** Guards against reports that name an order as missing although it is under way. */
+  @Test
+  void reportsThatARequestedModelIsOrdered() {
+    setUpOneEngine(M1);
+    fixture.call("/m/x", Optional.of(M2), 10_000);
+    fixture.reduce(new StoreContactChanged(fixture.nowMs(), false));
+
+    fixture.advance(1_250);
+
+    assertThat(takeWaitingReports().stream().map(ModelWaitingDecision::obstacle))
+        .contains(PlacementObstacle.ORDERED);
+  }
 }
