Tell the answer of a call from copies of earlier answers on the same connection

What callers saw: an engine that wrote an earlier refusal once more on a kept connection made the gateway answer 503 "not run" for a call that the engine was running, or send it to a second engine.

Cause: an answer without X-Attempt-Id counted as that of the open call, also on a connection that had carried earlier calls. A call that was refused, sent elsewhere and came back to the same engine could use the same connection, where a copy of its refusal bears its own identifier. The first bytes of a copy that reached an idle connection, or followed the refusal in one packet, stayed in the decoder, and the answer to the next call was read as their continuation. A skipped copy with a broken body left its call without an end.

What is sound: engines echo the identifier in all answers, and a connection without an earlier request has no answer to copy. So an answer without the identifier is accepted on a new connection only and skipped on others; the real answer follows. A call is not sent on a connection that has carried it before, nor, without an identifier, on one that has carried any call; it takes another idle connection or a new one. Other calls go on using the connection, so a refusal costs no new connection. Bytes without an open call, or after the end of an answer, close the connection before it serves again. EngineExchange in core has the rule; the gateway and platform/ translate.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallProtocol.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallProtocol.java
@@ -32,8 +32,12 @@
   void writeHeaders(
       HttpHeaders from, HttpHeaders to, ForwardCall forward, Optional<String> resumeAfter);
 
-  /** Returns whether a response names a call attempt other than the given one. */
-  boolean isForOtherCall(HttpResponse response, String callerAttemptId);
+  /**
+   * Returns the identifier of a call attempt, which callers choose and engines echo.
+   *
+   * @param headers headers of a caller's request or of an engine's response
+   */
+  Optional<String> attemptId(HttpHeaders headers);
 
   /** Returns whether the engine states in the response that it did not run the call. */
   boolean isNotRun(HttpResponse response);
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -132,9 +133,9 @@
     return forward.at(clock.nowMs());
   }
 
-  /** Returns whether the response belongs to this call; other responses are skipped. */
-  boolean accepts(HttpResponse head) {
-    return !protocol.isForOtherCall(head, call.spec().callerAttemptId());
+  /** Returns the identifier of the call attempt that a response names, if it names one. */
+  Optional<String> echoedId(HttpResponse head) {
+    return protocol.attemptId(head.headers());
   }
 
   void responseStarted(HttpResponse head) {
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
@@ -17,11 +17,12 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.concurrent.TimeUnit;
+import org.limpetdoor.core.gateway.EngineExchange;
 import org.limpetdoor.core.gateway.ForwardResult;
 import org.limpetdoor.core.id.BackendId;
 
 /**
- * A connection to an engine, which serves one call at a time. A response that names another call is
+ * A connection to an engine, which serves one call at a time. Responses that belong to no call are
  * skipped, since an engine may send an extra response late. Confined to the traffic thread.
  */
 final class EngineChannel extends ChannelInboundHandlerAdapter {
@@ -49,7 +50,10 @@
   private final Owner owner;
   private Channel channel;
   private EngineAttempt attempt;
+  private EngineExchange exchange;
   private ChannelFuture requestWritten;
+  private boolean used;
+  private boolean bytesAfterResponse;
   private boolean inResponse;
   private boolean skipping;
   private boolean reusable;
@@ -82,8 +86,26 @@
     return idleMs() >= idleLimitMs;
   }
 
+  /** Returns whether no call is open, so that no response is expected. */
+  boolean isIdle() {
+    return attempt == null;
+  }
+
+  /** Records whether bytes have followed a complete response, which belong to no call. */
+  void setBytesAfterResponse(boolean value) {
+    bytesAfterResponse = value;
+  }
+
+  /** Returns the exchange that sending a call on this connection would be. */
+  EngineExchange exchangeFor(OpenCall call) {
+    return new EngineExchange(call.attemptId(), used, call.wasSentOn(this));
+  }
+
   void send(EngineAttempt next, CallProtocol protocol) {
     attempt = next;
+    exchange = exchangeFor(next.call());
+    used = true;
+    next.call().sentOn(this);
     inResponse = false;
     skipping = false;
     OpenCall call = next.call();
@@ -173,7 +195,7 @@
       return;
     }
     boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    skipping = informational || !attempt.accepts(head);
+    skipping = informational || !exchange.ownsResponse(attempt.echoedId(head));
     if (skipping) {
       return;
     }
@@ -185,11 +207,15 @@
 
   private void readContent(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
+    if (content.decoderResult().isFailure()) {
+      failAttempt();
+      return;
+    }
     if (skipping) {
       skipping = !last;
       return;
     }
-    if (content.decoderResult().isFailure() || !inResponse || (last && connectionFailed)) {
+    if (!inResponse || (last && connectionFailed)) {
       failAttempt();
       return;
     }
@@ -217,10 +243,11 @@
 
   /**
    * Makes the connection available again, unless the response came before the request was fully
-   * written: a second request would then be mixed with the rest of the first.
+   * written or bytes have followed it: a second request would then be mixed with the rest of the
+   * first, or its response with these bytes.
    */
   private void returnToPool() {
-    if (reusable && requestWritten.isSuccess() && channel.isActive()) {
+    if (reusable && !bytesAfterResponse && requestWritten.isSuccess() && channel.isActive()) {
       idleSinceNs = System.nanoTime();
       channel.config().setAutoRead(true);
       owner.channelIdle(this);
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
@@ -8,10 +8,10 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.limpetdoor.core.id.BackendId;
@@ -85,13 +85,28 @@
     }
   }
 
+  /**
+   * Takes the newest usable connection on which the response of the call can be told from copies of
+   * earlier ones, or returns null.
+   */
   private EngineChannel pollIdle(EngineAttempt attempt) {
     Deque<EngineChannel> channels = idle.get(attempt.forward().engine());
     if (channels == null || channels.isEmpty()) {
       return null;
     }
     long maxIdleMs = attempt.forward().atMostOnce() ? AT_MOST_ONCE_IDLE_MS : Long.MAX_VALUE;
-    return channels.peekLast().isUsable(maxIdleMs) ? channels.pollLast() : null;
+    Iterator<EngineChannel> newestFirst = channels.descendingIterator();
+    while (newestFirst.hasNext()) {
+      EngineChannel channel = newestFirst.next();
+      if (!channel.isUsable(maxIdleMs)) {
+        return null;
+      }
+      if (channel.exchangeFor(attempt.call()).isDistinguishable()) {
+        newestFirst.remove();
+        return channel;
+      }
+    }
+    return null;
   }
 
   private void closeIdle() {
@@ -116,7 +131,7 @@
                 channel
                     .pipeline()
                     .addLast(new HttpRequestEncoder())
-                    .addLast(new HttpResponseDecoder())
+                    .addLast(new EngineResponseDecoder(handler))
                     .addLast(handler);
               }
             })
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -27,6 +27,7 @@
 import org.limpetdoor.core.event.EngineInspected;
 import org.limpetdoor.core.event.EngineOrderEnded;
 import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.gateway.CallSpec;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
 import org.limpetdoor.runtime.MonotonicClock;
 
@@ -112,7 +113,8 @@
 
   /** Opens a call for a request that has been received completely. */
   OpenCall openCall(HttpRequest head, byte[] body, CallerChannel caller) {
-    OpenCall call = new OpenCall(protocol.parseCall(nextCallId++, head, body), head, body, caller);
+    CallSpec spec = protocol.parseCall(nextCallId++, head, body);
+    OpenCall call = new OpenCall(spec, head, body, caller, protocol.attemptId(head.headers()));
     calls.put(call.spec().id(), call);
     long receivedAtMs = readTimes.earliestArrivalMs();
     submit(atMs -> new CallArrived(atMs, call.spec(), receivedAtMs));
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/OpenCall.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/OpenCall.java
@@ -2,7 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.limpetdoor.core.gateway.CallSpec;
 
 /**
@@ -15,16 +17,24 @@
   private final HttpRequest head;
   private final byte[] body;
   private final CallerChannel caller;
+  private final Optional<String> attemptId;
+  private final Set<EngineChannel> usedConnections = new HashSet<>();
   private EngineAttempt attempt;
   private EngineAttempt errorResponseAttempt;
   private Optional<String> lastEventId = Optional.empty();
   private boolean headSent;
 
-  OpenCall(CallSpec spec, HttpRequest head, byte[] body, CallerChannel caller) {
+  OpenCall(
+      CallSpec spec,
+      HttpRequest head,
+      byte[] body,
+      CallerChannel caller,
+      Optional<String> attemptId) {
     this.spec = spec;
     this.head = head;
     this.body = body;
     this.caller = caller;
+    this.attemptId = attemptId;
   }
 
   CallSpec spec() {
@@ -43,6 +53,20 @@
     return caller;
   }
 
+  /** Returns the identifier that engines echo, if the caller sent one. */
+  Optional<String> attemptId() {
+    return attemptId;
+  }
+
+  /** Records that the call is sent on a connection. */
+  void sentOn(EngineChannel connection) {
+    usedConnections.add(connection);
+  }
+
+  boolean wasSentOn(EngineChannel connection) {
+    return usedConnections.contains(connection);
+  }
+
   Optional<EngineAttempt> attempt(int number) {
     return Optional.ofNullable(attempt).filter(a -> a.number() == number);
   }
--- /dev/null
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/TestCallProtocol.java
@@ -0,0 +1,42 @@
+package org.limpetdoor.gateway;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
+import org.limpetdoor.core.effect.ForwardCall;
+import org.limpetdoor.core.gateway.CallSpec;
+
+/**
+ * Identifies calls by a header that engines echo; other headers mark responses as signed or not
+ * run.
+ */
+final class TestCallProtocol implements CallProtocol {
+  @Override
+  public CallSpec parseCall(long id, HttpRequest head, byte[] body) {
+    String callerAttemptId = head.headers().get("Call", "none");
+    return new CallSpec(
+        id, callerAttemptId, "h", head.uri(), Optional.empty(), Optional.empty(), 0, 0, 0);
+  }
+
+  @Override
+  public void writeHeaders(
+      HttpHeaders from, HttpHeaders to, ForwardCall forward, Optional<String> resumeAfter) {
+    resumeAfter.ifPresent(event -> to.set("Last-Event-Id", event));
+  }
+
+  @Override
+  public Optional<String> attemptId(HttpHeaders headers) {
+    return Optional.ofNullable(headers.get("Call"));
+  }
+
+  @Override
+  public boolean isNotRun(HttpResponse response) {
+    return response.headers().contains("Not-Run");
+  }
+
+  @Override
+  public boolean isSigned(HttpResponse response) {
+    return response.headers().contains("Signed");
+  }
+}
