Relay an engine's events only if they continue the stream that the caller has

What callers saw: after a stream had broken off, the next engine's 200 was relayed whatever its events were. Repeated events, a gap, or the text of an error in a 200 came in the middle of the stream, and an empty 200 ended it as if it were complete.

Cause: the identifiers of events were read only to fill Last-Event-Id; nothing compared the events of the next engine with it.

Fix: EventSequence in core decides from the identifiers. A resumed stream without any event is not complete: no event shows that the engine resumed it, and a caller that has all events but the end may resume by itself. The attempt then ends as INVALID_ANSWER, nothing of it reaches the caller, and the call is retried or its connection closed.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
@@ -15,6 +15,7 @@
 import org.limpetdoor.core.event.ForwardEnded;
 import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.event.ForwardStarted;
+import org.limpetdoor.core.gateway.EventSequence;
 import org.limpetdoor.core.gateway.ForwardResult;
 import org.limpetdoor.runtime.MonotonicClock;
 
@@ -60,6 +61,7 @@
   private ScheduledFuture<?> silenceCheck;
   private long lastProgressNs;
   private boolean streaming;
+  private boolean eventsAccepted;
   private boolean startReported;
   private boolean ended;
 
@@ -205,8 +207,19 @@
       }
       return;
     }
+    EventSequence sequence = call.sequence();
+    for (Optional<String> id : splitter.ids()) {
+      boolean resuming = call.headSent() && !eventsAccepted;
+      if (!sequence.accepts(id, resuming)) {
+        events.release();
+        failAndAbort(ForwardResult.INVALID_ANSWER);
+        return;
+      }
+      eventsAccepted = true;
+      sequence = sequence.plus(id);
+    }
     recordProgress();
-    call.relayEvents(this, events, splitter.lastId());
+    call.relayEvents(this, events, sequence, splitter.ids());
     if (!startReported) {
       startReported = true;
       eventSink.submit(atMs -> new ForwardStarted(atMs, forward.call(), forward.attempt()));
@@ -227,7 +240,7 @@
   }
 
   private void completeStream() {
-    if (splitter.hasIncompleteEvent() || !call.headSent()) {
+    if (splitter.hasIncompleteEvent() || !eventsAccepted) {
       end(ForwardResult.INVALID_ANSWER);
       return;
     }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EventSplitter.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EventSplitter.java
@@ -4,6 +4,8 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -23,7 +25,7 @@
   static final int MAX_EVENT_BYTES = 1 << 20;
 
   private ByteBuf incomplete = Unpooled.EMPTY_BUFFER;
-  private Optional<String> lastId = Optional.empty();
+  private List<Optional<String>> ids = List.of();
 
   /**
    * Adds received bytes and returns the events that are now complete; the result may be empty. The
@@ -45,7 +47,7 @@
       incomplete = copyAndRelease(bytes);
       return Unpooled.EMPTY_BUFFER;
     }
-    updateLastId(bytes, end);
+    ids = readIds(bytes, end);
     ByteBuf events = bytes.readRetainedSlice(end - bytes.readerIndex());
     incomplete = copyAndRelease(bytes);
     return events;
@@ -56,9 +58,9 @@
     return incomplete.isReadable();
   }
 
-  /** Returns the last event identifier among the complete events, if any had one. */
-  Optional<String> lastId() {
-    return lastId;
+  /** Returns the identifier of each event that the last call of {@link #split} has completed. */
+  List<Optional<String>> ids() {
+    return ids;
   }
 
   void release() {
@@ -105,19 +107,38 @@
     return -1;
   }
 
-  private void updateLastId(ByteBuf bytes, int end) {
-    for (int i = end - ID_FIELD.length; i >= bytes.readerIndex(); i--) {
-      boolean lineStart = i == bytes.readerIndex() || bytes.getByte(i - 1) == '\n';
-      if (lineStart && startsWithId(bytes, i)) {
-        int from = i + ID_FIELD.length;
-        int to = bytes.indexOf(from, end, (byte) '\n');
-        lastId = Optional.of(bytes.toString(from, to - from, StandardCharsets.UTF_8).trim());
-        return;
+  /** Reads the identifiers of the complete events before an index. */
+  private static List<Optional<String>> readIds(ByteBuf bytes, int end) {
+    List<Optional<String>> ids = new ArrayList<>();
+    Optional<String> id = Optional.empty();
+    int lineStart = bytes.readerIndex();
+    boolean inEvent = false;
+    while (lineStart < end) {
+      int lineEnd = bytes.indexOf(lineStart, end, (byte) '\n');
+      boolean blank = isBlank(bytes, lineStart, lineEnd);
+      if (startsWithId(bytes, lineStart)) {
+        int from = lineStart + ID_FIELD.length;
+        id = Optional.of(bytes.toString(from, lineEnd - from, StandardCharsets.UTF_8).trim());
       }
+      if (blank && inEvent) {
+        ids.add(id);
+        id = Optional.empty();
+      }
+      inEvent = !blank;
+      lineStart = lineEnd + 1;
     }
+    return ids;
+  }
+
+  private static boolean isBlank(ByteBuf bytes, int lineStart, int lineEnd) {
+    int length = lineEnd - lineStart;
+    return length == 0 || (length == 1 && bytes.getByte(lineStart) == '\r');
   }
 
   private static boolean startsWithId(ByteBuf bytes, int at) {
+    if (at + ID_FIELD.length > bytes.writerIndex()) {
+      return false;
+    }
     for (int i = 0; i < ID_FIELD.length; i++) {
       if (bytes.getByte(at + i) != ID_FIELD[i]) {
         return false;
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/OpenCall.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/OpenCall.java
@@ -3,9 +3,11 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.limpetdoor.core.gateway.CallSpec;
+import org.limpetdoor.core.gateway.EventSequence;
 
 /**
  * Request, connection and current attempt of an open call. Decisions about the call are made by the
@@ -22,6 +24,7 @@
   private EngineAttempt attempt;
   private EngineAttempt errorResponseAttempt;
   private Optional<String> lastEventId = Optional.empty();
+  private EventSequence sequence = EventSequence.EMPTY;
   private boolean headSent;
 
   OpenCall(
@@ -92,13 +95,30 @@
     return headSent;
   }
 
-  /** Relays complete events to the caller. */
-  void relayEvents(EngineAttempt attempt, ByteBuf events, Optional<String> lastId) {
+  /** Returns the sequence of the events that were relayed to the caller. */
+  EventSequence sequence() {
+    return sequence;
+  }
+
+  /**
+   * Relays complete events to the caller.
+   *
+   * @param attempt attempt that received them
+   * @param events the events, which are released
+   * @param newSequence sequence that includes them
+   * @param ids identifier of each event
+   */
+  void relayEvents(
+      EngineAttempt attempt,
+      ByteBuf events,
+      EventSequence newSequence,
+      List<Optional<String>> ids) {
     if (!headSent) {
       headSent = true;
       caller.writeStreamHead(attempt.responseHead());
     }
-    lastEventId = lastId.or(() -> lastEventId);
+    sequence = newSequence;
+    ids.forEach(id -> lastEventId = id.or(() -> lastEventId));
     caller.writeStreamContent(events);
   }
 
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/EventSplitterTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/EventSplitterTest.java
@@ -24,10 +24,10 @@
   @Test
   void holdsBackIncompleteEvents() {
     assertThat(split("id: 1\ndata: a\n\nid: 2\nda")).isEqualTo("id: 1\ndata: a\n\n");
-    assertThat(splitter.lastId()).isEqualTo(Optional.of("1"));
+    assertThat(splitter.ids()).containsExactly(Optional.of("1"));
     assertThat(splitter.hasIncompleteEvent()).isTrue();
     assertThat(split("ta: b\n\n")).isEqualTo("id: 2\ndata: b\n\n");
-    assertThat(splitter.lastId()).isEqualTo(Optional.of("2"));
+    assertThat(splitter.ids()).containsExactly(Optional.of("2"));
     assertThat(splitter.hasIncompleteEvent()).isFalse();
   }
 
@@ -46,14 +46,16 @@
   void readsIdentifiersFromIdFieldsOnly() {
     split("id: 4\ndata: id: 9\n\n");
 
-    assertThat(splitter.lastId()).isEqualTo(Optional.of("4"));
+    assertThat(splitter.ids()).containsExactly(Optional.of("4"));
   }
 
-  /** Guards against losing the last identifier when later events have none. */
+  /** Guards against giving the identifier of an event to another one. */
   @Test
-  void keepsTheLastIdentifierWhenLaterEventsHaveNone() {
-    split("version: 3\nid: 5\ndata: x\n\ndata: y\n\n");
+  void readsTheIdentifierOfEachEvent() {
+    split("version: 3\nid: 5\ndata: x\n\ndata: y\n\n\r\nid: 7\r\ndata: z\r\n\r\nid: 8\n");
 
-    assertThat(splitter.lastId()).isEqualTo(Optional.of("5"));
+    assertThat(splitter.ids())
+        .containsExactly(Optional.of("5"), Optional.empty(), Optional.of("7"))
+        .inOrder();
   }
 }
