--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
@@ -6,6 +6,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import java.util.Optional;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
@@ -14,6 +15,7 @@
 import org.limpetdoor.core.event.ForwardEnded;
 import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.event.ForwardStarted;
+import org.limpetdoor.core.gateway.EventSequence;
 import org.limpetdoor.core.gateway.ForwardResult;
 import org.limpetdoor.runtime.MonotonicClock;
 
@@ -59,6 +61,7 @@
   private ScheduledFuture<?> silenceCheck;
   private long lastProgressNs;
   private boolean streaming;
+  private boolean eventsAccepted;
   private boolean startReported;
   private boolean ended;
 
@@ -132,9 +135,9 @@
     return forward.at(clock.nowMs());
   }
 
-  /** Returns whether the response belongs to this call; other responses are skipped. */
-  boolean accepts(HttpResponse head) {
-    return !protocol.isForOtherCall(head, call.spec().callerAttemptId());
+  /** Returns the identifier of the call attempt that a response names, if it names one. */
+  Optional<String> echoedId(HttpResponse head) {
+    return protocol.attemptId(head.headers());
   }
 
   void responseStarted(HttpResponse head) {
@@ -204,8 +207,19 @@
       }
       return;
     }
+    EventSequence sequence = call.sequence();
+    for (Optional<String> id : splitter.ids()) {
+      boolean resuming = call.headSent() && !eventsAccepted;
+      if (!sequence.accepts(id, resuming)) {
+        events.release();
+        failAndAbort(ForwardResult.INVALID_ANSWER);
+        return;
+      }
+      eventsAccepted = true;
+      sequence = sequence.plus(id);
+    }
     recordProgress();
-    call.relayEvents(this, events, splitter.lastId());
+    call.relayEvents(this, events, sequence, splitter.ids());
     if (!startReported) {
       startReported = true;
       eventSink.submit(atMs -> new ForwardStarted(atMs, forward.call(), forward.attempt()));
@@ -226,7 +240,7 @@
   }
 
   private void completeStream() {
-    if (splitter.hasIncompleteEvent() || !call.headSent()) {
+    if (splitter.hasIncompleteEvent() || !eventsAccepted) {
       end(ForwardResult.INVALID_ANSWER);
       return;
     }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/OpenCall.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/OpenCall.java
@@ -2,8 +2,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.limpetdoor.core.gateway.CallSpec;
+import org.limpetdoor.core.gateway.EventSequence;
 
 /**
  * Request, connection and current attempt of an open call. Decisions about the call are made by the
@@ -15,16 +19,25 @@
   private final HttpRequest head;
   private final byte[] body;
   private final CallerChannel caller;
+  private final Optional<String> attemptId;
+  private final Set<EngineChannel> usedConnections = new HashSet<>();
   private EngineAttempt attempt;
   private EngineAttempt errorResponseAttempt;
   private Optional<String> lastEventId = Optional.empty();
+  private EventSequence sequence = EventSequence.EMPTY;
   private boolean headSent;
 
-  OpenCall(CallSpec spec, HttpRequest head, byte[] body, CallerChannel caller) {
+  OpenCall(
+      CallSpec spec,
+      HttpRequest head,
+      byte[] body,
+      CallerChannel caller,
+      Optional<String> attemptId) {
     this.spec = spec;
     this.head = head;
     this.body = body;
     this.caller = caller;
+    this.attemptId = attemptId;
   }
 
   CallSpec spec() {
@@ -43,6 +56,20 @@
     return caller;
   }
 
+  /** Returns the identifier that engines echo, if the caller sent one. */
+  Optional<String> attemptId() {
+    return attemptId;
+  }
+
+  /** Records that the call is sent on a connection. */
+  void sentOn(EngineChannel connection) {
+    usedConnections.add(connection);
+  }
+
+  boolean wasSentOn(EngineChannel connection) {
+    return usedConnections.contains(connection);
+  }
+
   Optional<EngineAttempt> attempt(int number) {
     return Optional.ofNullable(attempt).filter(a -> a.number() == number);
   }
@@ -68,13 +95,30 @@
     return headSent;
   }
 
-  /** Relays complete events to the caller. */
-  void relayEvents(EngineAttempt attempt, ByteBuf events, Optional<String> lastId) {
+  /** Returns the sequence of the events that were relayed to the caller. */
+  EventSequence sequence() {
+    return sequence;
+  }
+
+  /**
+   * Relays complete events to the caller.
+   *
+   * @param attempt attempt that received them
+   * @param events the events, which are released
+   * @param newSequence sequence that includes them
+   * @param ids identifier of each event
+   */
+  void relayEvents(
+      EngineAttempt attempt,
+      ByteBuf events,
+      EventSequence newSequence,
+      List<Optional<String>> ids) {
     if (!headSent) {
       headSent = true;
       caller.writeStreamHead(attempt.responseHead());
     }
-    lastEventId = lastId.or(() -> lastEventId);
+    sequence = newSequence;
+    ids.forEach(id -> lastEventId = id.or(() -> lastEventId));
     caller.writeStreamContent(events);
   }
 
