Send nothing to an engine for the time that it asks for in a refusal

An engine that turns a request away with 503 may add Retry-After: it then accepts nothing from this instance for so long. The gateway ignored the header and took the engine to be full for 100 ms, doubled up to 800 ms.

The delay goes with the notice at the head of the response, ahead of the end of the attempt, so that a refusal whose body never ends counts too, and so that the answers to orders and inventory requests are covered by the same step. Any 503 with the header closes the engine, with or without the mark that the call did not run. A refusal that names another call is not counted, since it may be a late copy.

Until the end the engine gets no call, retry, resumed stream, order or inventory request. It remains a replica, because it is back soon. The latest of several ends holds, and only a new start ends it earlier. A timer serves waiting calls at the end; it also clears the estimate that the engine is full, which could outlast the stated time and would leave the calls waiting without an event.

A call for which all engines are closed beyond its wait is refused at once as not run (engines_closed), with the earliest end as Retry-After, at most a third of the time left. That includes calls that were waiting already. Streams that may have run end as before.

A decision may reach the traffic thread late, and a connection may take 400 ms, so the traffic thread checks again before it writes a request. Such an attempt ends as engine_closed, and its retry is free, as after a failed connection.

An engine that is leaving no longer gets the load that was to follow an eviction.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
@@ -4,6 +4,7 @@
 import org.limpetdoor.core.agreed.OutboxEvents;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.gateway.CallEvents;
+import org.limpetdoor.core.gateway.EngineNoticeEvents;
 import org.limpetdoor.core.gateway.EngineOrders;
 import org.limpetdoor.core.gateway.GatewayTick;
 import org.limpetdoor.core.id.BackendId;
@@ -41,6 +42,8 @@
    * adapter.
    */
   ADAPTER_LOAD_DUE(EngineOrders::adapterDue),
+  /** The time for which an engine accepted no requests has passed. The key is its identifier. */
+  ENGINE_REOPENED(EngineNoticeEvents::reopened),
   /**
    * The placement duty, peers, engines and the placement of forwarded calls are checked. The key is
    * empty.
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/GatewayDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/GatewayDecision.java
@@ -59,6 +59,14 @@
         DecisionKind.ENGINE, id.value(), List.of(Field.of("state", "leaving")));
   }
 
+  /** Returns the decision that records that an engine accepts no requests for a while. */
+  public static GatewayDecision engineClosed(BackendId id, long closedMs) {
+    return new GatewayDecision(
+        DecisionKind.ENGINE,
+        id.value(),
+        List.of(Field.of("state", "closed"), Field.of("closed_ms", closedMs)));
+  }
+
   /** Returns the decision that records that an engine is no longer listed. */
   public static GatewayDecision engineGone(BackendId id) {
     return new GatewayDecision(DecisionKind.ENGINE, id.value(), List.of(Field.of("state", "gone")));
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/AdapterPlanner.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/AdapterPlanner.java
@@ -53,7 +53,10 @@
       }
       boolean mayLoadAdapter =
           slot.adapterCount() < spec.adapterCapacity() || slot.unloadingAdapters().isEmpty();
-      if (engine.usable() && engine.holds(key.base()) && slot.readyForOrder() && mayLoadAdapter) {
+      if (engine.mayReceive(node.nowMs())
+          && engine.holds(key.base())
+          && slot.readyForOrder()
+          && mayLoadAdapter) {
         candidates.add(engine);
       }
     }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -1,10 +1,10 @@
 package org.limpetdoor.core.gateway;
 
 import java.util.Comparator;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.decision.CallDecision;
@@ -185,7 +185,7 @@
     Choice choice = EngineSelector.choose(node, call);
     return choice.verdict() == Verdict.CHOSEN
         ? CallSteps.send(CallSteps.dequeue(node, call), call, choice)
-        : CallSteps.failWithoutEngine(node, call, choice.verdict());
+        : CallSteps.failWithoutEngine(node, call, choice);
   }
 
   /** Forwards calls whose prompt was held back for the full pacing delay. */
@@ -196,7 +196,8 @@
   /**
    * Forwards the waiting calls for which an engine is available now, in order of priority. Calls
    * that have already missed their target latency come last, so that the backlog of one crest does
-   * not delay all later calls beyond their targets.
+   * not delay all later calls beyond their targets. Calls whose engines all accept no requests for
+   * longer than the calls can wait are refused.
    */
   static Transition<NodeState, Effect> serveWaiting(NodeState node) {
     Transition<NodeState, Effect> result = Transition.of(node);
@@ -210,17 +211,20 @@
                 Comparator.comparing((Call call) -> call.isLate(node.nowMs()))
                     .thenComparingInt(call -> call.route().priority()))
             .toList();
-    Set<Target> unavailable = new HashSet<>();
+    Map<Target, Choice> unavailable = new HashMap<>();
     for (Call call : ordered) {
       Target target = new Target(call.service(), call.spec().model());
-      if (unavailable.contains(target)) {
-        continue;
-      }
-      Choice choice = EngineSelector.choose(result.state(), call);
+      Choice known = unavailable.get(target);
+      Choice choice = known == null ? EngineSelector.choose(result.state(), call) : known;
       if (choice.verdict() == Verdict.CHOSEN) {
         result = result.then(next -> CallSteps.send(CallSteps.dequeue(next, call), call, choice));
-      } else if (choice.verdict() != Verdict.PROMPT_HELD_BACK && call.triedEngines().isEmpty()) {
-        unavailable.add(target);
+        continue;
+      }
+      if (choice.verdict() != Verdict.PROMPT_HELD_BACK && call.triedEngines().isEmpty()) {
+        unavailable.put(target, choice);
+      }
+      if (ClosedEngineAdmission.opensTooLate(call, choice)) {
+        result = result.then(next -> CallSteps.failWithoutEngine(next, call, choice));
       }
     }
     return result;
@@ -255,7 +259,7 @@
     if (choice.verdict() == Verdict.CHOSEN) {
       return CallSteps.send(node, call, choice);
     }
-    return CallSteps.enqueue(node, call, choice.verdict());
+    return CallSteps.enqueue(node, call, choice);
   }
 
   private static Transition<NodeState, Effect> attemptFailed(
@@ -272,13 +276,15 @@
       Choice choice = EngineSelector.choose(node, call);
       Call waiting =
           call.delivered() ? call.withWaitDeadlineMs(node.nowMs() + RESUME_WAIT_MS) : call;
-      boolean canWait = !hasErrorResponse && node.nowMs() < waiting.waitDeadlineMs();
+      boolean canWait =
+          !hasErrorResponse
+              && node.nowMs() < waiting.waitDeadlineMs()
+              && !ClosedEngineAdmission.opensTooLate(waiting, choice);
       if (choice.verdict() == Verdict.CHOSEN) {
         return CallSteps.send(CallSteps.chargeRetry(node, call, result), call, choice);
       }
       if (canWait && choice.verdict() != Verdict.NO_ENGINE) {
-        return CallSteps.enqueue(
-            CallSteps.chargeRetry(node, waiting, result), waiting, choice.verdict());
+        return CallSteps.enqueue(CallSteps.chargeRetry(node, waiting, result), waiting, choice);
       }
     }
     if (hasErrorResponse) {
@@ -289,15 +295,17 @@
     if (call.mayHaveRun()) {
       return CallSteps.fail(node, call, Reply.OUTCOME_UNKNOWN, 0);
     }
-    return result == ForwardResult.DEADLINE_PASSED
-        ? CallSteps.fail(node, call, Reply.EXPIRED_UNSENT, 0)
+    if (result == ForwardResult.DEADLINE_PASSED) {
+      return CallSteps.fail(node, call, Reply.EXPIRED_UNSENT, 0);
+    }
+    Choice choice = EngineSelector.choose(node, call);
+    return choice.verdict() == Verdict.CLOSED
+        ? CallSteps.failWithoutEngine(node, call, choice)
         : CallSteps.fail(node, call, Reply.NO_ENGINE, CallSteps.RETRY_AFTER_FULL_MS);
   }
 
   private static boolean mayRetry(NodeState node, Call call, ForwardResult result) {
-    boolean affordable =
-        result == ForwardResult.CONNECT_FAILED
-            || CallSteps.budget(node, call.service()).allowsRetry();
+    boolean affordable = !result.sent() || CallSteps.budget(node, call.service()).allowsRetry();
     return affordable
         && call.mayRunAgain()
         && node.nowMs() < call.deadlineMs()
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -31,13 +31,14 @@
   private CallSteps() {}
 
   /**
-   * Queues a call until an engine is available, or fails it if its wait deadline has passed.
-   * Requests the model if no engine has it loaded.
+   * Queues a call until an engine is available, or fails it if its wait deadline has passed or
+   * passes before an engine accepts requests. Requests the model if no engine has it loaded.
    */
-  static Transition<NodeState, Effect> enqueue(NodeState node, Call call, Verdict verdict) {
-    if (node.nowMs() >= call.waitDeadlineMs()) {
-      return failWithoutEngine(node, call, verdict);
+  static Transition<NodeState, Effect> enqueue(NodeState node, Call call, Choice choice) {
+    if (node.nowMs() >= call.waitDeadlineMs() || ClosedEngineAdmission.opensTooLate(call, choice)) {
+      return failWithoutEngine(node, call, choice);
     }
+    Verdict verdict = choice.verdict();
     if (verdict == Verdict.MODEL_NOT_LOADED && isModelAbsent(node, call)) {
       return enqueueForAbsentModel(node, call);
     }
@@ -93,14 +94,18 @@
    * Fails a call for which no engine was found. The reply guarantees that the call has not run only
    * if no attempt may have run.
    */
-  static Transition<NodeState, Effect> failWithoutEngine(
-      NodeState node, Call call, Verdict verdict) {
+  static Transition<NodeState, Effect> failWithoutEngine(NodeState node, Call call, Choice choice) {
     if (call.mayHaveRun()) {
       return fail(node, call, Reply.OUTCOME_UNKNOWN, 0);
     }
     long retryAfterMs =
-        verdict == Verdict.MODEL_NOT_LOADED ? RETRY_AFTER_LOAD_MS : RETRY_AFTER_FULL_MS;
-    return fail(node, call, verdict.refusal(), retryAfterMs);
+        switch (choice.verdict()) {
+          case MODEL_NOT_LOADED -> RETRY_AFTER_LOAD_MS;
+          case CLOSED ->
+              ClosedEngineAdmission.returnAfterMs(call, node.nowMs(), choice.opensAtMs());
+          default -> RETRY_AFTER_FULL_MS;
+        };
+    return fail(node, call, choice.verdict().refusal(), retryAfterMs);
   }
 
   /** Sends a call to the chosen engine. */
@@ -125,11 +130,11 @@
   }
 
   /**
-   * Takes a retry from the budget of the service. A retry after a failed connection is free,
+   * Takes a retry from the budget of the service. A retry of a request that was not sent is free,
    * because the failed attempt put no load on an engine.
    */
   static NodeState chargeRetry(NodeState node, Call call, ForwardResult result) {
-    if (result == ForwardResult.CONNECT_FAILED) {
+    if (!result.sent()) {
       return node;
     }
     RetryBudget budget = budget(node, call.service()).withRetry();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineHealth.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineHealth.java
@@ -74,6 +74,12 @@
     };
   }
 
+  /** Returns a copy of an engine that has room again, although it has rejected calls before. */
+  EngineHealth withRoom() {
+    return new EngineHealth(
+        avoidUntilMs, consecutiveFailures, 0, consecutiveRejections, failureShare, latencyMs);
+  }
+
   private static long doubled(long initialMs, int repetitions) {
     return initialMs << Math.min(repetitions, MAX_DOUBLINGS);
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Timed;
 import org.limpetdoor.core.request.Rendezvous;
 
 /**
@@ -77,6 +78,8 @@
     CHOSEN(Reply.NO_ENGINE),
     /** Engines are available for the call, but all are full. */
     FULL(Reply.ENGINES_FULL),
+    /** Engines are available for the call, but all of them accept no requests for a while. */
+    CLOSED(Reply.ENGINES_CLOSED),
     /** Engines have free slots, but still process earlier prompts of this instance. */
     PROMPT_HELD_BACK(Reply.ENGINES_FULL),
     /** No engine has the model or adapter loaded. */
@@ -102,14 +105,29 @@
    * @param verdict outcome
    * @param engine selected engine, if any
    * @param candidates number of engines that were compared
+   * @param opensAtMs time at which the first engine accepts requests, in monotonic milliseconds, if
+   *     the verdict is {@link Verdict#CLOSED}; otherwise {@link Timed#NEVER_MS}
    */
-  record Choice(Verdict verdict, Optional<EngineState> engine, int candidates) {}
+  record Choice(Verdict verdict, Optional<EngineState> engine, int candidates, long opensAtMs) {
+    private static Choice chosen(EngineState engine, int candidates) {
+      return new Choice(Verdict.CHOSEN, Optional.of(engine), candidates, Timed.NEVER_MS);
+    }
+
+    private static Choice none(Verdict verdict, int candidates) {
+      return new Choice(verdict, Optional.empty(), candidates, Timed.NEVER_MS);
+    }
+
+    private static Choice closedUntil(long opensAtMs) {
+      return new Choice(Verdict.CLOSED, Optional.empty(), 0, opensAtMs);
+    }
+  }
 
   static Choice choose(NodeState node, Call call) {
     GatewayState state = node.gateway();
     List<EngineState> available = new ArrayList<>();
     boolean modelLoaded = false;
     boolean anyEngine = false;
+    long opensAtMs = Timed.NEVER_MS;
     for (EngineState engine : state.engines().ofService(call.service())) {
       if (!engine.usable()) {
         continue;
@@ -119,19 +137,27 @@
         continue;
       }
       modelLoaded = true;
-      if (mayAttempt(node, call, engine)) {
+      if (!mayAttempt(node, call, engine)) {
+        continue;
+      }
+      if (engine.mayReceive(node.nowMs())) {
         available.add(engine);
+      } else {
+        opensAtMs = Math.min(opensAtMs, engine.stated().closedUntilMs());
       }
     }
     if (!anyEngine) {
-      return new Choice(Verdict.NO_ENGINE, Optional.empty(), 0);
+      return Choice.none(Verdict.NO_ENGINE, 0);
     }
     if (!modelLoaded) {
-      return new Choice(Verdict.MODEL_NOT_LOADED, Optional.empty(), 0);
+      return Choice.none(Verdict.MODEL_NOT_LOADED, 0);
+    }
+    if (available.isEmpty() && opensAtMs != Timed.NEVER_MS) {
+      return Choice.closedUntil(opensAtMs);
     }
     if (available.isEmpty()) {
       Verdict verdict = call.mayHaveRun() ? Verdict.NO_ENGINE : Verdict.FULL;
-      return new Choice(verdict, Optional.empty(), 0);
+      return Choice.none(verdict, 0);
     }
     return chooseBest(node, call, available);
   }
@@ -179,12 +205,9 @@
       }
     }
     if (best != null) {
-      return new Choice(Verdict.CHOSEN, Optional.of(best), candidates.size());
+      return Choice.chosen(best, candidates.size());
     }
-    return new Choice(
-        promptHeldBack ? Verdict.PROMPT_HELD_BACK : Verdict.FULL,
-        Optional.empty(),
-        candidates.size());
+    return Choice.none(promptHeldBack ? Verdict.PROMPT_HELD_BACK : Verdict.FULL, candidates.size());
   }
 
   /**
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineState.java
@@ -116,6 +116,14 @@
     return !entry.draining() && !stated.leaving();
   }
 
+  /**
+   * Returns whether this instance may send requests of any kind to the engine now. An engine that
+   * stays but accepts none for a while still counts as a replica.
+   */
+  boolean mayReceive(long nowMs) {
+    return usable() && nowMs >= stated.closedUntilMs();
+  }
+
   boolean holds(ModelKey key) {
     return loadedModels.held().contains(key);
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineTable.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineTable.java
@@ -76,10 +76,12 @@
         .update(id, engine -> engine.withStated(next));
   }
 
-  /** Returns whether a start of an engine has stated that it is leaving. */
-  boolean hasStatedLeaving(BackendId id, long startedAtMs) {
+  /** Returns what a start of an engine has stated. */
+  StatedAvailability stated(BackendId id, long startedAtMs) {
     StatedAvailability known = stated.get(id);
-    return known != null && known.startedAtMs() == startedAtMs && known.leaving();
+    return known != null && known.startedAtMs() == startedAtMs
+        ? known
+        : StatedAvailability.unknown(startedAtMs);
   }
 
   private PMap<BackendId, StatedAvailability> withoutOutdated(long nowMs) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
@@ -10,6 +10,11 @@
   CONNECT_FAILED(false, EngineFailure.UNREACHABLE, true),
   /** The deadline of the caller passed before the request was written, so nothing was sent. */
   DEADLINE_PASSED(false, EngineFailure.NONE, true),
+  /**
+   * The engine stated, after the decision to send the call, that it accepts no requests for a
+   * while, so nothing was sent.
+   */
+  ENGINE_CLOSED(false, EngineFailure.NONE, true),
   /** The engine reported that it is full and did not run the call. */
   BUSY(false, EngineFailure.FULL, true),
   /**
@@ -55,6 +60,14 @@
     return mayHaveRun;
   }
 
+  /** Returns whether the request was sent, so that it was work for the engine. */
+  public boolean sent() {
+    return switch (this) {
+      case CONNECT_FAILED, DEADLINE_PASSED, ENGINE_CLOSED -> false;
+      default -> true;
+    };
+  }
+
   /** Returns the kind of engine failure that the result is evidence of. */
   public EngineFailure engineFailure() {
     return engineFailure;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PlacementPlanner.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PlacementPlanner.java
@@ -86,7 +86,7 @@
     Transition<NodeState, Effect> result = Transition.of(node);
     for (EngineState engine : node.gateway().engines().ofService(service)) {
       OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
-      if (engine.usable() && slot.inspectionDue(node.nowMs())) {
+      if (engine.mayReceive(node.nowMs()) && slot.inspectionDue(node.nowMs())) {
         Placement placement =
             result
                 .state()
@@ -164,7 +164,7 @@
 
   /**
    * Loads the models for which others were evicted. If the memory is not free, because the unload
-   * order was refused or lost, the model is left to the next plan.
+   * order was refused or lost, or if the engine is leaving, the model is left to the next plan.
    */
   private static Transition<NodeState, Effect> loadReplacements(
       NodeState node, String service, EngineSpec spec) {
@@ -176,11 +176,13 @@
         continue;
       }
       Optional<ModelSpec> model = slot.replacement().map(spec.models()::get);
-      boolean fits = model.filter(m -> selector.hasFreeMemory(engine, m)).isPresent();
+      boolean fits =
+          engine.usable() && model.filter(m -> selector.hasFreeMemory(engine, m)).isPresent();
       if (!fits) {
         result = result.then(next -> withReplacement(next, engine, Optional.empty()));
-      } else if (selector.hasCopy(engine, model.get())
-          || result.state().gateway().placement().loadTokens() >= 1) {
+      } else if (engine.mayReceive(node.nowMs())
+          && (selector.hasCopy(engine, model.get())
+              || result.state().gateway().placement().loadTokens() >= 1)) {
         ModelKey key = ModelKey.of(slot.replacement().get());
         result =
             result
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ReplicaSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ReplicaSelector.java
@@ -199,7 +199,8 @@
 
   private boolean canLoad(EngineState engine, ModelSpec model) {
     OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
-    boolean free = engine.usable() && slot.readyForOrder() && slot.replacement().isEmpty();
+    boolean free =
+        engine.mayReceive(node.nowMs()) && slot.readyForOrder() && slot.replacement().isEmpty();
     boolean loadable = storeLoads || hasCopy(engine, model);
     return free && loadable && !slot.contents().contains(ModelKey.of(model.name()));
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Reply.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Reply.java
@@ -14,6 +14,8 @@
   NO_ENGINE(503, true),
   /** All engines for the call were full until its wait deadline passed. */
   ENGINES_FULL(503, true),
+  /** All engines for the call accept no requests for longer than the call can wait. */
+  ENGINES_CLOSED(503, true),
   /** No engine loaded the model or adapter before the wait deadline of the call passed. */
   MODEL_ABSENT(503, true),
   /** The same request has crashed engines before and is not run again. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StatedAvailability.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StatedAvailability.java
@@ -8,13 +8,18 @@
  * @param startedAtMs start of the engine that the statements are from, in Unix milliseconds
  * @param statedAtMs time of the last statement, in monotonic milliseconds
  * @param leaving whether the engine is shutting down
+ * @param closedUntilMs time until which the engine accepts no requests of this instance, in
+ *     monotonic milliseconds; 0 if it has not stated any
  */
-record StatedAvailability(long startedAtMs, long statedAtMs, boolean leaving) {
+record StatedAvailability(long startedAtMs, long statedAtMs, boolean leaving, long closedUntilMs) {
   static StatedAvailability unknown(long startedAtMs) {
-    return new StatedAvailability(startedAtMs, 0, false);
+    return new StatedAvailability(startedAtMs, 0, false, 0);
   }
 
+  /** Applies a notice. A time that was stated before and ends later still holds. */
   StatedAvailability with(EngineNotice notice, long nowMs) {
-    return new StatedAvailability(startedAtMs, nowMs, leaving || notice.leaving());
+    long closedMs = notice.retryAfterMs();
+    long untilMs = closedMs == 0 ? closedUntilMs : Math.max(closedUntilMs, nowMs + closedMs);
+    return new StatedAvailability(startedAtMs, nowMs, leaving || notice.leaving(), untilMs);
   }
 }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/LeavingEngineTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/LeavingEngineTest.java
@@ -29,7 +29,7 @@
   private static final ModelKey M1 = ModelKey.of("m1");
   private static final ModelKey M2 = ModelKey.of("m2");
   private static final ModelKey M3 = ModelKey.of("m3");
-  private static final EngineNotice LEAVING = new EngineNotice(true);
+  private static final EngineNotice LEAVING = new EngineNotice(true, 0);
 
   /** Number of calls that two idle engines of four slots would share. */
   private static final int CALLS = 6;
@@ -182,7 +182,7 @@
     assertThat(receivesCalls("e1")).isTrue();
   }
 
-  /** Guards against breaking off a stream whose engine is leaving, or resuming it there. */
+  /** Guards against breaking off a stream whose engine is leaving. */
   @Test
   void aStreamGoesOnAndIsResumedElsewhere() {
     long id = fixture.call("/stream/x", Optional.empty(), 2_000);
@@ -196,6 +196,21 @@
     assertThat(fixture.take(ForwardCall.class).get(0).engine()).isNotEqualTo(first);
   }
 
+  /** Guards against resuming an interrupted stream at another engine that is leaving. */
+  @Test
+  void aStreamIsNotResumedAtALeavingEngine() {
+    long id = fixture.call("/stream/x", Optional.empty(), 2_000);
+    fixture.take(ForwardCall.class);
+    stateLeaving("e1", 1);
+    stateLeaving("e2", 1);
+    fixture.reduce(new ForwardStarted(fixture.nowMs(), id, 1));
+
+    fixture.reduce(new ForwardEnded(fixture.nowMs(), id, 1, ForwardResult.CONNECTION_LOST, true));
+    fixture.advance(1_500);
+
+    assertThat(fixture.take(ForwardCall.class)).isEmpty();
+  }
+
   /** Guards against a retry at the engine that turned the call away because it is leaving. */
   @Test
   void aCallThatWasTurnedAwayIsNotRetriedThere() {
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
@@ -127,6 +127,11 @@
     return passed;
   }
 
+  /** Called instead of writing the request if the engine accepts none at the moment. */
+  void engineClosed() {
+    end(ForwardResult.ENGINE_CLOSED);
+  }
+
   /** Returns what to send, with the time that is left now. */
   ForwardCall forwardNow() {
     return forward.at(clock.nowMs());
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
@@ -41,8 +41,8 @@
     /** Called when the connection has finished a call and may serve another one. */
     void channelIdle(EngineChannel channel);
 
-    /** Called when the head of a response has arrived, also if the response is skipped. */
-    void headReceived(EngineAttempt attempt, HttpResponse head);
+    /** Called when the head of a response has arrived; it may belong to another call. */
+    void headReceived(EngineAttempt attempt, HttpResponse head, boolean skipped);
 
     /** Called when the connection has ended. */
     void channelClosed(EngineChannel channel);
@@ -176,8 +176,8 @@
       return;
     }
     boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    owner.headReceived(attempt, head);
     skipping = informational || !attempt.accepts(head);
+    owner.headReceived(attempt, head, skipping);
     if (skipping) {
       return;
     }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.limpetdoor.core.effect.ForwardCall;
+import org.limpetdoor.core.gateway.EngineNotice;
 import org.limpetdoor.core.id.BackendId;
 
 /**
@@ -53,7 +54,7 @@
 
   /** Sends the request of an attempt on an idle or a new connection. */
   void send(EngineAttempt attempt) {
-    if (attempt.endIfDeadlinePassed()) {
+    if (endIfOutdated(attempt)) {
       return;
     }
     EngineChannel pooled = pollIdle(attempt);
@@ -68,7 +69,7 @@
           if (!attempt.hasEnded() && !done.isSuccess()) {
             attempt.connectFailed();
           }
-          if (attempt.hasEnded() || attempt.endIfDeadlinePassed()) {
+          if (attempt.hasEnded() || endIfOutdated(attempt)) {
             connecting.channel().close();
             return;
           }
@@ -82,9 +83,12 @@
   }
 
   @Override
-  public void headReceived(EngineAttempt attempt, HttpResponse head) {
+  public void headReceived(EngineAttempt attempt, HttpResponse head, boolean skipped) {
     ForwardCall forward = attempt.forward();
-    notices.received(forward.engine(), forward.engineStartedAtMs(), protocol.engineNotice(head));
+    EngineNotice notice = protocol.engineNotice(head);
+    // A late copy of an earlier refusal would close the engine once more.
+    EngineNotice applicable = skipped ? notice.withoutRetryAfter() : notice;
+    notices.received(forward.engine(), forward.engineStartedAtMs(), applicable);
   }
 
   @Override
@@ -95,6 +99,22 @@
     }
   }
 
+  /**
+   * Ends an attempt whose caller has left, or whose engine has closed since the decision to send
+   * it, and returns whether it has ended.
+   */
+  private boolean endIfOutdated(EngineAttempt attempt) {
+    if (attempt.endIfDeadlinePassed()) {
+      return true;
+    }
+    ForwardCall forward = attempt.forward();
+    boolean closed = notices.isClosed(forward.engine(), forward.engineStartedAtMs());
+    if (closed) {
+      attempt.engineClosed();
+    }
+    return closed;
+  }
+
   private EngineChannel pollIdle(EngineAttempt attempt) {
     Deque<EngineChannel> channels = idle.get(attempt.forward().engine());
     if (channels == null || channels.isEmpty()) {
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -28,6 +28,7 @@
 import org.limpetdoor.core.event.EngineOrderEnded;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.gateway.EngineOrder;
+import org.limpetdoor.core.gateway.EngineOrderResult;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
 import org.limpetdoor.runtime.MonotonicClock;
 
@@ -75,7 +76,7 @@
     this.clock = clock;
     this.readTimes = readTimes;
     this.eventSink = eventSink;
-    this.notices = new EngineNotices(this);
+    this.notices = new EngineNotices(clock, this);
     this.pool = new EngineConnectionPool(loop, protocol, notices);
     this.paceMeter = new PaceMeter(this);
     loop.scheduleWithFixedDelay(
@@ -214,21 +215,29 @@
 
   @Override
   public void sendEngineOrder(SendEngineOrder effect) {
+    if (notices.isClosed(effect.order().engine(), effect.startedAtMs())) {
+      orderEnded(effect.order(), EngineOrderResult.REFUSED);
+      return;
+    }
     engineClient
         .sendOrder(effect.order(), effect.address())
         .thenAccept(
             response -> {
-              EngineOrder order = effect.order();
-              notices.received(order.engine(), effect.startedAtMs(), response.notice());
-              submit(
-                  atMs ->
-                      new EngineOrderEnded(
-                          atMs, order.engine(), order.number(), response.content()));
+              notices.received(effect.order().engine(), effect.startedAtMs(), response.notice());
+              orderEnded(effect.order(), response.content());
             });
   }
 
+  private void orderEnded(EngineOrder order, EngineOrderResult result) {
+    submit(atMs -> new EngineOrderEnded(atMs, order.engine(), order.number(), result));
+  }
+
   @Override
   public void inspectEngine(InspectEngine effect) {
+    if (notices.isClosed(effect.engine(), effect.startedAtMs())) {
+      submit(atMs -> new EngineInspected(atMs, effect.engine(), Optional.empty()));
+      return;
+    }
     engineClient
         .requestInventory(effect.engine().value(), effect.address())
         .thenAccept(
@@ -267,6 +276,7 @@
 
   private void cleanUp() {
     paceMeter.removeOlderThan(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(PACE_RETENTION_MS));
+    notices.removeEnded();
     closeIdleCallers();
   }
 
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
@@ -35,15 +35,22 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.limpetdoor.core.effect.ForwardCall;
+import org.limpetdoor.core.effect.InspectEngine;
+import org.limpetdoor.core.effect.SendEngineOrder;
 import org.limpetdoor.core.event.CallArrived;
 import org.limpetdoor.core.event.CallCancelled;
+import org.limpetdoor.core.event.EngineInspected;
 import org.limpetdoor.core.event.EngineNoticeReceived;
+import org.limpetdoor.core.event.EngineOrderEnded;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.ForwardEnded;
 import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.gateway.CallSpec;
 import org.limpetdoor.core.gateway.EngineNotice;
+import org.limpetdoor.core.gateway.EngineOrder;
+import org.limpetdoor.core.gateway.EngineOrderResult;
 import org.limpetdoor.core.gateway.ForwardResult;
+import org.limpetdoor.core.gateway.ModelKey;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.runtime.MonotonicClock;
 
@@ -51,7 +58,6 @@
 class GatewayTrafficTest {
   private static final long TIMEOUT_S = 30;
   private static final String ENDLESS = "ENDLESS ";
-  private static final long ENGINE_STARTED_AT_MS = 7;
   private static final InetSocketAddress ANY_LOOPBACK_PORT = new InetSocketAddress("127.0.0.1", 0);
 
   private final EventLoopGroup group =
@@ -66,6 +72,7 @@
   private final CountDownLatch endlessResponsesClosed = new CountDownLatch(1);
   private long deadlineInMs = 60_000;
   private long silenceTimeoutMs;
+  private long engineStartedAtMs = 7;
 
   @BeforeEach
   void open() {
@@ -125,7 +132,8 @@
 
     @Override
     public EngineNotice engineNotice(HttpResponse response) {
-      return new EngineNotice(response.headers().contains("Leaving"));
+      return new EngineNotice(
+          response.headers().contains("Leaving"), response.headers().getInt("Closed-Ms", 0));
     }
   }
 
@@ -222,7 +230,7 @@
             id,
             attempt,
             new BackendId("e1"),
-            ENGINE_STARTED_AT_MS,
+            engineStartedAtMs,
             "127.0.0.1:" + address.getPort(),
             1_000,
             clock.nowMs() + deadlineInMs,
@@ -439,7 +447,7 @@
       assertThat(next(EngineNoticeReceived.class))
           .isEqualTo(
               new EngineNoticeReceived(
-                  0, new BackendId("e1"), ENGINE_STARTED_AT_MS, new EngineNotice(true)));
+                  0, new BackendId("e1"), engineStartedAtMs, new EngineNotice(true, 0)));
     }
   }
 
@@ -470,6 +478,95 @@
     assertLeavingReported(false, response("c0", "late").replace("Signed", "Leaving: 1\r\nSigned"));
   }
 
+  private static String refusal(int closedMs) {
+    return "HTTP/1.1 503 x\r\nNot-Run: 1\r\nClosed-Ms: "
+        + closedMs
+        + "\r\nContent-Length: 0\r\n\r\n";
+  }
+
+  /**
+   * Guards against requests to an engine that has closed while the decision to send them was
+   * waiting for the traffic thread.
+   */
+  @Test
+  void sendsNothingToAnEngineThatHasClosedSinceTheDecision() throws Exception {
+    scriptedResponses.add(List.of(refusal(60_000)));
+    try (Socket socket = connectCaller();
+        Socket other = connectCaller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, false);
+      assertThat(next(EngineNoticeReceived.class).notice().retryAfterMs()).isEqualTo(60_000);
+      assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.BUSY);
+
+      send(other, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c2\r\n\r\n");
+      forward(1, false);
+
+      assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.ENGINE_CLOSED);
+      assertThat(receivedRequests).hasSize(1);
+    }
+  }
+
+  /** Guards against an engine that stays closed after it has started again. */
+  @Test
+  void sendsToANewStartOfAClosedEngine() throws Exception {
+    scriptedResponses.add(List.of(refusal(60_000)));
+    scriptedResponses.add(List.of(response("c2", "right")));
+    try (Socket socket = connectCaller();
+        Socket other = connectCaller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, false);
+      assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.BUSY);
+
+      engineStartedAtMs++;
+      send(other, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c2\r\n\r\n");
+      forward(1, false);
+
+      assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.COMPLETED);
+    }
+  }
+
+  /** Guards against a late copy of a refusal that closes the engine again. */
+  @Test
+  void aRefusalOfAnotherCallDoesNotCloseTheEngine() throws Exception {
+    scriptedResponses.add(
+        List.of(
+            refusal(60_000).replace("Not-Run", "Call: c0\r\nNot-Run"), response("c1", "right")));
+    scriptedResponses.add(List.of(response("c2", "right")));
+    try (Socket socket = connectCaller();
+        Socket other = connectCaller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, false);
+      assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.COMPLETED);
+
+      send(other, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c2\r\n\r\n");
+      forward(1, false);
+
+      assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.COMPLETED);
+    }
+  }
+
+  /** Guards against control requests to an engine that has closed since the decision. */
+  @Test
+  void sendsNoOrderAndNoInventoryRequestToAClosedEngine() throws Exception {
+    scriptedResponses.add(List.of(refusal(60_000)));
+    BackendId closed = new BackendId("e1");
+    EngineOrder order =
+        new EngineOrder(
+            1, closed, EngineOrder.Action.LOAD, ModelKey.of("m1"), 5, 0, EngineOrder.Source.STORE);
+    try (Socket socket = connectCaller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, false);
+      assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.BUSY);
+
+      // The fixture has no client for control requests, so an attempt to send one fails.
+      traffic.apply(new SendEngineOrder(order, engineStartedAtMs, "127.0.0.1:1"));
+      traffic.apply(new InspectEngine(closed, engineStartedAtMs, "127.0.0.1:1"));
+
+      assertThat(next(EngineOrderEnded.class).result()).isEqualTo(EngineOrderResult.REFUSED);
+      assertThat(next(EngineInspected.class).inventory()).isEmpty();
+    }
+  }
+
   /** Guards against engines that keep running calls of disconnected callers. */
   @Test
   void reportsCallerDisconnects() throws Exception {
