Test what engines state in responses to orders and inventory requests

ClosedEngineTest.theOtherEngineGetsAllCalls passed without the mechanism, because the estimate of a full engine covers the first 100 ms; it now looks later.

--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/ClosedEngineTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/ClosedEngineTest.java
@@ -88,6 +88,8 @@
     long id = call();
     BackendId first = fixture.take(ForwardCall.class).get(0).engine();
     refuse(id, 1, first.value(), SHORT_MS);
+    // Longer than the estimate for an engine that has rejected one call.
+    fixture.advance(200);
     for (int i = 0; i < 4; i++) {
       call();
     }
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
@@ -28,6 +28,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -46,6 +47,7 @@
 import org.limpetdoor.core.event.ForwardEnded;
 import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.gateway.CallSpec;
+import org.limpetdoor.core.gateway.EngineInventory;
 import org.limpetdoor.core.gateway.EngineNotice;
 import org.limpetdoor.core.gateway.EngineOrder;
 import org.limpetdoor.core.gateway.EngineOrderResult;
@@ -73,6 +75,8 @@
   private long deadlineInMs = 60_000;
   private long silenceTimeoutMs;
   private long engineStartedAtMs = 7;
+  private final BlockingQueue<String> controlRequests = new LinkedBlockingQueue<>();
+  private volatile EngineNotice controlNotice = EngineNotice.NONE;
 
   @BeforeEach
   void open() {
@@ -81,7 +85,7 @@
         new GatewayTraffic(
             loop,
             new TestCallProtocol(),
-            null,
+            new TestEngineClient(),
             null,
             null,
             clock,
@@ -137,6 +141,25 @@
     }
   }
 
+  /** Accepts all orders, and knows no inventory. */
+  private final class TestEngineClient implements EngineClient {
+    @Override
+    public CompletableFuture<EngineResponse<EngineOrderResult>> sendOrder(
+        EngineOrder order, String address) {
+      controlRequests.add("order");
+      return CompletableFuture.completedFuture(
+          new EngineResponse<>(EngineOrderResult.ACCEPTED, controlNotice));
+    }
+
+    @Override
+    public CompletableFuture<EngineResponse<Optional<EngineInventory>>> requestInventory(
+        String engineId, String address) {
+      controlRequests.add("inventory");
+      return CompletableFuture.completedFuture(
+          new EngineResponse<>(Optional.empty(), controlNotice));
+    }
+  }
+
   private Channel startEngine() {
     return new ServerBootstrap()
         .group(group)
@@ -545,25 +568,43 @@
     }
   }
 
+  private void applyOrderAndInventoryRequest() {
+    BackendId target = new BackendId("e1");
+    EngineOrder order =
+        new EngineOrder(
+            1, target, EngineOrder.Action.LOAD, ModelKey.of("m1"), 5, 0, EngineOrder.Source.STORE);
+    traffic.apply(new SendEngineOrder(order, engineStartedAtMs, "127.0.0.1:1"));
+    traffic.apply(new InspectEngine(target, engineStartedAtMs, "127.0.0.1:1"));
+  }
+
   /** Guards against control requests to an engine that has closed since the decision. */
   @Test
   void sendsNoOrderAndNoInventoryRequestToAClosedEngine() throws Exception {
     scriptedResponses.add(List.of(refusal(60_000)));
-    BackendId closed = new BackendId("e1");
-    EngineOrder order =
-        new EngineOrder(
-            1, closed, EngineOrder.Action.LOAD, ModelKey.of("m1"), 5, 0, EngineOrder.Source.STORE);
     try (Socket socket = connectCaller()) {
       send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
       forward(1, false);
       assertThat(next(ForwardEnded.class).result()).isEqualTo(ForwardResult.BUSY);
 
-      // The fixture has no client for control requests, so an attempt to send one fails.
-      traffic.apply(new SendEngineOrder(order, engineStartedAtMs, "127.0.0.1:1"));
-      traffic.apply(new InspectEngine(closed, engineStartedAtMs, "127.0.0.1:1"));
+      applyOrderAndInventoryRequest();
 
       assertThat(next(EngineOrderEnded.class).result()).isEqualTo(EngineOrderResult.REFUSED);
       assertThat(next(EngineInspected.class).inventory()).isEmpty();
+      assertThat(controlRequests).isEmpty();
+    }
+  }
+
+  /** Guards against the loss of what an engine states in a response to an order or inspection. */
+  @Test
+  void reportsWhatEnginesStateInResponsesToControlRequests() throws Exception {
+    controlNotice = new EngineNotice(true, 0);
+
+    applyOrderAndInventoryRequest();
+
+    for (int i = 0; i < 2; i++) {
+      assertThat(next(EngineNoticeReceived.class))
+          .isEqualTo(
+              new EngineNoticeReceived(0, new BackendId("e1"), engineStartedAtMs, controlNotice));
     }
   }
 
