--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/FailureCause.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/FailureCause.java
@@ -8,6 +8,8 @@
   NO_UNTRIED_ENGINE,
   /** All engines that could run the call were full or rejected it. */
   ENGINES_FULL,
+  /** All engines that could run the call accepted no requests for longer than it could wait. */
+  ENGINES_CLOSED,
   /** No engine had the model or adapter loaded. */
   MODEL_NOT_LOADED,
   /** The service had no usable engine. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/AdapterPlanner.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/AdapterPlanner.java
@@ -85,7 +85,7 @@
       boolean mayLoadAdapter =
           slot.adapterCount() < spec.adapterCapacity() || slot.unloadingAdapters().isEmpty();
       unloading |= !mayLoadAdapter;
-      if (slot.readyForOrder() && mayLoadAdapter) {
+      if (engine.mayReceive(node.nowMs()) && slot.readyForOrder() && mayLoadAdapter) {
         candidates.add(engine);
       }
     }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ReplicaSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ReplicaSelector.java
@@ -222,7 +222,9 @@
   /** Returns whether an engine has no order under way and none planned. */
   private boolean isFree(EngineState engine) {
     OrderSlot slot = node.gateway().placement().slot(engine.entry().id());
-    return engine.usable() && slot.readyForOrder() && slot.replacement().isEmpty();
+    return engine.mayReceive(node.nowMs())
+        && slot.readyForOrder()
+        && slot.replacement().isEmpty();
   }
 
   /** Returns whether an engine has a copy of the weights, which spares the weight store a load. */
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
@@ -27,6 +27,7 @@
 final class GatewayFixture implements AutoCloseable {
   private static final long TIMEOUT_S = 20;
   private static final long DEADLINE_IN_MS = 60_000;
+  private static final long ENGINE_STARTED_AT_MS = 7;
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -73,6 +74,7 @@
             call,
             attempt,
             new BackendId(engine.address()),
+            ENGINE_STARTED_AT_MS,
             engine.address(),
             DEADLINE_IN_MS,
             clock.nowMs() + DEADLINE_IN_MS,
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/TestCallProtocol.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/TestCallProtocol.java
@@ -43,6 +43,7 @@
 
   @Override
   public EngineNotice engineNotice(HttpResponse response) {
-    return new EngineNotice(response.headers().contains("Leaving"));
+    return new EngineNotice(
+        response.headers().contains("Leaving"), response.headers().getInt("Closed-Ms", 0));
   }
 }
