Send waiting calls when an engine is no longer taken to be full

Callers saw 503 (or the end of a stream that had begun) although an engine had free slots again: after a rejection an engine gets no call for 100 ms and more, but the end of that time was no event. Calls that waited for it were looked at only when another call ended or their own wait was over, so on a quiet instance they waited up to a second too long.

Each failed attempt now adds a timer for the times from which its engine is neither full nor avoided. The timers of one engine coincide while its times do not change, so a burst of rejections adds one.

Test sendsAWaitingCallOnceAnEngineIsNoLongerTakenToBeFull: no attempt within the 100 ms before the change.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
@@ -36,6 +36,8 @@
    * key is its number.
    */
   CALL_PROMPT_PACING(CallEvents::promptPacingEnded),
+  /** An engine that rejected a call or was unreachable may be tried again. The key is its name. */
+  ENGINE_RETRY(CallEvents::engineRetryDue),
   /**
    * The load of an adapter is due to be complete. The key holds the engine, the model and the
    * adapter.
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -211,6 +211,11 @@
         : CallSteps.failWithoutEngine(node, call, choice.verdict());
   }
 
+  /** Forwards calls that have waited for an engine that may be tried again now. */
+  public static Transition<NodeState, Effect> engineRetryDue(NodeState node, String key) {
+    return serveWaiting(node);
+  }
+
   /** Forwards calls whose prompt was held back for the full pacing delay. */
   public static Transition<NodeState, Effect> promptPacingEnded(NodeState node, String key) {
     return serveWaiting(node);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -1,7 +1,11 @@
 package org.limpetdoor.core.gateway;
 
+import java.util.List;
 import java.util.Optional;
 import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Timer;
+import org.limpetdoor.core.TimerKind;
+import org.limpetdoor.core.Timers;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.decision.CallDecision;
 import org.limpetdoor.core.decision.FailureCause;
@@ -13,6 +17,7 @@
 import org.limpetdoor.core.gateway.Call.Attempt;
 import org.limpetdoor.core.gateway.EngineSelector.Choice;
 import org.limpetdoor.core.gateway.EngineSelector.Verdict;
+import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.request.RetryBudget;
 
 /** State transitions shared by the events of forwarded calls. */
@@ -218,7 +223,21 @@
             .engines()
             .update(attempt.engine(), engine -> withResult(node, engine, call, attempt, result));
     CrashRecords crashRecords = updateCrashRecords(node, call, attempt, result);
-    return node.withGateway(state.withEngines(engines).withCrashRecords(crashRecords));
+    NodeState recorded =
+        node.withGateway(state.withEngines(engines).withCrashRecords(crashRecords));
+    return result.failure() ? withRetryTimers(recorded, attempt.engine()) : recorded;
+  }
+
+  /** Adds timers for the times from which a failed engine is neither full nor avoided. */
+  private static NodeState withRetryTimers(NodeState node, BackendId id) {
+    Optional<EngineHealth> health = node.gateway().engines().find(id).map(EngineState::health);
+    Timers timers = node.timers();
+    for (long retryAtMs : health.map(EngineHealth::retryTimesMs).orElse(List.of())) {
+      boolean pending = retryAtMs > node.nowMs();
+      Timer timer = new Timer(retryAtMs, TimerKind.ENGINE_RETRY, id.value());
+      timers = pending ? timers.plus(timer) : timers;
+    }
+    return node.withTimers(timers);
   }
 
   /**
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineHealth.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineHealth.java
@@ -1,5 +1,7 @@
 package org.limpetdoor.core.gateway;
 
+import java.util.List;
+
 /**
  * Health of an engine as observed through the calls of this instance.
  *
@@ -74,6 +76,11 @@
     };
   }
 
+  /** Returns the times from which the engine is not taken to be full, or not avoided. */
+  List<Long> retryTimesMs() {
+    return List.of(fullUntilMs, avoidUntilMs);
+  }
+
   private static long doubled(long initialMs, int repetitions) {
     return initialMs << Math.min(repetitions, MAX_DOUBLINGS);
   }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -602,4 +602,33 @@
     assertThat(fields).contains("key=reason, value=idle_timeout");
     assertThat(fields).contains("key=request, value=open");
   }
+
+  /** Lists model engines and earns retries at them. */
+  private void setUpModelEngines(int engines) {
+    fixture.routes(1, GatewayFixture.modelRoute("/chat/"));
+    EngineEntry[] entries = new EngineEntry[engines];
+    for (int i = 0; i < engines; i++) {
+      entries[i] = GatewayFixture.entry("e" + i, "llm", 1, 0, M1);
+    }
+    fixture.engines(entries);
+    for (int i = 0; i < 30; i++) {
+      long id = fixture.call("/chat/x", Optional.of(M1), 10_000);
+      fixture.endForward(id, 1, ForwardResult.COMPLETED);
+    }
+    fixture.take(ForwardCall.class);
+  }
+
+  /** Guards against a waiting call that is not sent when the only engine stops rejecting calls. */
+  @Test
+  void sendsAWaitingCallOnceAnEngineIsNoLongerTakenToBeFull() {
+    setUpModelEngines(1);
+    long id = fixture.call("/chat/x", Optional.of(M1), 10_000);
+    fixture.advance(200);
+    fixture.endForward(id, 1, ForwardResult.BUSY);
+    fixture.take(ForwardCall.class);
+
+    fixture.advance(100);
+
+    assertThat(fixture.take(ForwardCall.class)).hasSize(1);
+  }
 }
