Try engines again that refused a begun stream without running it

Once a call may have run anywhere, the selection took every engine that had been tried for one that may have run it. After the second refusal no engine was left, and for that verdict a call does not wait.

A call now keeps the engines that may have run it (ranAt) apart from those that it was sent to. Only the former are excluded for good; an engine that refused it is tried again when it is no longer avoided or full. maxAttempts still bounds the engines that may run a call, and each repeated send still takes a retry from the budget. A stream whose engines all may have run it is still ended at once.

Test resumesAStreamAtAnEngineThatRefusedItBefore: AbortCall right after the second refusal before the change.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
@@ -17,7 +17,7 @@
  * @param deadlineMs deadline of the caller or of the route, in monotonic milliseconds
  * @param waitDeadlineMs time until which the call may wait for an engine, in monotonic milliseconds
  * @param triedEngines engines that the call was sent to, in order of the attempts
- * @param possibleRuns number of ended attempts that an engine may have run
+ * @param ranAt engines that may have run an ended attempt
  * @param activeAttempt attempt in progress, if any
  * @param delivered whether the caller has received part of a response
  */
@@ -29,7 +29,7 @@
     long deadlineMs,
     long waitDeadlineMs,
     PVector<BackendId> triedEngines,
-    int possibleRuns,
+    PVector<BackendId> ranAt,
     Optional<Attempt> activeAttempt,
     boolean delivered) {
 
@@ -58,18 +58,18 @@
         deadlineMs,
         waitDeadlineMs,
         TreePVector.empty(),
-        0,
+        TreePVector.empty(),
         Optional.empty(),
         false);
   }
 
   boolean mayHaveRun() {
-    return possibleRuns > 0;
+    return !ranAt.isEmpty();
   }
 
   /** Returns whether the call may be sent to another engine. */
   boolean mayRunAgain() {
-    return possibleRuns == 0 || (route.mayRepeat() && possibleRuns < route.maxAttempts());
+    return ranAt.isEmpty() || (route.mayRepeat() && ranAt.size() < route.maxAttempts());
   }
 
   /** Returns whether the target latency of the route has already passed. */
@@ -87,7 +87,7 @@
         deadlineMs,
         waitDeadlineMs,
         triedEngines.plus(engine),
-        possibleRuns,
+        ranAt,
         Optional.of(attempt),
         delivered);
   }
@@ -95,14 +95,15 @@
   Call withResponseStarted() {
     Attempt attempt = activeAttempt.orElseThrow();
     return with(
-        possibleRuns,
+        ranAt,
         Optional.of(new Attempt(attempt.number(), attempt.engine(), attempt.sentAtMs(), true)),
         true);
   }
 
   Call withAttemptEnded(ForwardResult result, boolean responseDelivered) {
+    BackendId engine = activeAttempt.orElseThrow().engine();
     return with(
-        possibleRuns + (result.mayHaveRun() ? 1 : 0),
+        result.mayHaveRun() ? ranAt.plus(engine) : ranAt,
         Optional.empty(),
         delivered || responseDelivered);
   }
@@ -116,7 +117,7 @@
         deadlineMs,
         value,
         triedEngines,
-        possibleRuns,
+        ranAt,
         activeAttempt,
         delivered);
   }
@@ -140,7 +141,8 @@
     return Long.toString(spec.id());
   }
 
-  private Call with(int newPossibleRuns, Optional<Attempt> newAttempt, boolean newDelivered) {
+  private Call with(
+      PVector<BackendId> newRanAt, Optional<Attempt> newAttempt, boolean newDelivered) {
     return new Call(
         spec,
         route,
@@ -149,7 +151,7 @@
         deadlineMs,
         waitDeadlineMs,
         triedEngines,
-        newPossibleRuns,
+        newRanAt,
         newAttempt,
         newDelivered);
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
@@ -125,6 +125,7 @@
     List<EngineState> available = new ArrayList<>();
     boolean modelLoaded = false;
     boolean anyEngine = false;
+    boolean anyUntried = false;
     for (EngineState engine : state.engines().ofService(call.service())) {
       if (!engine.usable()) {
         continue;
@@ -134,6 +135,7 @@
         continue;
       }
       modelLoaded = true;
+      anyUntried |= !call.ranAt().contains(engine.entry().id());
       if (mayAttempt(node, call, engine)) {
         available.add(engine);
       }
@@ -145,7 +147,7 @@
       return new Choice(Verdict.MODEL_NOT_LOADED, Optional.empty(), 0);
     }
     if (available.isEmpty()) {
-      Verdict verdict = call.mayHaveRun() ? Verdict.NO_UNTRIED_ENGINE : Verdict.FULL;
+      Verdict verdict = anyUntried ? Verdict.FULL : Verdict.NO_UNTRIED_ENGINE;
       return new Choice(verdict, Optional.empty(), 0);
     }
     return chooseBest(node, call, available);
@@ -153,12 +155,12 @@
 
   /**
    * Returns whether an engine may be used for the call. An engine that was tried before may be
-   * tried again if the call has certainly not run and the engine is no longer avoided.
+   * tried again if it has certainly not run the call and is no longer avoided.
    */
   private static boolean mayAttempt(NodeState node, Call call, EngineState engine) {
     boolean triedBefore = call.triedEngines().contains(engine.entry().id());
     boolean recovered = engine.health().avoidUntilMs() <= node.nowMs();
-    return !triedBefore || (!call.mayHaveRun() && recovered);
+    return !call.ranAt().contains(engine.entry().id()) && (!triedBefore || recovered);
   }
 
   private static Choice chooseBest(NodeState node, Call call, List<EngineState> available) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardCallFactory.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardCallFactory.java
@@ -21,7 +21,7 @@
 
   static ForwardCall create(NodeState node, Call call, EngineState engine) {
     Route route = call.route();
-    boolean lastAttempt = call.possibleRuns() + 1 >= route.maxAttempts() || !route.mayRepeat();
+    boolean lastAttempt = call.ranAt().size() + 1 >= route.maxAttempts() || !route.mayRepeat();
     long minSilenceMs = route.kind().streamed() ? MIN_STREAM_SILENCE_MS : MIN_RESPONSE_SILENCE_MS;
     long silenceMs = Math.max(minSilenceMs, (long) SILENCE_FACTOR * route.targetLatencyMs());
     return new ForwardCall(
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -618,6 +618,35 @@
     fixture.take(ForwardCall.class);
   }
 
+  private BackendId startStream() {
+    long id = fixture.call("/chat/x", Optional.of(M1), 10_000);
+    BackendId engine = fixture.take(ForwardCall.class).get(0).engine();
+    fixture.reduce(new ForwardStarted(fixture.nowMs(), id, 1));
+    return engine;
+  }
+
+  /**
+   * Guards against ending a stream that has begun because all other engines were full at the same
+   * moment and have refused to resume it without running it.
+   */
+  @Test
+  void resumesAStreamAtAnEngineThatRefusedItBefore() {
+    setUpModelEngines(3);
+    BackendId broken = startStream();
+    long id = 31;
+    fixture.reduce(new ForwardEnded(fixture.nowMs(), id, 1, ForwardResult.CONNECTION_LOST, true));
+    fixture.reduce(new ForwardEnded(fixture.nowMs(), id, 2, ForwardResult.BUSY, true));
+
+    fixture.reduce(new ForwardEnded(fixture.nowMs(), id, 3, ForwardResult.BUSY, true));
+    assertThat(fixture.take(AbortCall.class)).isEmpty();
+    fixture.advance(100);
+
+    List<ForwardCall> resumed = fixture.take(ForwardCall.class);
+    assertThat(resumed).hasSize(1);
+    assertThat(resumed.get(0).call()).isEqualTo(id);
+    assertThat(resumed.get(0).engine()).isNotEqualTo(broken);
+  }
+
   /** Guards against a waiting call that is not sent when the only engine stops rejecting calls. */
   @Test
   void sendsAWaitingCallOnceAnEngineIsNoLongerTakenToBeFull() {
