--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
@@ -142,6 +142,7 @@
     List<EngineState> available = new ArrayList<>();
     boolean modelLoaded = false;
     boolean anyEngine = false;
+    boolean recovering = false;
     long opensAtMs = Timed.NEVER_MS;
     for (EngineState engine : state.engines().ofService(call.service())) {
       if (!engine.usable()) {
@@ -152,13 +153,15 @@
         continue;
       }
       modelLoaded = true;
-      if (!mayAttempt(node, call, engine)) {
+      if (call.ranAt().contains(engine.entry().id())) {
         continue;
       }
-      if (engine.mayReceive(node.nowMs())) {
+      if (!engine.mayReceive(node.nowMs())) {
+        opensAtMs = Math.min(opensAtMs, engine.stated().closedUntilMs());
+      } else if (mayAttempt(node, call, engine)) {
         available.add(engine);
       } else {
-        opensAtMs = Math.min(opensAtMs, engine.stated().closedUntilMs());
+        recovering = true;
       }
     }
     if (!anyEngine) {
@@ -167,24 +170,25 @@
     if (!modelLoaded) {
       return Choice.none(Verdict.MODEL_NOT_LOADED, 0);
     }
-    if (available.isEmpty() && opensAtMs != Timed.NEVER_MS) {
-      return Choice.closedUntil(opensAtMs);
+    if (!available.isEmpty()) {
+      return chooseBest(node, call, available);
     }
-    if (available.isEmpty()) {
-      Verdict verdict = call.mayHaveRun() ? Verdict.NO_UNTRIED_ENGINE : Verdict.FULL;
-      return Choice.none(verdict, 0);
+    if (recovering) {
+      return Choice.none(Verdict.FULL, 0);
     }
-    return chooseBest(node, call, available);
+    return opensAtMs == Timed.NEVER_MS
+        ? Choice.none(Verdict.NO_UNTRIED_ENGINE, 0)
+        : Choice.closedUntil(opensAtMs);
   }
 
   /**
-   * Returns whether an engine may be used for the call. An engine that was tried before may be
-   * tried again if the call has certainly not run and the engine is no longer avoided.
+   * Returns whether an engine that has certainly not run the call may be used for it. One that was
+   * tried before may be tried again if it is no longer avoided.
    */
   private static boolean mayAttempt(NodeState node, Call call, EngineState engine) {
     boolean triedBefore = call.triedEngines().contains(engine.entry().id());
     boolean recovered = engine.health().avoidUntilMs() <= node.nowMs();
-    return !triedBefore || (!call.mayHaveRun() && recovered);
+    return !triedBefore || recovered;
   }
 
   private static Choice chooseBest(NodeState node, Call call, List<EngineState> available) {
