Report a head that the engine cut as a lost connection

What was seen: the gateway never passed such an answer on, but it reported an engine that ended its connection with FIN inside the head of its answer as INVALID_ANSWER, and with RST as CONNECTION_LOST. Only the latter counts towards requests that crash their engines, so a request that crashed engines while they wrote the head was sent on to more of them.

Cause: the decoder emits an invalid head when the connection ends inside it, and any invalid head counted as malformed. Its cause tells the two apart, and the result now depends on it.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
@@ -6,6 +6,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -191,7 +193,7 @@
 
   private void readHead(HttpResponse head) {
     if (head.decoderResult().isFailure()) {
-      failAttempt();
+      failAttempt(resultOf(head.decoderResult()));
       return;
     }
     boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
@@ -208,7 +210,7 @@
   private void readContent(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
     if (content.decoderResult().isFailure()) {
-      failAttempt();
+      failAttempt(resultOf(content.decoderResult()));
       return;
     }
     if (skipping) {
@@ -216,7 +218,7 @@
       return;
     }
     if (!inResponse || (last && connectionFailed)) {
-      failAttempt();
+      failAttempt(ForwardResult.INVALID_ANSWER);
       return;
     }
     ByteBuf bytes = content.content();
@@ -231,13 +233,19 @@
     }
   }
 
-  private void failAttempt() {
+  /** Returns the result for a malformed response, which may also have been cut. */
+  private static ForwardResult resultOf(DecoderResult failure) {
+    return failure.cause() instanceof PrematureChannelClosureException
+        ? ForwardResult.CONNECTION_LOST
+        : ForwardResult.INVALID_ANSWER;
+  }
+
+  private void failAttempt(ForwardResult result) {
     EngineAttempt failed = attempt;
     attempt = null;
     channel.close();
     if (failed != null) {
-      failed.exchangeFailed(
-          connectionFailed ? ForwardResult.CONNECTION_LOST : ForwardResult.INVALID_ANSWER);
+      failed.exchangeFailed(connectionFailed ? ForwardResult.CONNECTION_LOST : result);
     }
   }
 
