--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/LeavingEngineTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/LeavingEngineTest.java
@@ -14,6 +14,7 @@
 import org.limpetdoor.core.event.DutyAnswered;
 import org.limpetdoor.core.event.EngineInspected;
 import org.limpetdoor.core.event.EngineNoticeReceived;
+import org.limpetdoor.core.event.EngineOrderEnded;
 import org.limpetdoor.core.event.ForwardEnded;
 import org.limpetdoor.core.event.ForwardStarted;
 import org.limpetdoor.core.event.PeerMessageReceived;
@@ -268,6 +269,56 @@
     assertThat(orders.get(0).order().engine()).isEqualTo(new BackendId("g2"));
   }
 
+  /** Guards against loading a model on an engine that has started to leave after an eviction. */
+  @Test
+  void aLeavingEngineGetsNoLoadAfterAnEviction() {
+    EngineOrder unload = orderEvictionForM1();
+    stateLeaving("g1", 1);
+
+    completeUnload(unload);
+
+    assertThat(fixture.take(SendEngineOrder.class)).isEmpty();
+  }
+
+  /** Shows that the order that the test above excludes is sent otherwise. */
+  @Test
+  void anEngineThatStaysGetsTheLoadAfterAnEviction() {
+    EngineOrder unload = orderEvictionForM1();
+
+    completeUnload(unload);
+
+    List<SendEngineOrder> orders = fixture.take(SendEngineOrder.class);
+    assertThat(orders).hasSize(1);
+    assertThat(orders.get(0).order().target()).isEqualTo(M1);
+  }
+
+  private EngineOrder orderEvictionForM1() {
+    fixture.routes(2, GatewayFixture.modelRoute("/m/"));
+    fixture.engines(GatewayFixture.entry("g1", "llm", 1, 0, M2, M3));
+    for (int i = 0; i < 9; i++) {
+      fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+      fixture.advance(500);
+    }
+    reportInventory("g1", M2, M3);
+    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+    fixture.call("/m/x", Optional.of(M1), 10_000);
+    fixture.advance(300);
+    EngineOrder order = fixture.take(SendEngineOrder.class).get(0).order();
+    assertThat(order.action()).isEqualTo(EngineOrder.Action.UNLOAD);
+    return order;
+  }
+
+  private void completeUnload(EngineOrder unload) {
+    fixture.reduce(
+        new EngineOrderEnded(
+            fixture.nowMs(), unload.engine(), unload.number(), EngineOrderResult.ACCEPTED));
+    ModelKey kept = unload.target().equals(M2) ? M3 : M2;
+    // The list of engines shows the change even if the engine is no longer inspected.
+    fixture.engines(GatewayFixture.entry("g1", "llm", 1, 1, kept));
+    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+    fixture.advance(500);
+  }
+
   private void reportInventory(String engine, ModelKey... held) {
     EngineInventory inventory =
         new EngineInventory(1, 0, false, HashTreePSet.from(List.of(held)), HashTreePSet.empty());
