Let an interrupted stream wait for as long as its caller accepts a pause

Streams whose engine broke off were ended after 1.2 s without a free slot, though callers leave only after 2 s, four times the target latency or eight times the accepted pause, whichever is longest. Each further refusal started the time anew, so since refused engines are tried again a stream could also wait far beyond what its caller accepts.

The wait now ends at a time that is set when the response is interrupted: the accepted pause less the expected time to the first event of the resumed stream. Route.resumeWaitMs computes it; refusals do not move it.

Tests waitsForAsLongAsTheCallerOfAStreamAcceptsAPause (no longer waiting at 1,590 ms before the change) and measuresTheWaitOfAStreamFromItsInterruption (still open seconds after the interruption before the change).

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
@@ -100,15 +100,24 @@
         true);
   }
 
-  Call withAttemptEnded(ForwardResult result, boolean responseDelivered) {
-    BackendId engine = activeAttempt.orElseThrow().engine();
-    return with(
-        result.mayHaveRun() ? ranAt.plus(engine) : ranAt,
-        Optional.empty(),
-        delivered || responseDelivered);
+  /**
+   * Returns the call after the end of its attempt. A response that was interrupted by it may wait
+   * for another engine for as long as its caller accepts a pause.
+   */
+  Call withAttemptEnded(ForwardResult result, boolean responseDelivered, long nowMs) {
+    Attempt attempt = activeAttempt.orElseThrow();
+    boolean interrupted = attempt.started() || (responseDelivered && !delivered);
+    Call ended =
+        with(
+            result.mayHaveRun() ? ranAt.plus(attempt.engine()) : ranAt,
+            Optional.empty(),
+            delivered || responseDelivered);
+    return interrupted
+        ? ended.withWaitDeadlineMs(Math.min(deadlineMs, nowMs + route.resumeWaitMs()))
+        : ended;
   }
 
-  Call withWaitDeadlineMs(long value) {
+  private Call withWaitDeadlineMs(long value) {
     return new Call(
         spec,
         route,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -33,12 +33,6 @@
   /** Lower bound on the time for which a call may wait for an engine, in milliseconds. */
   private static final long MIN_WAIT_MS = 1_000;
 
-  /**
-   * Time for which an interrupted stream may wait for another engine, in milliseconds. Callers
-   * disconnect after a pause of 2 s or more.
-   */
-  private static final long RESUME_WAIT_MS = 1_200;
-
   private CallEvents() {}
 
   /**
@@ -105,7 +99,7 @@
       return Transition.of(node);
     }
     Attempt attempt = found.get().activeAttempt().orElseThrow();
-    Call call = found.get().withAttemptEnded(ForwardResult.SILENT, false);
+    Call call = found.get().withAttemptEnded(ForwardResult.SILENT, false, node.nowMs());
     if (retryObstacle(node, call, ForwardResult.SILENT).isPresent()) {
       return Transition.of(
           node, CallSteps.silenceRecord(node, call, attempt, SilenceOutcome.NO_RETRY));
@@ -143,7 +137,7 @@
     }
     Call before = found.get();
     Attempt attempt = before.activeAttempt().orElseThrow();
-    Call call = before.withAttemptEnded(event.result(), event.delivered());
+    Call call = before.withAttemptEnded(event.result(), event.delivered(), node.nowMs());
     NodeState recorded =
         CallSteps.recordResult(
             CallSteps.releaseEngine(node, before, attempt), call, attempt, event.result());
@@ -301,15 +295,12 @@
     if (obstacle.isEmpty()) {
       Choice choice = EngineSelector.choose(node, call);
       cause = choice.verdict().cause();
-      Call waiting =
-          call.delivered() ? call.withWaitDeadlineMs(node.nowMs() + RESUME_WAIT_MS) : call;
-      boolean canWait = !hasErrorResponse && node.nowMs() < waiting.waitDeadlineMs();
+      boolean canWait = !hasErrorResponse && node.nowMs() < call.waitDeadlineMs();
       if (choice.verdict() == Verdict.CHOSEN) {
         return CallSteps.send(CallSteps.chargeRetry(node, call, result), call, choice);
       }
       if (canWait && choice.verdict().mayChange()) {
-        return CallSteps.enqueue(
-            CallSteps.chargeRetry(node, waiting, result), waiting, choice.verdict());
+        return CallSteps.enqueue(CallSteps.chargeRetry(node, call, result), call, choice.verdict());
       }
     }
     if (hasErrorResponse) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Route.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Route.java
@@ -29,6 +29,15 @@
     boolean resumable,
     int maxGapMs,
     List<WeightedService> services) {
+  /** Pause of a stream that every caller accepts, in milliseconds. */
+  private static final long MIN_ACCEPTED_PAUSE_MS = 2_000;
+
+  /** Pause of a stream that callers accept, as a multiple of the target latency. */
+  private static final int ACCEPTED_PAUSE_TARGETS = 4;
+
+  /** Pause of a stream that callers accept, as a multiple of the expected pause between events. */
+  private static final int ACCEPTED_PAUSE_GAPS = 8;
+
   /** Copies the services. */
   public Route {
     services = List.copyOf(services);
@@ -47,6 +56,21 @@
     return kind.mayRepeat(resumable);
   }
 
+  /**
+   * Returns the longest time for which an interrupted stream may wait for another engine, in
+   * milliseconds: the pause after which callers disconnect, less the expected time to the first
+   * event of the resumed stream.
+   */
+  public long resumeWaitMs() {
+    long acceptedPauseMs =
+        Math.max(
+            MIN_ACCEPTED_PAUSE_MS,
+            Math.max(
+                (long) ACCEPTED_PAUSE_TARGETS * targetLatencyMs,
+                (long) ACCEPTED_PAUSE_GAPS * maxGapMs));
+    return acceptedPauseMs - Math.min(targetLatencyMs, acceptedPauseMs / 2);
+  }
+
   /** Returns the service for a call. The same hash always yields the same service. */
   public String serviceFor(long hash) {
     long total = services.stream().mapToLong(WeightedService::weight).sum();
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -660,4 +660,48 @@
 
     assertThat(fixture.take(ForwardCall.class)).hasSize(1);
   }
+
+  /** Lists two full engines with one model and breaks off a stream at the first one. */
+  private long interruptStreamWhileEnginesAreFull() {
+    setUpModelEngines(2);
+    long id = 0;
+    for (int i = 0; i < 8; i++) {
+      id = fixture.call("/chat/x", Optional.of(M1), 10_000);
+      fixture.reduce(new ForwardStarted(fixture.nowMs(), id, 1));
+    }
+    fixture.advance(500);
+    fixture.reduce(new ForwardEnded(fixture.nowMs(), id, 1, ForwardResult.CONNECTION_LOST, true));
+    fixture.take(ForwardCall.class);
+    return id;
+  }
+
+  /** Guards against ending an interrupted stream while its caller would still accept the pause. */
+  @Test
+  void waitsForAsLongAsTheCallerOfAStreamAcceptsAPause() {
+    long id = interruptStreamWhileEnginesAreFull();
+
+    fixture.advance(1_590);
+    assertThat(fixture.gateway().waiting()).contains(id);
+
+    fixture.advance(10);
+    assertThat(fixture.take(AbortCall.class)).containsExactly(new AbortCall(id));
+  }
+
+  /** Guards against a pause that grows with each engine that refuses to resume a stream. */
+  @Test
+  void measuresTheWaitOfAStreamFromItsInterruption() {
+    setUpModelEngines(2);
+    startStream();
+    long id = 31;
+    long interruptedAtMs = fixture.nowMs();
+    fixture.reduce(new ForwardEnded(fixture.nowMs(), id, 1, ForwardResult.CONNECTION_LOST, true));
+    while (fixture.gateway().openCalls() > 0) {
+      int attempt = fixture.gateway().calls().get(id).triedEngines().size();
+      fixture.reduce(new ForwardEnded(fixture.nowMs(), id, attempt, ForwardResult.BUSY, true));
+      fixture.advance(100);
+    }
+
+    assertThat(fixture.take(AbortCall.class)).containsExactly(new AbortCall(id));
+    assertThat(fixture.nowMs() - interruptedAtMs).isAtMost(1_700);
+  }
 }
