Let a begun stream wait for the retry budget instead of ending it

A caller lost a stream that it had in part as soon as its engine broke off, if the instance had no retry left at that moment: for example after a few other breaks, or shortly after its start, when the budget is empty. The budget fills with each arrival, so a retry is often there some tens of milliseconds later.

An empty budget is now a verdict of the selection (RETRY_BUDGET_EMPTY). For a begun stream it is a wait, bounded like any other wait of a stream; the arrival that fills the budget serves the waiting calls first. Calls that have not begun are answered at once as before, since their callers can come back.

A retry is now taken from the budget when the call is sent, not when it is queued, so a wait that ends without an engine costs none. An attempt that reached no engine still costs none (Call.retryDue).

Tests resumesAStreamWhenArrivalsHaveFilledTheRetryBudget (never resumed before the change) and endsAStreamWhoseRetryBudgetStaysEmpty (ended at once before).

abortsAStreamThatCannotBeResumed failed with this change: its stream could be resumed by its route and was ended only because the fixture starts with an empty budget, which is the fault mended here. It now uses a route with one attempt and checks the same, and abortsAStreamThatIsNotResumedInTime checks the abort in the previous scenario once the deadline has passed.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
@@ -18,6 +18,8 @@
  * @param waitDeadlineMs time until which the call may wait for an engine, in monotonic milliseconds
  * @param triedEngines engines that the call was sent to, in order of the attempts
  * @param ranAt engines that may have run an ended attempt
+ * @param retryDue whether the next attempt takes a retry from the budget, because the last one that
+ *     was paid for has reached an engine
  * @param activeAttempt attempt in progress, if any
  * @param delivered whether the caller has received part of a response
  */
@@ -30,6 +32,7 @@
     long waitDeadlineMs,
     PVector<BackendId> triedEngines,
     PVector<BackendId> ranAt,
+    boolean retryDue,
     Optional<Attempt> activeAttempt,
     boolean delivered) {
 
@@ -59,6 +62,7 @@
         waitDeadlineMs,
         TreePVector.empty(),
         TreePVector.empty(),
+        false,
         Optional.empty(),
         false);
   }
@@ -88,6 +92,7 @@
         waitDeadlineMs,
         triedEngines.plus(engine),
         ranAt,
+        false,
         Optional.of(attempt),
         delivered);
   }
@@ -96,6 +101,7 @@
     Attempt attempt = activeAttempt.orElseThrow();
     return with(
         ranAt,
+        retryDue,
         Optional.of(new Attempt(attempt.number(), attempt.engine(), attempt.sentAtMs(), true)),
         true);
   }
@@ -110,6 +116,7 @@
     Call ended =
         with(
             result.mayHaveRun() ? ranAt.plus(attempt.engine()) : ranAt,
+            retryDue || result.reachedEngine(),
             Optional.empty(),
             delivered || responseDelivered);
     return interrupted
@@ -127,6 +134,7 @@
         value,
         triedEngines,
         ranAt,
+        retryDue,
         activeAttempt,
         delivered);
   }
@@ -151,7 +159,10 @@
   }
 
   private Call with(
-      PVector<BackendId> newRanAt, Optional<Attempt> newAttempt, boolean newDelivered) {
+      PVector<BackendId> newRanAt,
+      boolean newRetryDue,
+      Optional<Attempt> newAttempt,
+      boolean newDelivered) {
     return new Call(
         spec,
         route,
@@ -161,6 +172,7 @@
         waitDeadlineMs,
         triedEngines,
         newRanAt,
+        newRetryDue,
         newAttempt,
         newDelivered);
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -62,7 +62,12 @@
     }
     NodeState afterCount = CallSteps.countArrival(node, call);
     NodeState afterTimer = afterCount.withTimers(afterCount.timers().plus(call.expiryTimer()));
-    return forwardOrWait(afterTimer, call);
+    boolean refilled =
+        !CallSteps.budget(node, call.service()).allowsRetry()
+            && CallSteps.budget(afterTimer, call.service()).allowsRetry();
+    Transition<NodeState, Effect> served =
+        refilled ? serveWaiting(afterTimer) : Transition.of(afterTimer);
+    return served.then(next -> forwardOrWait(next, call));
   }
 
   /** Records the first event of a streamed response. */
@@ -100,7 +105,7 @@
     }
     Attempt attempt = found.get().activeAttempt().orElseThrow();
     Call call = found.get().withAttemptEnded(ForwardResult.SILENT, false, node.nowMs());
-    if (retryObstacle(node, call, ForwardResult.SILENT).isPresent()) {
+    if (retryObstacle(node, call).isPresent()) {
       return Transition.of(
           node, CallSteps.silenceRecord(node, call, attempt, SilenceOutcome.NO_RETRY));
     }
@@ -109,12 +114,14 @@
             CallSteps.releaseEngine(node, call, attempt), call, attempt, ForwardResult.SILENT);
     Choice choice = EngineSelector.choose(recorded, call);
     if (choice.verdict() != Verdict.CHOSEN) {
-      return Transition.of(
-          node, CallSteps.silenceRecord(node, call, attempt, SilenceOutcome.NO_OTHER_ENGINE));
+      SilenceOutcome outcome =
+          choice.verdict() == Verdict.RETRY_BUDGET_EMPTY
+              ? SilenceOutcome.NO_RETRY
+              : SilenceOutcome.NO_OTHER_ENGINE;
+      return Transition.of(node, CallSteps.silenceRecord(node, call, attempt, outcome));
     }
     return Transition.<NodeState, Effect>of(
-            CallSteps.chargeRetry(recorded, call, ForwardResult.SILENT),
-            new CancelForward(event.call(), event.attempt()))
+            recorded, new CancelForward(event.call(), event.attempt()))
         .with(CallSteps.silenceRecord(node, call, attempt, SilenceOutcome.MOVED))
         .then(next -> CallSteps.send(next, call, choice));
   }
@@ -290,17 +297,17 @@
   private static Transition<NodeState, Effect> retryOrFail(
       NodeState node, Call call, Attempt attempt, ForwardResult result) {
     boolean hasErrorResponse = result == ForwardResult.ERROR_ANSWER;
-    Optional<FailureCause> obstacle = retryObstacle(node, call, result);
+    Optional<FailureCause> obstacle = retryObstacle(node, call);
     FailureCause cause = obstacle.orElse(FailureCause.NO_ENGINE);
     if (obstacle.isEmpty()) {
       Choice choice = EngineSelector.choose(node, call);
       cause = choice.verdict().cause();
       boolean canWait = !hasErrorResponse && node.nowMs() < call.waitDeadlineMs();
       if (choice.verdict() == Verdict.CHOSEN) {
-        return CallSteps.send(CallSteps.chargeRetry(node, call, result), call, choice);
+        return CallSteps.send(node, call, choice);
       }
       if (canWait && choice.verdict().mayChange()) {
-        return CallSteps.enqueue(CallSteps.chargeRetry(node, call, result), call, choice.verdict());
+        return CallSteps.enqueue(node, call, choice.verdict());
       }
     }
     if (hasErrorResponse) {
@@ -316,9 +323,12 @@
         : CallSteps.fail(node, call, Reply.NO_ENGINE, CallSteps.RETRY_AFTER_FULL_MS, cause);
   }
 
-  /** Returns why a call may not be sent to another engine, or nothing if it may. */
-  private static Optional<FailureCause> retryObstacle(
-      NodeState node, Call call, ForwardResult result) {
+  /**
+   * Returns why a call may not be sent to another engine, or nothing if it may. A response that has
+   * begun may wait for the retry budget, which fills with arrivals; callers of other calls get a
+   * reply and can come back themselves.
+   */
+  private static Optional<FailureCause> retryObstacle(NodeState node, Call call) {
     if (!call.mayRunAgain()) {
       return Optional.of(FailureCause.NO_RUN_LEFT);
     }
@@ -328,10 +338,10 @@
     if (node.gateway().crashRecords().isBanned(call.spec().fingerprint())) {
       return Optional.of(FailureCause.REQUEST_BANNED);
     }
-    boolean affordable =
-        result == ForwardResult.CONNECT_FAILED
-            || CallSteps.budget(node, call.service()).allowsRetry();
-    return affordable ? Optional.empty() : Optional.of(FailureCause.RETRY_BUDGET_EMPTY);
+    boolean mayWaitForRetry = !call.retryDue() || call.delivered();
+    return mayWaitForRetry || CallSteps.budget(node, call.service()).allowsRetry()
+        ? Optional.empty()
+        : Optional.of(FailureCause.RETRY_BUDGET_EMPTY);
   }
 
   private static Optional<Call> findWithAttempt(NodeState node, long id, int attempt) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -120,7 +120,7 @@
   static Transition<NodeState, Effect> send(NodeState node, Call call, Choice choice) {
     EngineState engine = choice.engine().orElseThrow();
     Call sent = call.withAttempt(engine.entry().id(), node.nowMs());
-    GatewayState state = node.gateway();
+    GatewayState state = chargeRetry(node, call).gateway();
     NodeState next =
         node.withGateway(
             state
@@ -141,8 +141,8 @@
    * Takes a retry from the budget of the service. A retry after a failed connection is free,
    * because the failed attempt put no load on an engine.
    */
-  static NodeState chargeRetry(NodeState node, Call call, ForwardResult result) {
-    if (result == ForwardResult.CONNECT_FAILED) {
+  private static NodeState chargeRetry(NodeState node, Call call) {
+    if (!call.retryDue()) {
       return node;
     }
     RetryBudget budget = budget(node, call.service()).withRetry();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
@@ -80,6 +80,8 @@
     FULL(Reply.ENGINES_FULL, FailureCause.ENGINES_FULL),
     /** Engines have free slots, but still process earlier prompts of this instance. */
     PROMPT_HELD_BACK(Reply.ENGINES_FULL, FailureCause.ENGINES_FULL),
+    /** Engines are available for the call, but the retry budget is empty. */
+    RETRY_BUDGET_EMPTY(Reply.ENGINES_FULL, FailureCause.RETRY_BUDGET_EMPTY),
     /** No engine has the model or adapter loaded. */
     MODEL_NOT_LOADED(Reply.MODEL_ABSENT, FailureCause.MODEL_NOT_LOADED),
     /** All engines that could run the call may have run it already. */
@@ -150,7 +152,11 @@
       Verdict verdict = anyUntried ? Verdict.FULL : Verdict.NO_UNTRIED_ENGINE;
       return new Choice(verdict, Optional.empty(), 0);
     }
-    return chooseBest(node, call, available);
+    Choice choice = chooseBest(node, call, available);
+    boolean affordable = !call.retryDue() || CallSteps.budget(node, call.service()).allowsRetry();
+    return choice.verdict() == Verdict.CHOSEN && !affordable
+        ? new Choice(Verdict.RETRY_BUDGET_EMPTY, Optional.empty(), choice.candidates())
+        : choice;
   }
 
   /**
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
@@ -55,6 +55,11 @@
     return mayHaveRun;
   }
 
+  /** Returns whether the engine received the call, so that another attempt is a retry. */
+  public boolean reachedEngine() {
+    return this != CONNECT_FAILED;
+  }
+
   /** Returns the kind of engine failure that the result is evidence of. */
   public EngineFailure engineFailure() {
     return engineFailure;
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -192,7 +192,8 @@
   /** Guards against a stream that looks complete although the connection to its engine was lost. */
   @Test
   void abortsAStreamThatCannotBeResumed() {
-    setUpTwoPlainEngines();
+    fixture.routes(1, GatewayFixture.route("/stream/", CallKind.STREAM, 1));
+    fixture.engines(GatewayFixture.plain("e1"), GatewayFixture.plain("e2"));
     long id = fixture.call("/stream/x", Optional.empty(), 1_000);
     fixture.reduce(new ForwardStarted(fixture.nowMs(), id, 1));
 
@@ -201,6 +202,17 @@
     assertThat(fixture.take(AbortCall.class)).containsExactly(new AbortCall(id));
   }
 
+  /** Guards against a stream that looks complete although no other engine could resume it. */
+  @Test
+  void abortsAStreamThatIsNotResumedInTime() {
+    setUpTwoPlainEngines();
+    long id = breakOffStream();
+
+    fixture.advance(2_000);
+
+    assertThat(fixture.take(AbortCall.class)).containsExactly(new AbortCall(id));
+  }
+
   /** Guards against ending the attempt at a silent engine when no retry is left. */
   @Test
   void keepsASilentAttemptWhenNoRetryIsLeft() {
@@ -704,4 +716,44 @@
     assertThat(fixture.take(AbortCall.class)).containsExactly(new AbortCall(id));
     assertThat(fixture.nowMs() - interruptedAtMs).isAtMost(1_700);
   }
+
+  /** Breaks off a stream at one of two model engines before any retry is earned. */
+  private long interruptStreamWithoutRetries() {
+    fixture.routes(1, GatewayFixture.modelRoute("/chat/"));
+    fixture.engines(
+        GatewayFixture.entry("e1", "llm", 1, 0, M1), GatewayFixture.entry("e2", "llm", 1, 0, M1));
+    startStream();
+    fixture.reduce(new ForwardEnded(fixture.nowMs(), 1, 1, ForwardResult.CONNECTION_LOST, true));
+    return 1;
+  }
+
+  /** Guards against ending a begun stream because the retry budget is empty for a moment. */
+  @Test
+  void resumesAStreamWhenArrivalsHaveFilledTheRetryBudget() {
+    long id = interruptStreamWithoutRetries();
+
+    for (int i = 0; i < 5; i++) {
+      fixture.call("/chat/x", Optional.of(M1), 10_000);
+    }
+
+    List<ForwardCall> resumed =
+        fixture.take(ForwardCall.class).stream().filter(sent -> sent.call() == id).toList();
+    assertThat(resumed).hasSize(1);
+    assertThat(fixture.gateway().budgets().get("llm").available()).isLessThan(1.0);
+  }
+
+  /**
+   * Guards against more retries than the budget allows, and against a stream that waits forever.
+   */
+  @Test
+  void endsAStreamWhoseRetryBudgetStaysEmpty() {
+    long id = interruptStreamWithoutRetries();
+
+    fixture.advance(1_590);
+    assertThat(fixture.gateway().waiting()).contains(id);
+    fixture.advance(10);
+
+    assertThat(failureFields()).contains("key=cause, value=retry_budget_empty");
+    assertThat(fixture.gateway().openCalls()).isEqualTo(0);
+  }
 }
