--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
@@ -18,6 +18,8 @@
  * @param waitDeadlineMs time until which the call may wait for an engine, in monotonic milliseconds
  * @param triedEngines engines that the call was sent to, in order of the attempts
  * @param ranAt engines that may have run an ended attempt
+ * @param retryDue whether the next attempt takes a retry from the budget, because the last one that
+ *     was paid for has reached an engine
  * @param activeAttempt attempt in progress, if any
  * @param delivered whether the caller has received part of a response
  */
@@ -30,6 +32,7 @@
     long waitDeadlineMs,
     PVector<BackendId> triedEngines,
     PVector<BackendId> ranAt,
+    boolean retryDue,
     Optional<Attempt> activeAttempt,
     boolean delivered) {
 
@@ -59,6 +62,7 @@
         waitDeadlineMs,
         TreePVector.empty(),
         TreePVector.empty(),
+        false,
         Optional.empty(),
         false);
   }
@@ -88,6 +92,7 @@
         waitDeadlineMs,
         triedEngines.plus(engine),
         ranAt,
+        false,
         Optional.of(attempt),
         delivered);
   }
@@ -96,19 +101,30 @@
     Attempt attempt = activeAttempt.orElseThrow();
     return with(
         ranAt,
+        retryDue,
         Optional.of(new Attempt(attempt.number(), attempt.engine(), attempt.sentAtMs(), true)),
         true);
   }
 
-  Call withAttemptEnded(ForwardResult result, boolean responseDelivered) {
-    BackendId engine = activeAttempt.orElseThrow().engine();
-    return with(
-        result.mayHaveRun() ? ranAt.plus(engine) : ranAt,
-        Optional.empty(),
-        delivered || responseDelivered);
+  /**
+   * Returns the call after the end of its attempt. A response that was interrupted by it may wait
+   * for another engine for as long as its caller accepts a pause.
+   */
+  Call withAttemptEnded(ForwardResult result, boolean responseDelivered, long nowMs) {
+    Attempt attempt = activeAttempt.orElseThrow();
+    boolean interrupted = attempt.started() || (responseDelivered && !delivered);
+    Call ended =
+        with(
+            result.mayHaveRun() ? ranAt.plus(attempt.engine()) : ranAt,
+            retryDue || result.sent(),
+            Optional.empty(),
+            delivered || responseDelivered);
+    return interrupted
+        ? ended.withWaitDeadlineMs(Math.min(deadlineMs, nowMs + route.resumeWaitMs()))
+        : ended;
   }
 
-  Call withWaitDeadlineMs(long value) {
+  private Call withWaitDeadlineMs(long value) {
     return new Call(
         spec,
         route,
@@ -118,6 +134,7 @@
         value,
         triedEngines,
         ranAt,
+        retryDue,
         activeAttempt,
         delivered);
   }
@@ -142,7 +159,10 @@
   }
 
   private Call with(
-      PVector<BackendId> newRanAt, Optional<Attempt> newAttempt, boolean newDelivered) {
+      PVector<BackendId> newRanAt,
+      boolean newRetryDue,
+      Optional<Attempt> newAttempt,
+      boolean newDelivered) {
     return new Call(
         spec,
         route,
@@ -152,6 +172,7 @@
         waitDeadlineMs,
         triedEngines,
         newRanAt,
+        newRetryDue,
         newAttempt,
         newDelivered);
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -125,7 +125,7 @@
   static Transition<NodeState, Effect> send(NodeState node, Call call, Choice choice) {
     EngineState engine = choice.engine().orElseThrow();
     Call sent = call.withAttempt(engine.entry().id(), node.nowMs());
-    GatewayState state = node.gateway();
+    GatewayState state = chargeRetry(node, call).gateway();
     NodeState next =
         node.withGateway(
             state
@@ -146,8 +146,8 @@
    * Takes a retry from the budget of the service. A retry of a request that was not sent is free,
    * because the failed attempt put no load on an engine.
    */
-  static NodeState chargeRetry(NodeState node, Call call, ForwardResult result) {
-    if (!result.sent()) {
+  private static NodeState chargeRetry(NodeState node, Call call) {
+    if (!call.retryDue()) {
       return node;
     }
     RetryBudget budget = budget(node, call.service()).withRetry();
