Believe "not started" only in an answer that names its attempt

What callers saw, on the product's own entry: an engine or service that sent an earlier refusal once more on a kept connection made the entry answer with outcome not_run for a call that was running, or send it to a second engine.

Cause: any answer with Limpetdoor-Not-Started counted as that of the current attempt.

A refusal that doesn't name its attempt counts as an error after the start: outcome unknown, and no second run of what may run once only. Any answer that names another attempt is not relayed. The client's pool doesn't tell whether a connection has carried a call before, so the identifier is required on new connections too.

An engine that marks refusals but doesn't repeat the identifier is no longer retried elsewhere while it drains; its callers get outcome unknown. Answers without the identifier that claim nothing are relayed as before, since plain services need not send it.

--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BackendAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BackendAttempt.java
@@ -18,6 +18,7 @@
 import org.limpetdoor.core.event.AttemptFailed;
 import org.limpetdoor.core.event.AttemptStarted;
 import org.limpetdoor.core.event.BackendLoadReported;
+import org.limpetdoor.core.gateway.EngineExchange;
 import org.limpetdoor.core.id.AttemptId;
 import org.limpetdoor.core.request.AttemptFailure;
 import org.limpetdoor.core.request.Outcome;
@@ -26,9 +27,13 @@
 /** An attempt to run a request on a back end. Reports at most one final event. */
 abstract class BackendAttempt {
   private static final Logger LOG = System.getLogger(BackendAttempt.class.getName());
+  private static final String ATTEMPT_HEADER = "Limpetdoor-Attempt";
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int SERVER_ERROR = 500;
 
+  /** Names the token at which a stream starts, in requests and in responses to them. */
+  static final String RESUME_HEADER = "Limpetdoor-Resume-At";
+
   private final DispatchAttempt dispatch;
   private final OpenRequest request;
   private final AttemptResources resources;
@@ -54,6 +59,11 @@
     return dispatch.attempt();
   }
 
+  /** Returns the token at which the engine is to resume a stream; 0 for its beginning. */
+  final int resumeAtToken() {
+    return dispatch.resumeAtToken();
+  }
+
   final String address() {
     return dispatch.address();
   }
@@ -168,9 +178,9 @@
     String uri = "http://" + dispatch.address() + call.pathAndQuery();
     MutableHttpRequest<Object> outgoing = HttpRequest.create(call.method(), uri);
     call.headers().forEach((name, values) -> values.forEach(value -> outgoing.header(name, value)));
-    outgoing.header("Limpetdoor-Attempt", id().toString());
+    outgoing.header(ATTEMPT_HEADER, id().toString());
     outgoing.header("Limpetdoor-Priority", String.valueOf(dispatch.enginePriority()));
-    outgoing.header("Limpetdoor-Resume-At", String.valueOf(dispatch.resumeAtToken()));
+    outgoing.header(RESUME_HEADER, String.valueOf(dispatch.resumeAtToken()));
     return outgoing;
   }
 
@@ -215,11 +225,17 @@
 
   /**
    * Handles a response with an error status. A busy or draining back end reports that it did not
-   * start the call, so another back end may run it. Any other 4xx status concerns the request
-   * itself, which another back end would refuse as well.
+   * start the call, so another back end may run it. This is believed only in a response that names
+   * the attempt, since an engine may send an earlier refusal again. Any other 4xx status concerns
+   * the request itself, which another back end would refuse as well.
    */
   final void handleErrorResponse(HttpResponse<?> response) {
     boolean notStarted = "true".equals(response.getHeaders().get("Limpetdoor-Not-Started"));
+    if (isForOtherAttempt(response.getHeaders())
+        || (notStarted && !echoesAttempt(response.getHeaders()))) {
+      failed(AttemptFailure.ERROR_ANSWER);
+      return;
+    }
     boolean concernsRequest =
         response.code() < SERVER_ERROR && response.code() != TOO_MANY_REQUESTS;
     reportLoad(response.getHeaders());
@@ -234,6 +250,20 @@
     }
   }
 
+  /** Returns whether a response names another attempt, which an engine may have sent again. */
+  final boolean isForOtherAttempt(HttpHeaders headers) {
+    return headers.contains(ATTEMPT_HEADER) && !echoesAttempt(headers);
+  }
+
+  /**
+   * Returns whether a response names this attempt. The client does not tell whether the connection
+   * has carried an earlier call, so only the identifier shows that a response is no copy.
+   */
+  private boolean echoesAttempt(HttpHeaders headers) {
+    EngineExchange exchange = new EngineExchange(Optional.of(id().toString()), true, false);
+    return exchange.ownsResponse(Optional.ofNullable(headers.get(ATTEMPT_HEADER)));
+  }
+
   final void relayResponse(MutableHttpResponse<?> response, int outputTokens) {
     if (request.responseStarted()) {
       failed(AttemptFailure.ERROR_ANSWER);
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BufferedResponseAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BufferedResponseAttempt.java
@@ -97,6 +97,10 @@
       handleErrorResponse(response);
       return;
     }
+    if (isForOtherAttempt(response.getHeaders())) {
+      failed(AttemptFailure.ERROR_ANSWER);
+      return;
+    }
     reportStarted(response.getHeaders());
     relayResponse(toCallerResponse(response), outputTokens(response));
   }
--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/FakeEngine.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/FakeEngine.java
@@ -81,6 +81,8 @@
 
   private void chat(HttpExchange exchange) throws IOException {
     String body = new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+    echo(exchange, "Limpetdoor-Attempt");
+    echo(exchange, "Limpetdoor-Resume-At");
     if (refuseStatus > 0) {
       refuse(exchange);
     } else if (body.contains("\"stream\":true")) {
@@ -90,6 +92,10 @@
     }
   }
 
+  private static void echo(HttpExchange exchange, String header) {
+    exchange.getResponseHeaders().set(header, exchange.getRequestHeaders().getFirst(header));
+  }
+
   private void refuse(HttpExchange exchange) throws IOException {
     awaitRelease();
     if (notStarted) {
--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/Fixtures.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/Fixtures.java
@@ -69,6 +69,11 @@
 
   /** Returns a configuration of a customer, a model on both engines and a service on the first. */
   static Configuration configuration(FakeEngine first, FakeEngine second) {
+    return configuration(first.address(), second.address());
+  }
+
+  /** Returns the same configuration for engines at the given addresses. */
+  static Configuration configuration(String first, String second) {
     Contract contract =
         new Contract(
             new CustomerId("c"),
@@ -79,7 +84,7 @@
             0.5,
             1,
             ShedOrder.NORMAL);
-    ServiceEndpoint endpoint = new ServiceEndpoint(new BackendId("s1"), ZONE, first.address(), 4);
+    ServiceEndpoint endpoint = new ServiceEndpoint(new BackendId("s1"), ZONE, first, 4);
     return Configuration.EMPTY
         .withContracts(List.of(contract))
         .withModels(List.of(new Model(new ModelId("m"), "1", 1, 1, 1_000)))
@@ -89,11 +94,11 @@
   }
 
   /** Places e1 alone in the zone of the instance, which makes it the preferred engine. */
-  private static Engine engine(String id, FakeEngine engine) {
+  private static Engine engine(String id, String address) {
     return new Engine(
         new BackendId(id),
         id.equals("e1") ? ZONE : OTHER_ZONE,
-        engine.address(),
+        address,
         4,
         10,
         FencingSupport.CHECKED,
--- a/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/EngineController.java
+++ b/limpetdoor-standin/src/main/java/org/limpetdoor/standin/engine/EngineController.java
@@ -30,12 +30,18 @@
       @Header(name = "Limpetdoor-Priority", defaultValue = "0") int priority,
       @Header(name = "Limpetdoor-Resume-At", defaultValue = "0") int resumeAt,
       @Body CompletionRequest body) {
-    return standin.submit(
-        request,
-        (id, atMs) ->
-            new EngineEvent.CompletionRequested(
-                atMs,
-                body.toJob(id, attempt, priority, Math.max(0, resumeAt), standin.maxTokens())));
+    int firstToken = Math.max(0, resumeAt);
+    return standin
+        .submit(
+            request,
+            (id, atMs) ->
+                new EngineEvent.CompletionRequested(
+                    atMs, body.toJob(id, attempt, priority, firstToken, standin.maxTokens())))
+        .thenApply(
+            response ->
+                response
+                    .header("Limpetdoor-Attempt", attempt)
+                    .header("Limpetdoor-Resume-At", String.valueOf(firstToken)));
   }
 
   @Delete("/v1/attempts/{id}")
--- a/limpetdoor-standin/src/test/java/org/limpetdoor/standin/EngineStandinTest.java
+++ b/limpetdoor-standin/src/test/java/org/limpetdoor/standin/EngineStandinTest.java
@@ -77,14 +77,16 @@
     }
   }
 
-  /** Guards against a refusal without the header that marks the work as not started (I4). */
+  /** Guards against a refusal without the headers that mark the work as not started (I4). */
   @Test
   void drainingRefusesAsNotStarted() throws Exception {
     try (StandinClient engine = startEngine(1, 0)) {
       engine.injectFault("{\"kind\": \"draining\"}");
-      HttpResponse<String> response = engine.send("POST", PATH, requestBody("hello", false));
+      HttpResponse<String> response =
+          engine.send("POST", PATH, requestBody("hello", false), "Limpetdoor-Attempt", "a1");
       assertThat(response.statusCode()).isEqualTo(503);
       assertThat(response.headers().firstValue("Limpetdoor-Not-Started")).hasValue("true");
+      assertThat(response.headers().firstValue("Limpetdoor-Attempt")).hasValue("a1");
       assertThat(engine.send("GET", "/health", "").statusCode()).isEqualTo(503);
     }
   }
