Resume a stream of the entry only where the engine confirms the position

What callers saw, on the product's own entry: an engine that started a resumed stream from its beginning repeated tokens, and one that answered 200 with an error as its data and [DONE] ended the stream as if it were complete.

Cause: events have no identifiers, and nothing showed that the engine had read Limpetdoor-Resume-At. Data that is no chat chunk counted as a chunk without content, which a resumed stream drops.

Fix: the answer to a resumed stream repeats Limpetdoor-Resume-At; without it, or with another position, the attempt fails before anything is relayed. Data that is no JSON object, or has a member error, fails the attempt, at the start of a stream too.

Evidence: ResumedStreamTest of the entry (loopback): 5 of the 15 cases of wrongContinuationIsNotRelayed failed before (three restarts, an error as JSON and as text, both before [DONE]). Errors, refusals, an empty 200, another content type and an event named error were not relayed before either.

--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/TokenStreamAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/TokenStreamAttempt.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.micronaut.core.io.buffer.ByteBuffer;
+import io.micronaut.http.HttpHeaders;
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.MutableHttpRequest;
 import java.util.concurrent.TimeUnit;
@@ -80,6 +81,10 @@
   private void partReceived(HttpResponse<ByteBuffer<?>> part) {
     lastActivityNs = System.nanoTime();
     if (!hasStarted()) {
+      if (isForOtherAttempt(part.getHeaders()) || !startsWhereRequested(part.getHeaders())) {
+        failed(AttemptFailure.ERROR_ANSWER);
+        return;
+      }
       reportStarted(part.getHeaders());
       scheduleCheck(MAX_TOKEN_GAP_MS);
     }
@@ -90,6 +95,15 @@
     requestNextPart();
   }
 
+  /**
+   * Returns whether a stream starts at the requested token. An engine that does not state this for
+   * a resumed stream may have started it again from its beginning.
+   */
+  private boolean startsWhereRequested(HttpHeaders headers) {
+    String requested = String.valueOf(resumeAtToken());
+    return !resumed || requested.equals(headers.get(RESUME_HEADER));
+  }
+
   private void relay(SseEvent event) {
     if (hasEnded()) {
       return;
@@ -111,6 +125,10 @@
 
   private void relayChunk(SseEvent event) {
     Chunk chunk = Chunk.parse(event.data());
+    if (chunk.isError()) {
+      failed(AttemptFailure.ERROR_ANSWER);
+      return;
+    }
     if (resumed && chunk.isRoleOnly()) {
       return;
     }
@@ -132,16 +150,19 @@
   }
 
   /** The properties of a chunk that relaying depends on. */
-  private record Chunk(boolean hasContent, boolean endsAnswer) {
+  private record Chunk(boolean hasContent, boolean endsAnswer, boolean isError) {
+    private static final Chunk ERROR = new Chunk(false, false, true);
+
     static Chunk parse(String data) {
       try {
         JsonNode root = JSON.readTree(data);
         JsonNode choice = root.path("choices").path(0);
         boolean content = !choice.path("delta").path("content").asText("").isEmpty();
         boolean last = choice.hasNonNull("finish_reason") || root.hasNonNull("usage");
-        return new Chunk(content, last);
+        boolean error = !root.isObject() || root.hasNonNull("error");
+        return error ? ERROR : new Chunk(content, last, false);
       } catch (JsonProcessingException e) {
-        return new Chunk(false, false);
+        return ERROR;
       }
     }
 
