Serve interrupted streams before other waiting calls

A begun stream that waited for another engine was past its target latency by then, so it was served after all calls that had not begun, and was often ended by its own short wait while new calls got the free slots. Callers of begun streams accept the shortest pause, so they now come first.

Test resumesAStreamBeforeOtherWaitingCalls: the first free slot went to a new call before the change.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -223,9 +223,10 @@
   }
 
   /**
-   * Forwards the waiting calls for which an engine is available now, in order of priority. Calls
-   * that have already missed their target latency come last, so that the backlog of one crest does
-   * not delay all later calls beyond their targets.
+   * Forwards the waiting calls for which an engine is available now, in order of priority.
+   * Interrupted responses come first, since their callers accept only a short pause. Calls that
+   * have already missed their target latency come last, so that the backlog of one crest does not
+   * delay all later calls beyond their targets.
    */
   static Transition<NodeState, Effect> serveWaiting(NodeState node) {
     Transition<NodeState, Effect> result = Transition.of(node);
@@ -236,7 +237,8 @@
         node.gateway().waiting().stream()
             .map(node.gateway().calls()::get)
             .sorted(
-                Comparator.comparing((Call call) -> call.isLate(node.nowMs()))
+                Comparator.comparing((Call call) -> !call.delivered())
+                    .thenComparing(call -> call.isLate(node.nowMs()))
                     .thenComparingInt(call -> call.route().priority()))
             .toList();
     Set<Target> unavailable = new HashSet<>();
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -756,4 +756,23 @@
     assertThat(failureFields()).contains("key=cause, value=retry_budget_empty");
     assertThat(fixture.gateway().openCalls()).isEqualTo(0);
   }
+
+  /** Guards against a begun stream that waits behind calls that have not begun. */
+  @Test
+  void resumesAStreamBeforeOtherWaitingCalls() {
+    long id = interruptStreamWhileEnginesAreFull();
+    fixture.call("/chat/x", Optional.of(M1), 10_000);
+    fixture.call("/chat/x", Optional.of(M1), 10_000);
+    fixture.take(ForwardCall.class);
+
+    for (long other = id - 7; other < id; other++) {
+      fixture.endForward(other, 1, ForwardResult.COMPLETED);
+      List<ForwardCall> sent = fixture.take(ForwardCall.class);
+      if (sent.stream().anyMatch(forward -> forward.call() == id)) {
+        return;
+      }
+      assertThat(sent).isEmpty();
+    }
+    throw new AssertionError("the stream was not resumed");
+  }
 }
