Do not close a caller's connection as idle while a request is received on it

A connection counted as idle since its last response or request head. A caller that sent a body slowly, or had sent only a part of it when a configuration shortened the idle timeout, lost the connection without an answer.

An idle connection may be used for the longer of the timeout in force now and the one that was in force when it became idle. While a request is received, each part counts as progress; a caller that stalls for the header timeout is answered with 408.

Tests keepsAConnectionWhoseRequestIsBeingReceived and keepsAnIdleConnectionForTheTimeoutThatWasInForce: the call never arrived before the change.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
@@ -34,6 +34,7 @@
 import org.limpetdoor.core.event.CallCancelled;
 import org.limpetdoor.core.event.CallerConnectionClosed;
 import org.limpetdoor.core.gateway.Reply;
+import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
 
 /**
  * A connection from a caller, which has at most one open call at a time. Confined to the traffic
@@ -53,21 +54,36 @@
   private HttpRequest head;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private OpenCall call;
+  private ChannelFuture lastResponse;
+  private CallerLimits idleLimits;
   private boolean keepAlive = true;
   private long lastUsedNs = System.nanoTime();
 
   CallerChannel(GatewayTraffic traffic) {
     this.traffic = traffic;
+    this.idleLimits = traffic.callerLimits();
   }
 
-  /** Returns how long the connection has been without an open call, in milliseconds. */
-  long idleMs() {
-    return call != null ? 0 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastUsedNs);
+  /**
+   * Closes the connection if it has made no progress for too long. A caller that stalls in the
+   * middle of a request gets a response.
+   */
+  void closeIfStalled() {
+    RequestProgress progress = progress();
+    long quietMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastUsedNs);
+    if (quietMs <= progress.maxQuietMs(idleLimits, traffic.callerLimits())) {
+      return;
+    }
+    if (progress == RequestProgress.READING) {
+      reject(HttpResponseStatus.REQUEST_TIMEOUT);
+      return;
+    }
+    close(ConnectionCloseReason.IDLE_TIMEOUT);
   }
 
-  /** Returns whether no call is open and no request is being received. */
+  /** Returns whether no request is being received or served and all responses have been sent. */
   boolean isIdle() {
-    return call == null && head == null;
+    return progress() == RequestProgress.NONE;
   }
 
   /** Closes the connection; a request on it gets no complete response. */
@@ -89,7 +105,11 @@
     if (call != null) {
       return RequestProgress.OPEN;
     }
-    return head != null ? RequestProgress.READING : RequestProgress.NONE;
+    if (head != null) {
+      return RequestProgress.READING;
+    }
+    boolean sending = lastResponse != null && !lastResponse.isDone();
+    return sending ? RequestProgress.RESPONDING : RequestProgress.NONE;
   }
 
   /** Writes the head of a streamed response, which is chunked because its length is unknown. */
@@ -233,6 +253,7 @@
       reject(HttpResponseStatus.BAD_REQUEST);
       return;
     }
+    lastUsedNs = System.nanoTime();
     ByteBuf bytes = content.content();
     if (body.size() + bytes.readableBytes() > traffic.callerLimits().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
@@ -273,7 +294,10 @@
       traffic.removeCall(call.spec().id());
     }
     call = null;
+    lastResponse = write;
+    idleLimits = traffic.callerLimits();
     lastUsedNs = System.nanoTime();
+    write.addListener(sent -> lastUsedNs = System.nanoTime());
     if (!keepAlive) {
       write.addListener(ChannelFutureListener.CLOSE);
       return;
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -259,14 +259,12 @@
 
   private void cleanUp() {
     paceMeter.removeOlderThan(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(PACE_RETENTION_MS));
-    closeIdleCallers();
+    closeStalledCallers();
   }
 
-  private void closeIdleCallers() {
+  void closeStalledCallers() {
     for (CallerChannel caller : Set.copyOf(callers)) {
-      if (caller.idleMs() > callerLimits.idleTimeoutMs()) {
-        caller.close(ConnectionCloseReason.IDLE_TIMEOUT);
-      }
+      caller.closeIfStalled();
     }
   }
 }
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
@@ -34,6 +34,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.effect.ApplyCallerLimits;
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.event.CallArrived;
 import org.limpetdoor.core.event.CallCancelled;
@@ -42,6 +43,7 @@
 import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.gateway.CallSpec;
 import org.limpetdoor.core.gateway.ForwardResult;
+import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.runtime.MonotonicClock;
 
@@ -467,4 +469,47 @@
     }
     assertThat(events).isEmpty();
   }
+
+  /** Closes idle connections as if each had been idle for longer than a limit below zero. */
+  private void closeIdleCallers() {
+    traffic.apply(
+        new ApplyCallerLimits(
+            new CallerLimits(16_384, 4_194_304, CallerLimits.DEFAULT.headerTimeoutMs(), -1)));
+    group.next().submit(traffic::closeStalledCallers).syncUninterruptibly();
+  }
+
+  /** Guards against closing a connection as idle while a request is being received on it. */
+  @Test
+  void keepsAConnectionWhoseRequestIsBeingReceived() throws Exception {
+    try (Socket socket = connectCaller()) {
+      send(
+          socket,
+          "POST /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n");
+      assertThat(readUntil(socket, "\r\n\r\n")).contains("100 Continue");
+
+      closeIdleCallers();
+      send(socket, "body");
+
+      assertThat(next(CallArrived.class)).isNotNull();
+    }
+  }
+
+  /**
+   * Guards against closing a connection as idle when a new configuration has a shorter timeout,
+   * while its caller may still use it.
+   */
+  @Test
+  void keepsAnIdleConnectionForTheTimeoutThatWasInForce() throws Exception {
+    scriptedResponses.add(List.of(response("c1", "first")));
+    try (Socket socket = connectCaller()) {
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c1\r\n\r\n");
+      forward(1, false);
+      readUntil(socket, "first");
+
+      closeIdleCallers();
+      send(socket, "GET /a HTTP/1.1\r\nHost: h\r\nCall: c2\r\n\r\n");
+
+      assertThat(next(CallArrived.class)).isNotNull();
+    }
+  }
 }
