Test that a connection is not idle until its response has been sent

Before RequestProgress, a shutdown and the idle timeout closed a connection whose response was still being sent, and the caller got a part of it. Test isNotIdleUntilTheResponseHasBeenSent fails if responses that are being sent are left out of RequestProgress.

--- /dev/null
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/CallerChannelTest.java
@@ -0,0 +1,89 @@
+package org.limpetdoor.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.Queue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.effect.ForwardCall;
+import org.limpetdoor.core.gateway.CallSpec;
+import org.limpetdoor.core.gateway.Reply;
+import org.limpetdoor.runtime.MonotonicClock;
+
+class CallerChannelTest {
+  private final DefaultEventLoop loop = new DefaultEventLoop();
+  private final MonotonicClock clock = MonotonicClock.startingNow();
+  private final Queue<ChannelPromise> writes = new ArrayDeque<>();
+
+  @AfterEach
+  void close() {
+    loop.shutdownGracefully();
+  }
+
+  private static final class EmptyProtocol implements CallProtocol {
+    @Override
+    public CallSpec parseCall(long id, HttpRequest head, byte[] body) {
+      return new CallSpec(
+          id, "c" + id, "h", head.uri(), Optional.empty(), Optional.empty(), 0, 0, 0);
+    }
+
+    @Override
+    public void writeHeaders(
+        HttpHeaders from, HttpHeaders to, ForwardCall forward, Optional<String> resumeAfter) {}
+
+    @Override
+    public boolean isForOtherCall(HttpResponse response, String callerAttemptId) {
+      return false;
+    }
+
+    @Override
+    public boolean isNotRun(HttpResponse response) {
+      return false;
+    }
+
+    @Override
+    public boolean isSigned(HttpResponse response) {
+      return false;
+    }
+  }
+
+  /** Keeps all writes pending, like a socket whose peer does not read. */
+  private final class PendingWrites extends ChannelOutboundHandlerAdapter {
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+      ReferenceCountUtil.release(message);
+      writes.add(promise);
+    }
+  }
+
+  /** Guards against closing a connection as idle before its response has been sent completely. */
+  @Test
+  void isNotIdleUntilTheResponseHasBeenSent() {
+    GatewayTraffic traffic =
+        new GatewayTraffic(
+            loop, new EmptyProtocol(), null, null, null, clock, new ReadTimes(clock), event -> {});
+    CallerChannel caller = new CallerChannel(traffic);
+    EmbeddedChannel channel = new EmbeddedChannel(new PendingWrites(), caller);
+    channel.writeInbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a"));
+
+    caller.reply(Reply.ENGINES_FULL, 0);
+    assertThat(caller.isIdle()).isFalse();
+    writes.remove().setSuccess();
+
+    assertThat(caller.isIdle()).isTrue();
+  }
+}
