Look at waiting calls with each tick

A call that waited for an engine filled by the calls of peers was not sent when these ended: no event of the own instance followed, so it waited until its own time was over and was refused or, if it had begun, ended. The tick, four times a second, now serves the waiting calls, as the load of peers arrives at this pace.

Test sendsAWaitingCallWhenPeersNoLongerFillItsEngine: still waiting after a tick before the change.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
@@ -46,7 +46,8 @@
         .then(FactsEvents::tick)
         .then(Digests::send)
         .then(ModelRequests::requestForWaitingCalls)
-        .then(state -> PlacementPlanner.plan(EngineOrders.completeListedChanges(state)));
+        .then(state -> PlacementPlanner.plan(EngineOrders.completeListedChanges(state)))
+        .then(CallEvents::serveWaiting);
   }
 
   /**
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -26,10 +26,17 @@
 import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.event.ForwardStarted;
 import org.limpetdoor.core.event.InstancesListed;
+import org.limpetdoor.core.event.PeerMessageReceived;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.membership.DigestScope;
 import org.limpetdoor.core.membership.ListedInstance;
+import org.limpetdoor.core.membership.PeerMessage.DigestTimes;
+import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
+import org.limpetdoor.core.membership.PeerMessage.StoreFacts;
+import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
 
 class CallEventsTest {
   private static final ModelKey M1 = ModelKey.of("m1");
@@ -805,4 +812,37 @@
     assertThat(fixture.take(ReplyToCall.class))
         .containsExactly(new ReplyToCall(waiting, Reply.SHUTTING_DOWN, 0));
   }
+
+  private void peerLoad(String engine, int inFlight) {
+    fixture.reduce(
+        new PeerMessageReceived(
+            fixture.nowMs(),
+            new InstanceId("node-2"),
+            new LoadDigest(
+                DigestScope.GROUP,
+                new DigestTimes(fixture.nowMs(), 0),
+                new StoreFacts(1, 0, true, 0),
+                0,
+                HashTreePMap.singleton(new BackendId(engine), inFlight),
+                HashTreePMap.empty(),
+                HashTreePSet.empty(),
+                HashTreePMap.empty(),
+                HashTreePMap.empty())));
+  }
+
+  /** Guards against a call that waits although the calls of peers have left its engine. */
+  @Test
+  void sendsAWaitingCallWhenPeersNoLongerFillItsEngine() {
+    setUpModelEngines(1);
+    fixture.peerDigest("node-2", true, 0);
+    peerLoad("e0", 4);
+    long id = fixture.call("/chat/x", Optional.of(M1), 10_000);
+    fixture.advance(300);
+    assertThat(fixture.gateway().waiting()).contains(id);
+
+    peerLoad("e0", 0);
+    fixture.advance(250);
+
+    assertThat(fixture.gateway().waiting()).isEmpty();
+  }
 }
