--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -212,6 +212,18 @@
         : CallSteps.failWithoutEngine(node, call, choice);
   }
 
+  /** Ends the calls that wait for an engine, because the instance ends. */
+  public static Transition<NodeState, Effect> endWaiting(NodeState node) {
+    Transition<NodeState, Effect> result = Transition.of(node);
+    for (Long id : node.gateway().waiting()) {
+      Call call = node.gateway().calls().get(id);
+      Reply reply = call.mayHaveRun() ? Reply.OUTCOME_UNKNOWN : Reply.SHUTTING_DOWN;
+      result =
+          result.then(next -> CallSteps.fail(next, call, reply, 0, FailureCause.SHUTTING_DOWN));
+    }
+    return result;
+  }
+
   /** Forwards calls that have waited for an engine that may be tried again now. */
   public static Transition<NodeState, Effect> engineRetryDue(NodeState node, String key) {
     return serveWaiting(node);
@@ -223,9 +235,10 @@
   }
 
   /**
-   * Forwards the waiting calls for which an engine is available now, in order of priority. Calls
-   * that have already missed their target latency come last, so that the backlog of one crest does
-   * not delay all later calls beyond their targets. Calls whose engines all accept no requests for
+   * Forwards the waiting calls for which an engine is available now, in order of priority.
+   * Interrupted responses come first, since their callers accept only a short pause. Calls that
+   * have already missed their target latency come last, so that the backlog of one crest does not
+   * delay all later calls beyond their targets. Calls whose engines all accept no requests for
    * longer than the calls can wait are refused.
    */
   static Transition<NodeState, Effect> serveWaiting(NodeState node) {
@@ -237,7 +250,8 @@
         node.gateway().waiting().stream()
             .map(node.gateway().calls()::get)
             .sorted(
-                Comparator.comparing((Call call) -> call.isLate(node.nowMs()))
+                Comparator.comparing((Call call) -> !call.delivered())
+                    .thenComparing(call -> call.isLate(node.nowMs()))
                     .thenComparingInt(call -> call.route().priority()))
             .toList();
     Map<Target, Choice> unavailable = new HashMap<>();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
@@ -47,6 +47,7 @@
         .then(Digests::send)
         .then(ModelRequests::requestForWaitingCalls)
         .then(state -> PlacementPlanner.plan(EngineOrders.completeListedChanges(state)))
+        .then(CallEvents::serveWaiting)
         .then(WaitingModels::report);
   }
 
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -26,10 +26,17 @@
 import org.limpetdoor.core.event.ForwardSilent;
 import org.limpetdoor.core.event.ForwardStarted;
 import org.limpetdoor.core.event.InstancesListed;
+import org.limpetdoor.core.event.PeerMessageReceived;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.membership.DigestScope;
 import org.limpetdoor.core.membership.ListedInstance;
+import org.limpetdoor.core.membership.PeerMessage.DigestTimes;
+import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
+import org.limpetdoor.core.membership.PeerMessage.StoreFacts;
+import org.pcollections.HashTreePMap;
+import org.pcollections.HashTreePSet;
 
 class CallEventsTest {
   private static final ModelKey M1 = ModelKey.of("m1");
@@ -756,4 +763,86 @@
     assertThat(failureFields()).contains("key=cause, value=retry_budget_empty");
     assertThat(fixture.gateway().openCalls()).isEqualTo(0);
   }
+
+  /** Guards against a begun stream that waits behind calls that have not begun. */
+  @Test
+  void resumesAStreamBeforeOtherWaitingCalls() {
+    long id = interruptStreamWhileEnginesAreFull();
+    fixture.call("/chat/x", Optional.of(M1), 10_000);
+    fixture.call("/chat/x", Optional.of(M1), 10_000);
+    fixture.take(ForwardCall.class);
+
+    for (long other = id - 7; other < id; other++) {
+      fixture.endForward(other, 1, ForwardResult.COMPLETED);
+      List<ForwardCall> sent = fixture.take(ForwardCall.class);
+      if (sent.stream().anyMatch(forward -> forward.call() == id)) {
+        return;
+      }
+      assertThat(sent).isEmpty();
+    }
+    throw new AssertionError("the stream was not resumed");
+  }
+
+  /** Guards against a begun stream that a new configuration cuts or moves. */
+  @Test
+  void keepsTheRouteOfABegunStreamWhenTheConfigurationChanges() {
+    setUpModelEngines(2);
+    startStream();
+    long id = 31;
+
+    fixture.routes(2, GatewayFixture.route("/other/", CallKind.IDEMPOTENT, 1));
+    fixture.advance(3_000);
+    fixture.reduce(new ForwardEnded(fixture.nowMs(), id, 1, ForwardResult.CONNECTION_LOST, true));
+
+    assertThat(fixture.take(ForwardCall.class).get(0).call()).isEqualTo(id);
+  }
+
+  /** Guards against a connection that is closed without an answer because the process ends. */
+  @Test
+  void answersWaitingCallsBeforeTheShutdownTimesOut() {
+    setUpTwoPlainEngines();
+    fixture.reduce(new DrainRequested(fixture.nowMs(), 500));
+    for (int i = 0; i < 16; i++) {
+      fixture.call("/once/x", Optional.empty(), 2_000);
+    }
+    long waiting = fixture.call("/once/x", Optional.empty(), 2_000);
+
+    fixture.advance(500);
+
+    assertThat(fixture.take(ReplyToCall.class))
+        .containsExactly(new ReplyToCall(waiting, Reply.SHUTTING_DOWN, 0));
+  }
+
+  private void peerLoad(String engine, int inFlight) {
+    fixture.reduce(
+        new PeerMessageReceived(
+            fixture.nowMs(),
+            new InstanceId("node-2"),
+            new LoadDigest(
+                DigestScope.GROUP,
+                new DigestTimes(fixture.nowMs(), 0),
+                new StoreFacts(1, 0, true, 0),
+                0,
+                HashTreePMap.singleton(new BackendId(engine), inFlight),
+                HashTreePMap.empty(),
+                HashTreePSet.empty(),
+                HashTreePMap.empty(),
+                HashTreePMap.empty())));
+  }
+
+  /** Guards against a call that waits although the calls of peers have left its engine. */
+  @Test
+  void sendsAWaitingCallWhenPeersNoLongerFillItsEngine() {
+    setUpModelEngines(1);
+    fixture.peerDigest("node-2", true, 0);
+    peerLoad("e0", 4);
+    long id = fixture.call("/chat/x", Optional.of(M1), 10_000);
+    fixture.advance(300);
+    assertThat(fixture.gateway().waiting()).contains(id);
+
+    peerLoad("e0", 0);
+    fixture.advance(250);
+
+    assertThat(fixture.gateway().waiting()).isEmpty();
+  }
 }
