Keep the last serving replica of a model while others are loaded

Callers of a busy model got 503 model_absent for seconds: the planner evicted the only replica that served it because two more were being loaded, and a replica under load counted as one that remains.

The loss of a replica is now that of an unserved model unless another engine holds the model. What is requested and the memory reserved for adapters are computed once for a selection instead of once for each engine and model.

keepsTheLastServingReplicaWhileOthersAreLoaded failed before: it got an order to unload the model.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ReplicaSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ReplicaSelector.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.gateway.EngineOrder.Action;
 import org.limpetdoor.core.gateway.Placement.Demand;
@@ -21,6 +23,9 @@
  * @param engines engines of the service
  * @param spec capacity and models of the engines
  * @param replicaCounts number of engines that hold or load each model
+ * @param servingCounts number of engines that hold each model
+ * @param requestedModels models that calls wait for, or for an adapter of which calls wait
+ * @param adapterReserveMb memory reserved for each free adapter place, in MB
  * @param storeLoads whether another load from the weight store may start now
  */
 record ReplicaSelector(
@@ -28,6 +33,9 @@
     Collection<EngineState> engines,
     EngineSpec spec,
     PMap<String, Integer> replicaCounts,
+    PMap<String, Integer> servingCounts,
+    Set<String> requestedModels,
+    double adapterReserveMb,
     boolean storeLoads) {
 
   /** Load assumed for a model that calls wait for and no engine holds, in calls per second. */
@@ -70,6 +78,7 @@
   static ReplicaSelector of(NodeState node, String service, EngineSpec spec, boolean storeLoads) {
     Collection<EngineState> engines = node.gateway().engines().ofService(service);
     Map<String, Integer> counts = new HashMap<>();
+    Map<String, Integer> serving = new HashMap<>();
     for (EngineState engine : engines) {
       if (!engine.usable()) {
         continue;
@@ -80,6 +89,7 @@
         boolean kept = key.adapter().isEmpty() && !unloaded.filter(key.model()::equals).isPresent();
         if (kept) {
           counts.merge(key.model(), 1, Integer::sum);
+          serving.merge(key.model(), 1, Integer::sum);
         }
       }
       Optional<String> loading =
@@ -89,7 +99,21 @@
         counts.merge(loading.get(), 1, Integer::sum);
       }
     }
-    return new ReplicaSelector(node, engines, spec, HashTreePMap.from(counts), storeLoads);
+    Set<String> requested =
+        node.gateway().placement().modelRequests().keySet().stream()
+            .map(ModelKey::model)
+            .collect(Collectors.toUnmodifiableSet());
+    double adapterReserveMb =
+        spec.models().values().stream().mapToDouble(ModelSpec::adapterMb).max().orElse(0);
+    return new ReplicaSelector(
+        node,
+        engines,
+        spec,
+        HashTreePMap.from(counts),
+        HashTreePMap.from(serving),
+        requested,
+        adapterReserveMb,
+        storeLoads);
   }
 
   /** Returns models that need another replica, in descending order of need. */
@@ -242,8 +266,6 @@
       double adapterMb = model == null ? 0 : model.adapterMb();
       used += key.adapter().isEmpty() ? modelMb : adapterMb;
     }
-    double adapterReserveMb =
-        spec.models().values().stream().mapToDouble(ModelSpec::adapterMb).max().orElse(0);
     return used + adapterReserveMb * Math.max(0, spec.adapterCapacity() - slot.adapterCount());
   }
 
@@ -281,15 +303,18 @@
   }
 
   private boolean isRequested(ModelKey model) {
-    return node.gateway().placement().modelRequests().keySet().stream()
-        .anyMatch(request -> request.base().equals(model));
+    return requestedModels.contains(model.model());
   }
 
-  /** Returns the load of each remaining replica after an eviction, in calls per second. */
+  /**
+   * Returns the load of each remaining replica after an eviction, in calls per second. Replicas
+   * that are still being loaded serve no calls, so they do not stand in for the last one that does.
+   */
   private double loss(ModelKey key, long idleMs) {
     Demand demand = node.gateway().placement().demandOf(key);
     int remaining = replicaCount(key.model()) - 1;
-    if (remaining > 0) {
+    boolean othersServe = servingCounts.getOrDefault(key.model(), 0) > 1;
+    if (othersServe) {
       return Math.max(callsPerS(key), adapterLoad(key.model())) / remaining;
     }
     boolean idle = node.nowMs() - demand.lastCallAtMs() > idleMs;
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
@@ -594,4 +594,28 @@
     assertThat(takeWaitingReports().stream().map(ModelWaitingDecision::obstacle))
         .contains(PlacementObstacle.ORDERED);
   }
+
+  /** Guards against a busy model that nobody serves until its other replicas are loaded. */
+  @Test
+  void keepsTheLastServingReplicaWhileOthersAreLoaded() {
+    fixture.routes(1, GatewayFixture.modelRoute("/m/"));
+    fixture.engines(
+        GatewayFixture.entry("g1", "llm", 1, 0, M1, M2), GatewayFixture.entry("g2", "llm", 1, 0));
+    becomeHolder();
+    reportInventory("g1", 0, false, M1, M2);
+    for (int i = 0; i < 30; i++) {
+      fixture.call("/m/x", Optional.of(M1), 10_000);
+      fixture.call("/m/x", Optional.of(M2), 10_000);
+    }
+    fixture.advance(GatewayTick.INTERVAL_MS);
+    reportInventory("g2", 0, false);
+    EngineOrder load = answerOrder(EngineOrderResult.ACCEPTED);
+    fixture.call("/m/x", Optional.of(M3), 10_000);
+    fixture.advance(GatewayTick.INTERVAL_MS);
+
+    assertThat(load.engine()).isEqualTo(new BackendId("g2"));
+    assertThat(load.action()).isEqualTo(Action.LOAD);
+    assertThat(load.target()).isNotEqualTo(M3);
+    assertThat(fixture.take(SendEngineOrder.class)).isEmpty();
+  }
 }
