Keep a loaded model until its callers return, and idle ones no longer

Callers that were refused until a model is loaded came back to a model that had been evicted again; others were refused for as long as every engine held models with rare calls.

Cause: the planner kept the last use of a model only while its smoothed rate was above 0.02 calls per second, which one call exceeds for 3.6 s. A load takes up to 2.6 s, so the record of the load was dropped by the next tick and that of the call shortly after the load. The time without calls after which an only replica may be evicted was 8 s, but never took effect beyond those 3.6 s.

The last use is kept for 10 s, the end of a load counts as a use, and an only replica may be evicted 2 s after it.

keepsALoadedModelUntilItsCallersReturn and replacesTheOnlyReplicaOfAModelWithRareCalls failed before.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
@@ -107,7 +107,8 @@
   /** Reports a loaded model to the peers, which may be unable to read the list of engines. */
   private static Transition<NodeState, Effect> publishIfLoaded(NodeState node, EngineOrder order) {
     return order.action() == Action.LOAD
-        ? LoadedModelEvents.publishChange(node, order.engine(), order.target(), true)
+        ? LoadedModelEvents.publishChange(
+            withRecentUse(node, order), order.engine(), order.target(), true)
         : Transition.of(node);
   }
 
@@ -140,12 +141,23 @@
         Placement without = result.gateway().placement().withoutSlot(entry.getKey());
         result = result.withGateway(result.gateway().withPlacement(without));
       } else if (slot.change().isPresent()) {
-        result = withSlot(result, entry.getKey(), completedOrUnverified(node, slot, engine.get()));
+        OrderSlot next = completedOrUnverified(node, slot, engine.get());
+        EngineOrder order = slot.change().get().order();
+        boolean completed = next.verified() && next.change().isEmpty();
+        boolean loaded = completed && order.action() == Action.LOAD;
+        result = withSlot(loaded ? withRecentUse(result, order) : result, entry.getKey(), next);
       }
     }
     return result;
   }
 
+  /** Records that a load has ended, so that the model is kept until its callers return. */
+  private static NodeState withRecentUse(NodeState node, EngineOrder order) {
+    GatewayState state = node.gateway();
+    return node.withGateway(
+        state.withPlacement(state.placement().withRecentUse(order.target(), node.nowMs())));
+  }
+
   private static OrderSlot completedOrUnverified(
       NodeState node, OrderSlot slot, EngineState engine) {
     OrderSlot.Change change = slot.change().orElseThrow();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
@@ -53,6 +53,9 @@
    */
   private static final long MIN_COUNTED_MS = 500;
 
+  /** Time for which the last use of a model or adapter is kept, in milliseconds. */
+  private static final long USE_RETENTION_MS = 10_000;
+
   /** Rate below which the demand for a model or adapter is removed, in calls per second. */
   private static final double MIN_DEMAND_PER_S = 0.02;
 
@@ -60,7 +63,8 @@
    * Demand for a model or adapter.
    *
    * @param callsPerS smoothed rate, in calls per second
-   * @param lastCallAtMs time at which the last call was reported, in monotonic milliseconds
+   * @param lastCallAtMs time at which the last call was reported or a load was ordered or ended, in
+   *     monotonic milliseconds
    */
   record Demand(double callsPerS, long lastCallAtMs) {
     static final Demand NONE = new Demand(0, 0);
@@ -201,8 +205,9 @@
     for (var entry : demand.entrySet()) {
       Demand previous = entry.getValue();
       Demand decayed = new Demand(previous.callsPerS() * factor, previous.lastCallAtMs());
+      boolean unused = nowMs - previous.lastCallAtMs() > USE_RETENTION_MS;
       next =
-          decayed.callsPerS() < MIN_DEMAND_PER_S
+          unused && decayed.callsPerS() < MIN_DEMAND_PER_S
               ? next.minus(entry.getKey())
               : next.plus(entry.getKey(), decayed);
     }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PlacementPlanner.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PlacementPlanner.java
@@ -34,10 +34,10 @@
   private static final int MAX_CHANGES = 4;
 
   /**
-   * Time since its last call after which the only replica of a model may be evicted, in
-   * milliseconds.
+   * Time since its load or its last call after which the only replica of a model may be evicted, in
+   * milliseconds. Callers that were refused until the load return within this time.
    */
-  private static final long MODEL_IDLE_MS = 8_000;
+  private static final long MODEL_IDLE_MS = 2_000;
 
   /** Load of each replica above which another replica is worth loading, in calls per second. */
   private static final double BUSY_REPLICA_PER_S = 5;
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
@@ -618,4 +618,48 @@
     assertThat(load.target()).isNotEqualTo(M3);
     assertThat(fixture.take(SendEngineOrder.class)).isEmpty();
   }
+
+  private void renewDuty(long ms) {
+    for (long renewedMs = 0; renewedMs < ms; renewedMs += 500) {
+      fixture.advance(500);
+      fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+    }
+  }
+
+  /** Guards against a model that is evicted before the callers for whom it was loaded return. */
+  @Test
+  void keepsALoadedModelUntilItsCallersReturn() {
+    setUpOneEngine(M1);
+    fixture.call("/m/x", Optional.of(M2), 10_000);
+    EngineOrder load = answerOrder(EngineOrderResult.ACCEPTED);
+    renewDuty(3_000);
+    reportInventory("g1", load.expectedOrders() + 1, false, M1, M2);
+    renewDuty(1_500);
+    fixture.call("/m/x", Optional.of(M1), 10_000);
+    fixture.advance(GatewayTick.INTERVAL_MS);
+    fixture.take(SendEngineOrder.class);
+    fixture.call("/m/x", Optional.of(M3), 10_000);
+    fixture.advance(GatewayTick.INTERVAL_MS);
+
+    assertThat(load.target()).isEqualTo(M2);
+    assertThat(fixture.take(SendEngineOrder.class)).isEmpty();
+  }
+
+  /** Guards against a requested model that never gets a place among models with rare calls. */
+  @Test
+  void replacesTheOnlyReplicaOfAModelWithRareCalls() {
+    setUpOneEngine(M1, M2);
+    int unloads = 0;
+    for (int i = 0; i < 4; i++) {
+      fixture.call("/m/x", Optional.of(M1), 500);
+      fixture.call("/m/x", Optional.of(M2), 500);
+      renewDuty(2_500);
+      fixture.take(SendEngineOrder.class);
+      fixture.call("/m/x", Optional.of(M3), 10_000);
+      fixture.advance(GatewayTick.INTERVAL_MS);
+      unloads += fixture.take(SendEngineOrder.class).isEmpty() ? 0 : 1;
+    }
+
+    assertThat(unloads).isAtLeast(1);
+  }
 }
