Load waiting adapters at any engine with a place, the longest wait first

Callers of an adapter were refused as model_absent although an adapter at another engine with the base model was idle, or whenever all places were taken by adapters with calls.

Cause: the planner chose the least loaded engine first and then looked for an idle adapter there only. An adapter with calls was never replaced, however long another one waited.

The place is now chosen over all engines with the base model: a free one, then that of the least recently used idle adapter, and for an adapter that has waited 500 ms that of the adapter with the least demand that was loaded 1 s ago or earlier. Requests are planned in the order of their age.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/AdapterPlanner.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/AdapterPlanner.java
@@ -20,17 +20,32 @@
   /** Time since its last call after which an adapter may be evicted, in milliseconds. */
   private static final long ADAPTER_IDLE_MS = 300;
 
+  /**
+   * Time after which an adapter that calls wait for replaces one that is not idle, in milliseconds;
+   * calls wait for 1 s or longer.
+   */
+  private static final long MAX_WAIT_MS = 500;
+
+  /** Time since its load for which an adapter that is not idle is kept, in milliseconds. */
+  private static final long MIN_TURN_MS = 1_000;
+
   private AdapterPlanner() {}
 
-  /** Plans for all adapters of a service that calls wait for. */
+  /** Plans for all adapters of a service that calls wait for, the longest wait first. */
   static Transition<NodeState, Effect> planAll(NodeState node, String service, EngineSpec spec) {
+    List<ModelKey> waiting =
+        node.gateway().placement().modelRequests().entrySet().stream()
+            .filter(request -> request.getValue().service().equals(service))
+            .filter(request -> request.getKey().adapter().isPresent())
+            .sorted(
+                Comparator.comparingLong(
+                        (Map.Entry<ModelKey, ModelRequest> request) -> request.getValue().sinceMs())
+                    .thenComparing(request -> request.getKey().toString()))
+            .map(Map.Entry::getKey)
+            .toList();
     Transition<NodeState, Effect> result = Transition.of(node);
-    for (Map.Entry<ModelKey, ModelRequest> request :
-        node.gateway().placement().modelRequests().entrySet()) {
-      ModelKey key = request.getKey();
-      if (request.getValue().service().equals(service) && key.adapter().isPresent()) {
-        result = result.then(next -> plan(next, service, spec, key));
-      }
+    for (ModelKey key : waiting) {
+      result = result.then(next -> plan(next, service, spec, key));
     }
     return result;
   }
@@ -89,26 +104,71 @@
         candidates.add(engine);
       }
     }
-    Optional<EngineState> chosen =
-        candidates.stream()
-            .min(
-                Comparator.comparingDouble(
-                    engine ->
-                        PlacementPlanner.slot(node, engine).adapterCount()
-                                / (double) spec.adapterCapacity()
-                            + EngineSelector.load(node, engine)));
-    if (chosen.isEmpty()) {
+    if (candidates.isEmpty()) {
       return new Step.Blocked(withoutCandidate(baseLoaded, unloading));
     }
-    EngineState engine = chosen.get();
-    if (PlacementPlanner.slot(node, engine).adapterCount() < spec.adapterCapacity()) {
-      return new Step.Send(engine, Action.LOAD, key);
-    }
-    return idleAdapter(node, engine)
-        .<Step>map(idle -> new Step.Send(engine, Action.UNLOAD, idle))
+    return engineWithFreePlace(node, candidates, spec)
+        .map(engine -> new Step.Send(engine, Action.LOAD, key))
+        .or(() -> replaceable(node, candidates, key))
+        .<Step>map(send -> send)
         .orElse(new Step.Blocked(PlacementObstacle.ADAPTERS_IN_USE));
   }
 
+  private static Optional<EngineState> engineWithFreePlace(
+      NodeState node, List<EngineState> candidates, EngineSpec spec) {
+    return candidates.stream()
+        .filter(
+            engine -> PlacementPlanner.slot(node, engine).adapterCount() < spec.adapterCapacity())
+        .min(
+            Comparator.comparingDouble(
+                engine ->
+                    PlacementPlanner.slot(node, engine).adapterCount()
+                            / (double) spec.adapterCapacity()
+                        + EngineSelector.load(node, engine)));
+  }
+
+  /**
+   * Returns the order to unload an adapter that makes room: the least recently used one that is
+   * idle, or, for an adapter that has waited long enough, the one with the least demand among those
+   * that have had their turn.
+   */
+  private static Optional<Step.Send> replaceable(
+      NodeState node, List<EngineState> candidates, ModelKey key) {
+    Placement placement = node.gateway().placement();
+    List<Step.Send> replaceable = new ArrayList<>();
+    for (EngineState engine : candidates) {
+      OrderSlot slot = PlacementPlanner.slot(node, engine);
+      slot.contents().stream()
+          .filter(held -> held.adapter().isPresent() && !slot.loadingAdapters().containsKey(held))
+          .filter(held -> !slot.unloadingAdapters().contains(held))
+          .forEach(held -> replaceable.add(new Step.Send(engine, Action.UNLOAD, held)));
+    }
+    Optional<Step.Send> idle =
+        replaceable.stream()
+            .filter(send -> isIdle(node, send.target()))
+            .min(
+                Comparator.comparingLong(
+                        (Step.Send send) -> placement.demandOf(send.target()).lastCallAtMs())
+                    .thenComparing(send -> send.target().toString()));
+    ModelRequest request = placement.modelRequests().get(key);
+    boolean overdue = request != null && node.nowMs() - request.sinceMs() >= MAX_WAIT_MS;
+    if (idle.isPresent() || !overdue) {
+      return idle;
+    }
+    return replaceable.stream()
+        .filter(
+            send -> node.nowMs() - placement.demandOf(send.target()).loadedAtMs() >= MIN_TURN_MS)
+        .min(
+            Comparator.comparingDouble(
+                    (Step.Send send) -> placement.callsPerS(send.target(), node.nowMs()))
+                .thenComparing(send -> send.target().toString()));
+  }
+
+  private static boolean isIdle(NodeState node, ModelKey adapter) {
+    long lastCallAtMs = node.gateway().placement().demandOf(adapter).lastCallAtMs();
+    return !inUse(node, adapter) && node.nowMs() - lastCallAtMs > ADAPTER_IDLE_MS;
+  }
+
   private static PlacementObstacle withoutCandidate(boolean baseLoaded, boolean unloading) {
     if (!baseLoaded) {
       return PlacementObstacle.BASE_MODEL_ABSENT;
@@ -120,23 +180,6 @@
     return slot.openOrder().filter(order -> order.target().equals(key)).isPresent();
   }
 
-  /**
-   * Returns the least recently used adapter of an engine, among those that are idle and may be
-   * evicted.
-   */
-  private static Optional<ModelKey> idleAdapter(NodeState node, EngineState engine) {
-    Placement placement = node.gateway().placement();
-    OrderSlot slot = PlacementPlanner.slot(node, engine);
-    return slot.contents().stream()
-        .filter(key -> key.adapter().isPresent() && !slot.loadingAdapters().containsKey(key))
-        .filter(key -> !slot.unloadingAdapters().contains(key))
-        .filter(key -> !inUse(node, key))
-        .filter(key -> node.nowMs() - placement.demandOf(key).lastCallAtMs() > ADAPTER_IDLE_MS)
-        .min(
-            Comparator.comparingLong((ModelKey key) -> placement.demandOf(key).lastCallAtMs())
-                .thenComparing(ModelKey::toString));
-  }
-
   /** Returns whether this instance or a peer has calls of an adapter in flight. */
   private static boolean inUse(NodeState node, ModelKey adapter) {
     GatewayState state = node.gateway();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
@@ -65,9 +65,10 @@
    * @param callsPerS smoothed rate, in calls per second
    * @param lastCallAtMs time at which the last call was reported or a load was ordered or ended, in
    *     monotonic milliseconds
+   * @param loadedAtMs time at which a load was last ordered or ended, in monotonic milliseconds
    */
-  record Demand(double callsPerS, long lastCallAtMs) {
-    static final Demand NONE = new Demand(0, 0);
+  record Demand(double callsPerS, long lastCallAtMs, long loadedAtMs) {
+    static final Demand NONE = new Demand(0, 0, 0);
   }
 
   /**
@@ -190,7 +191,8 @@
 
   /** Records that a model or adapter is about to be used, so that it is not evicted at once. */
   Placement withRecentUse(ModelKey key, long nowMs) {
-    PMap<ModelKey, Demand> updated = demand.plus(key, new Demand(demandOf(key).callsPerS(), nowMs));
+    PMap<ModelKey, Demand> updated =
+        demand.plus(key, new Demand(demandOf(key).callsPerS(), nowMs, nowMs));
     return new Placement(
         updated, countedSinceMs, modelRequests, slots, loadTokens, refilledAtMs, nextOrder);
   }
@@ -204,7 +206,8 @@
     PMap<ModelKey, Demand> next = demand;
     for (var entry : demand.entrySet()) {
       Demand previous = entry.getValue();
-      Demand decayed = new Demand(previous.callsPerS() * factor, previous.lastCallAtMs());
+      Demand decayed =
+          new Demand(previous.callsPerS() * factor, previous.lastCallAtMs(), previous.loadedAtMs());
       boolean unused = nowMs - previous.lastCallAtMs() > USE_RETENTION_MS;
       next =
           unused && decayed.callsPerS() < MIN_DEMAND_PER_S
@@ -227,8 +230,8 @@
 
   private static PMap<ModelKey, Demand> withCalls(
       PMap<ModelKey, Demand> previous, ModelKey key, int calls, long nowMs) {
-    double callsPerS =
-        previous.getOrDefault(key, Demand.NONE).callsPerS() + calls * 1_000 / DEMAND_TAU_MS;
-    return previous.plus(key, new Demand(callsPerS, nowMs));
+    Demand known = previous.getOrDefault(key, Demand.NONE);
+    double callsPerS = known.callsPerS() + calls * 1_000 / DEMAND_TAU_MS;
+    return previous.plus(key, new Demand(callsPerS, nowMs, known.loadedAtMs()));
   }
 }
