--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Placement.java
@@ -53,6 +53,9 @@
    */
   private static final long MIN_COUNTED_MS = 500;
 
+  /** Time for which the last use of a model or adapter is kept, in milliseconds. */
+  private static final long USE_RETENTION_MS = 10_000;
+
   /** Rate below which the demand for a model or adapter is removed, in calls per second. */
   private static final double MIN_DEMAND_PER_S = 0.02;
 
@@ -60,10 +63,12 @@
    * Demand for a model or adapter.
    *
    * @param callsPerS smoothed rate, in calls per second
-   * @param lastCallAtMs time at which the last call was reported, in monotonic milliseconds
+   * @param lastCallAtMs time at which the last call was reported or a load was ordered or ended, in
+   *     monotonic milliseconds
+   * @param loadedAtMs time at which a load was last ordered or ended, in monotonic milliseconds
    */
-  record Demand(double callsPerS, long lastCallAtMs) {
-    static final Demand NONE = new Demand(0, 0);
+  record Demand(double callsPerS, long lastCallAtMs, long loadedAtMs) {
+    static final Demand NONE = new Demand(0, 0, 0);
   }
 
   /**
@@ -186,7 +191,8 @@
 
   /** Records that a model or adapter is about to be used, so that it is not evicted at once. */
   Placement withRecentUse(ModelKey key, long nowMs) {
-    PMap<ModelKey, Demand> updated = demand.plus(key, new Demand(demandOf(key).callsPerS(), nowMs));
+    PMap<ModelKey, Demand> updated =
+        demand.plus(key, new Demand(demandOf(key).callsPerS(), nowMs, nowMs));
     return new Placement(
         updated, countedSinceMs, modelRequests, slots, loadTokens, refilledAtMs, nextOrder);
   }
@@ -200,9 +206,11 @@
     PMap<ModelKey, Demand> next = demand;
     for (var entry : demand.entrySet()) {
       Demand previous = entry.getValue();
-      Demand decayed = new Demand(previous.callsPerS() * factor, previous.lastCallAtMs());
+      Demand decayed =
+          new Demand(previous.callsPerS() * factor, previous.lastCallAtMs(), previous.loadedAtMs());
+      boolean unused = nowMs - previous.lastCallAtMs() > USE_RETENTION_MS;
       next =
-          decayed.callsPerS() < MIN_DEMAND_PER_S
+          unused && decayed.callsPerS() < MIN_DEMAND_PER_S
               ? next.minus(entry.getKey())
               : next.plus(entry.getKey(), decayed);
     }
@@ -222,8 +230,8 @@
 
   private static PMap<ModelKey, Demand> withCalls(
       PMap<ModelKey, Demand> previous, ModelKey key, int calls, long nowMs) {
-    double callsPerS =
-        previous.getOrDefault(key, Demand.NONE).callsPerS() + calls * 1_000 / DEMAND_TAU_MS;
-    return previous.plus(key, new Demand(callsPerS, nowMs));
+    Demand known = previous.getOrDefault(key, Demand.NONE);
+    double callsPerS = known.callsPerS() + calls * 1_000 / DEMAND_TAU_MS;
+    return previous.plus(key, new Demand(callsPerS, nowMs, known.loadedAtMs()));
   }
 }
