--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/CallerChannelTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/CallerChannelTest.java
@@ -8,22 +8,17 @@
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
-import java.util.Optional;
 import java.util.Queue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.limpetdoor.core.effect.ForwardCall;
-import org.limpetdoor.core.gateway.CallSpec;
 import org.limpetdoor.core.gateway.Reply;
 import org.limpetdoor.runtime.MonotonicClock;
 
+/** Tests when the connection of a caller counts as idle. */
 class CallerChannelTest {
   private final DefaultEventLoop loop = new DefaultEventLoop();
   private final MonotonicClock clock = MonotonicClock.startingNow();
@@ -34,33 +29,6 @@
     loop.shutdownGracefully();
   }
 
-  private static final class EmptyProtocol implements CallProtocol {
-    @Override
-    public CallSpec parseCall(long id, HttpRequest head, byte[] body) {
-      return new CallSpec(
-          id, "c" + id, "h", head.uri(), Optional.empty(), Optional.empty(), 0, 0, 0);
-    }
-
-    @Override
-    public void writeHeaders(
-        HttpHeaders from, HttpHeaders to, ForwardCall forward, Optional<String> resumeAfter) {}
-
-    @Override
-    public boolean isForOtherCall(HttpResponse response, String callerAttemptId) {
-      return false;
-    }
-
-    @Override
-    public boolean isNotRun(HttpResponse response) {
-      return false;
-    }
-
-    @Override
-    public boolean isSigned(HttpResponse response) {
-      return false;
-    }
-  }
-
   /** Keeps all writes pending, like a socket whose peer does not read. */
   private final class PendingWrites extends ChannelOutboundHandlerAdapter {
     @Override
@@ -75,7 +43,14 @@
   void isNotIdleUntilTheResponseHasBeenSent() {
     GatewayTraffic traffic =
         new GatewayTraffic(
-            loop, new EmptyProtocol(), null, null, null, clock, new ReadTimes(clock), event -> {});
+            loop,
+            new TestCallProtocol(),
+            null,
+            null,
+            null,
+            clock,
+            new ReadTimes(clock),
+            event -> {});
     CallerChannel caller = new CallerChannel(traffic);
     EmbeddedChannel channel = new EmbeddedChannel(new PendingWrites(), caller);
     channel.writeInbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/a"));
