Close the connection of a begun stream that the control thread replies to

What callers saw: a stream that had just begun stayed open without its end until the idle timeout. The first event is relayed by the traffic thread; if the deadline is reduced before the control thread knows of it, the call counts as not delivered and gets a reply. The encoder rejects a second head, so nothing was written and nothing closed.

A reply to a call whose head has been sent now closes the connection, as AbortCall does. ResumedStreamTest.replyToABegunStreamClosesItsConnection: read timed out after 5 s before, closed at once after.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -183,9 +183,15 @@
   @Override
   public void replyToCall(ReplyToCall effect) {
     OpenCall call = calls.get(effect.call());
-    if (call != null) {
-      call.caller().reply(effect.reply(), effect.retryAfterMs());
+    if (call == null) {
+      return;
+    }
+    // The decision may be older than the first event that was relayed.
+    if (call.headSent()) {
+      abortCall(new AbortCall(effect.call()));
+      return;
     }
+    call.caller().reply(effect.reply(), effect.retryAfterMs());
   }
 
   @Override
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/ResumedStreamTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/ResumedStreamTest.java
@@ -10,8 +10,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.limpetdoor.core.effect.ReplyToCall;
 import org.limpetdoor.core.event.ForwardEnded;
 import org.limpetdoor.core.gateway.ForwardResult;
+import org.limpetdoor.core.gateway.Reply;
 import org.limpetdoor.gateway.ControlledEngine.Connection;
 
 /** Tests what callers receive when an engine is to resume a stream that has broken off. */
@@ -153,4 +155,15 @@
     assertThat(GatewayFixture.readUntil(caller, LAST_CHUNK)).isEqualTo(chunk(events) + LAST_CHUNK);
     assertThat(gateway.nextEnd().result()).isEqualTo(ForwardResult.COMPLETED);
   }
+
+  /** Guards against a reply of the gateway in the middle of a stream that has just begun. */
+  @Test
+  void replyToABegunStreamClosesItsConnection() throws Exception {
+    // Shorter than the idle timeout, which would close the connection as well.
+    caller.setSoTimeout(5_000);
+
+    gateway.apply(new ReplyToCall(call, Reply.TIMED_OUT, 0));
+
+    assertThat(GatewayFixture.readAll(caller)).isEmpty();
+  }
 }
