Keep a begun stream if the engine that resumes it answers an error

What callers saw: a begun stream ended at once, with runs and seconds left, when the engine that was to resume it answered 500 while another one was full or the retry budget was empty. An error response can be relayed only if nothing has been delivered, but a call that had one never waited.

CallEventsTest.keepsAStreamWhoseResumptionGetsAnErrorWhileAnotherEngineIsFull: RelayErrorResponse right after the 500 before.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -266,7 +266,8 @@
       if (choice.verdict() != Verdict.PROMPT_HELD_BACK && call.triedEngines().isEmpty()) {
         unavailable.put(target, choice);
       }
-      if (ClosedEngineAdmission.opensTooLate(call, choice)) {
+      boolean unaffordable = choice.verdict() == Verdict.RETRY_BUDGET_EMPTY && !call.delivered();
+      if (unaffordable || ClosedEngineAdmission.opensTooLate(call, choice)) {
         result = result.then(next -> CallSteps.failWithoutEngine(next, call, choice));
       }
     }
@@ -314,14 +315,15 @@
 
   private static Transition<NodeState, Effect> retryOrFail(
       NodeState node, Call call, Attempt attempt, ForwardResult result) {
-    boolean hasErrorResponse = result == ForwardResult.ERROR_ANSWER;
+    // The response of another engine can't be relayed once part of one has been delivered.
+    boolean canRelayError = result == ForwardResult.ERROR_ANSWER && !call.delivered();
     Optional<FailureCause> obstacle = retryObstacle(node, call);
     FailureCause cause = obstacle.orElse(FailureCause.NO_ENGINE);
     if (obstacle.isEmpty()) {
       Choice choice = EngineSelector.choose(node, call);
       cause = choice.verdict().cause();
       boolean canWait =
-          !hasErrorResponse
+          !canRelayError
               && node.nowMs() < call.waitDeadlineMs()
               && !ClosedEngineAdmission.opensTooLate(call, choice);
       if (choice.verdict() == Verdict.CHOSEN) {
@@ -331,7 +333,7 @@
         return CallSteps.enqueue(node, call, choice);
       }
     }
-    if (hasErrorResponse) {
+    if (canRelayError) {
       long id = call.spec().id();
       return Transition.<NodeState, Effect>of(node, new RelayErrorResponse(id, attempt.number()))
           .then(next -> CallSteps.finish(next, call, CallDecision.Outcome.ENGINE_ERROR));
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -845,4 +845,36 @@
 
     assertThat(fixture.gateway().waiting()).isEmpty();
   }
+
+  /** Guards against ending a begun stream because the engine that resumes it answers an error. */
+  @Test
+  void keepsAStreamWhoseResumptionGetsAnErrorWhileAnotherEngineIsFull() {
+    setUpModelEngines(3);
+    Route chat = GatewayFixture.modelRoute("/chat/");
+    fixture.routes(
+        2,
+        new Route(
+            chat.name(),
+            chat.host(),
+            chat.pathPrefix(),
+            chat.kind(),
+            chat.timeoutMs(),
+            chat.targetLatencyMs(),
+            3,
+            chat.priority(),
+            chat.resumable(),
+            chat.maxGapMs(),
+            chat.services()));
+    startStream();
+    long id = 31;
+    fixture.reduce(new ForwardEnded(fixture.nowMs(), id, 1, ForwardResult.CONNECTION_LOST, true));
+    fixture.reduce(new ForwardEnded(fixture.nowMs(), id, 2, ForwardResult.BUSY, true));
+    fixture.take(ForwardCall.class);
+
+    fixture.reduce(new ForwardEnded(fixture.nowMs(), id, 3, ForwardResult.ERROR_ANSWER, true));
+    assertThat(fixture.take(RelayErrorResponse.class)).isEmpty();
+    fixture.advance(100);
+
+    assertThat(fixture.take(ForwardCall.class)).hasSize(1);
+  }
 }
