Answer refused calls at once when no retry is left, and look at the budget first

Since a retry is charged when it is sent, two refused calls could wait for one retry; the second was held until its wait ended, with its engine free, and refused then. Calls that have not begun are now answered as soon as the budget is empty. The selection looks at the budget before it compares engines, so begun streams that wait for a retry cost no comparison for each event.

CallEventsTest.answersARefusedCallOnceTheRetryBudgetIsSpent: no reply within 350 ms before.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -239,7 +239,7 @@
    * Interrupted responses come first, since their callers accept only a short pause. Calls that
    * have already missed their target latency come last, so that the backlog of one crest does not
    * delay all later calls beyond their targets. Calls whose engines all accept no requests for
-   * longer than the calls can wait are refused.
+   * longer than the calls can wait, or that have not begun and can't be retried, are answered.
    */
   static Transition<NodeState, Effect> serveWaiting(NodeState node) {
     Transition<NodeState, Effect> result = Transition.of(node);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
@@ -83,7 +83,7 @@
     CLOSED(Reply.ENGINES_CLOSED, FailureCause.ENGINES_CLOSED),
     /** Engines have free slots, but still process earlier prompts of this instance. */
     PROMPT_HELD_BACK(Reply.ENGINES_FULL, FailureCause.ENGINES_FULL),
-    /** Engines are available for the call, but the retry budget is empty. */
+    /** The call needs a retry, and the retry budget is empty. */
     RETRY_BUDGET_EMPTY(Reply.ENGINES_FULL, FailureCause.RETRY_BUDGET_EMPTY),
     /** No engine has the model or adapter loaded. */
     MODEL_NOT_LOADED(Reply.MODEL_ABSENT, FailureCause.MODEL_NOT_LOADED),
@@ -141,6 +141,9 @@
 
   static Choice choose(NodeState node, Call call) {
     GatewayState state = node.gateway();
+    if (call.retryDue() && !CallSteps.budget(node, call.service()).allowsRetry()) {
+      return Choice.none(Verdict.RETRY_BUDGET_EMPTY, 0);
+    }
     List<EngineState> available = new ArrayList<>();
     boolean modelLoaded = false;
     boolean anyEngine = false;
@@ -173,7 +176,7 @@
       return Choice.none(Verdict.MODEL_NOT_LOADED, 0);
     }
     if (!available.isEmpty()) {
-      return chooseAffordable(node, call, available);
+      return chooseBest(node, call, available);
     }
     if (recovering) {
       return Choice.none(Verdict.FULL, 0);
@@ -183,14 +186,6 @@
         : Choice.closedUntil(opensAtMs);
   }
 
-  private static Choice chooseAffordable(NodeState node, Call call, List<EngineState> available) {
-    Choice choice = chooseBest(node, call, available);
-    boolean affordable = !call.retryDue() || CallSteps.budget(node, call.service()).allowsRetry();
-    return choice.verdict() == Verdict.CHOSEN && !affordable
-        ? Choice.none(Verdict.RETRY_BUDGET_EMPTY, choice.candidates())
-        : choice;
-  }
-
   /**
    * Returns whether an engine that has certainly not run the call may be used for it. One that was
    * tried before may be tried again if it is no longer avoided.
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -877,4 +877,25 @@
 
     assertThat(fixture.take(ForwardCall.class)).hasSize(1);
   }
+
+  /** Guards against a refused call that is held until its wait ends although no retry is left. */
+  @Test
+  void answersARefusedCallOnceTheRetryBudgetIsSpent() {
+    fixture.routes(1, GatewayFixture.modelRoute("/chat/"));
+    fixture.engines(GatewayFixture.entry("e0", "llm", 1, 0, M1));
+    for (int i = 0; i < 5; i++) {
+      fixture.endForward(
+          fixture.call("/chat/x", Optional.of(M1), 10_000), 1, ForwardResult.COMPLETED);
+    }
+    long first = fixture.call("/chat/x", Optional.of(M1), 10_000);
+    long second = fixture.call("/chat/x", Optional.of(M1), 10_000);
+    fixture.endForward(first, 1, ForwardResult.BUSY);
+    fixture.endForward(second, 1, ForwardResult.BUSY);
+
+    fixture.advance(350);
+
+    List<ReplyToCall> replies = fixture.take(ReplyToCall.class);
+    assertThat(replies).hasSize(1);
+    assertThat(replies.get(0).reply().notRun()).isTrue();
+  }
 }
