Wait before a call is sent again to an engine that turned out to be closed

An attempt that the traffic thread ends because the engine accepts no requests is not charged, and the engine was not avoided afterwards. The engine now counts as full for the usual time.

CallEventsTest.waitsBeforeItSendsACallToAClosedEngineAgain: 10 sends before, at most 2 now.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
@@ -14,7 +14,7 @@
    * The engine stated, after the decision to send the call, that it accepts no requests for a
    * while, so nothing was sent.
    */
-  ENGINE_CLOSED(false, EngineFailure.NONE, true),
+  ENGINE_CLOSED(false, EngineFailure.FULL, true),
   /** The engine reported that it is full and did not run the call. */
   BUSY(false, EngineFailure.FULL, true),
   /**
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -898,4 +898,16 @@
     assertThat(replies).hasSize(1);
     assertThat(replies.get(0).reply().notRun()).isTrue();
   }
+
+  /** Guards against sending a call again without end to engines that turn out to be closed. */
+  @Test
+  void waitsBeforeItSendsACallToAClosedEngineAgain() {
+    setUpModelEngines(2);
+    long id = fixture.call("/chat/x", Optional.of(M1), 10_000);
+    for (int attempt = 1; fixture.gateway().waiting().isEmpty() && attempt < 10; attempt++) {
+      fixture.endForward(id, attempt, ForwardResult.ENGINE_CLOSED);
+    }
+
+    assertThat(fixture.take(ForwardCall.class).size()).isAtMost(2);
+  }
 }
