--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ClosedEngineAdmission.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ClosedEngineAdmission.java
@@ -5,9 +5,8 @@
 
 /**
  * Decides whether a call waits for an engine that accepts no requests for a while, or is refused at
- * once with a time to return. It answers the load at which all engines of a model turn requests
- * away for longer than callers wait: a call that waits in vain loses the time in which it could
- * return.
+ * once with a time to return. It answers the load at which all engines of a model reject requests
+ * for longer than callers wait: a call that waits in vain loses the time in which it could return.
  */
 final class ClosedEngineAdmission {
   /** Part of the remaining time for which callers are willing to stay away. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineExchange.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineExchange.java
@@ -3,8 +3,8 @@
 import java.util.Optional;
 
 /**
- * A request on a connection to an engine, and the rule by which its response is told from a copy of
- * an earlier one. An engine may send a copy at any time while the connection is open, with or
+ * A request on a connection to an engine, and the rule that distinguishes its response from a copy
+ * of an earlier one. An engine may send a copy at any time while the connection is open, with or
  * without the identifier that it echoes. A connection without an earlier request has no response to
  * copy.
  *
@@ -15,7 +15,7 @@
 public record EngineExchange(
     Optional<String> attemptId, boolean connectionUsed, boolean attemptIdUsed) {
 
-  /** Returns whether the response can be told from copies of earlier ones. */
+  /** Returns whether the response can be distinguished from copies of earlier ones. */
   public boolean isDistinguishable() {
     return !connectionUsed || (attemptId.isPresent() && !attemptIdUsed);
   }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/ClosedEngineTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/ClosedEngineTest.java
@@ -233,7 +233,7 @@
         .containsExactly(Reply.ENGINES_CLOSED);
   }
 
-  /** Guards against a call that was turned away and gets a reply without the time to return. */
+  /** Guards against a reply to a rejected call that does not state the time to return. */
   @Test
   void aCallThatWasTurnedAwayForLongIsRefusedAtOnce() {
     removeSecondEngine();
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/LeavingEngineTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/LeavingEngineTest.java
@@ -104,7 +104,7 @@
     assertThat(receivesCalls("e1")).isFalse();
   }
 
-  /** Guards against the list of a peer that has not heard of the leaving. */
+  /** Guards against the list of a peer that has not received the statement. */
   @Test
   void aListOfAPeerDoesNotEndTheLeaving() {
     stateLeaving("e1", 1);
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
@@ -116,8 +116,8 @@
   }
 
   /**
-   * Takes the newest usable connection on which the response of the call can be told from copies of
-   * earlier ones, or returns null.
+   * Takes the newest usable connection on which the response of the call can be distinguished from
+   * copies of earlier ones, or returns null.
    */
   private EngineChannel pollIdle(EngineAttempt attempt) {
     Deque<EngineChannel> channels = idle.get(attempt.forward().engine());
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/RepeatedRefusalTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/RepeatedRefusalTest.java
@@ -114,7 +114,7 @@
     }
   }
 
-  /** Guards against a call without an identifier, whose answer can't be told from a copy. */
+  /** Guards against a call without an identifier, whose answer looks like a copy. */
   @Test
   void callWithoutIdentifierIsNotSentOnAUsedConnection() throws Exception {
     refuseFirstCall();
