Say in the line of a lost attempt what its prompt shares with others

The lines of a call could not tell a content that crashes engines from calls that only ran beside it: call_attempt named the engine and how long the attempt took. It now has started (the engine had begun to answer) and prompt_parts (the shared parts of the prompt, in hexadecimal as the caller sent them). No decision uses them yet.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/CallDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/CallDecision.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.limpetdoor.core.gateway.CallSpec;
 import org.limpetdoor.core.gateway.ForwardResult;
 import org.limpetdoor.core.gateway.Reply;
@@ -81,19 +82,42 @@
         List.of(Field.of("engine", engine), Field.of("candidates", candidates)));
   }
 
+  /**
+   * Failed attempt of a call.
+   *
+   * @param engine engine that the attempt was sent to
+   * @param result why it failed
+   * @param tookMs time since it was sent, in milliseconds
+   * @param started whether the engine had begun to answer
+   * @param sharedPromptParts identifiers of the prompt parts that other requests may share
+   */
+  public record FailedAttempt(
+      BackendId engine,
+      ForwardResult result,
+      long tookMs,
+      boolean started,
+      List<Long> sharedPromptParts) {}
+
   /**
    * Returns the decision that records a failed attempt. A further decision reports whether the call
    * is retried.
    */
-  public static CallDecision attemptFailed(
-      Subject call, BackendId engine, ForwardResult result, long tookMs) {
+  public static CallDecision attemptFailed(Subject call, FailedAttempt attempt) {
     return new CallDecision(
         DecisionKind.CALL_ATTEMPT,
         call,
         List.of(
-            Field.of("engine", engine),
-            Field.of("reason", result.name().toLowerCase(Locale.ROOT)),
-            Field.of("took_ms", tookMs)));
+            Field.of("engine", attempt.engine()),
+            Field.of("reason", attempt.result().name().toLowerCase(Locale.ROOT)),
+            Field.of("took_ms", attempt.tookMs()),
+            Field.of("started", attempt.started()),
+            Field.of("prompt_parts", hexList(attempt.sharedPromptParts()))));
+  }
+
+  private static String hexList(List<Long> values) {
+    return values.isEmpty()
+        ? "none"
+        : values.stream().map(Long::toHexString).collect(Collectors.joining(","));
   }
 
   /** Returns the decision that records the reaction to a silent engine. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSpec.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSpec.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.core.gateway;
 
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -14,6 +15,8 @@
  * @param model requested model or adapter, if any
  * @param promptTokens length of the prompt, in tokens
  * @param affinityHash hash of the shared prefix of the prompt; 0 means no affinity
+ * @param sharedPromptParts identifiers of the prompt parts that other requests may share, in order;
+ *     the last part of a prompt is the request's own and is not among them
  * @param fingerprint hash of path, model and body, by which a repeated request is recognised
  */
 public record CallSpec(
@@ -25,4 +28,10 @@
     Optional<ModelKey> model,
     int promptTokens,
     long affinityHash,
-    long fingerprint) {}
+    List<Long> sharedPromptParts,
+    long fingerprint) {
+  /** Copies the parts. */
+  public CallSpec {
+    sharedPromptParts = List.copyOf(sharedPromptParts);
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -322,7 +322,13 @@
       NodeState node, Call call, Attempt attempt, ForwardResult result) {
     return new RecordDecision(
         CallDecision.attemptFailed(
-            subject(call), attempt.engine(), result, node.nowMs() - attempt.sentAtMs()));
+            subject(call),
+            new CallDecision.FailedAttempt(
+                attempt.engine(),
+                result,
+                node.nowMs() - attempt.sentAtMs(),
+                attempt.started(),
+                call.spec().sharedPromptParts())));
   }
 
   /** Returns the decision record of how a silent attempt was handled. */
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
@@ -246,6 +246,7 @@
             model,
             0,
             0,
+            List.of(),
             number);
     reduce(instances.get(id), new CallArrived(nowMs, spec, nowMs));
   }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
@@ -133,7 +133,7 @@
     reduce(
         new CallArrived(
             nowMs,
-            new CallSpec(id, "c" + id, HOST, path, Optional.of(timeLeftMs), model, 100, 0, 7),
+            new CallSpec(id, "c" + id, HOST, path, Optional.of(timeLeftMs), model, 100, 0, List.of(), 7),
             nowMs));
     return id;
   }
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/TestCallProtocol.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/TestCallProtocol.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 import java.util.Optional;
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.gateway.CallSpec;
@@ -17,7 +18,7 @@
   public CallSpec parseCall(long id, HttpRequest head, byte[] body) {
     String callerAttemptId = head.headers().get("Call", "none");
     return new CallSpec(
-        id, callerAttemptId, "h", head.uri(), Optional.empty(), Optional.empty(), 0, 0, 0);
+        id, callerAttemptId, "h", head.uri(), Optional.empty(), Optional.empty(), 0, 0, List.of(), 0);
   }
 
   @Override
