Learn which part of a prompt crashes engines, and share it at once

Cause: the evidence was kept by a hash of the whole request. No two of these requests are alike, so each started at zero.

Change: evidence is kept by content, which is a shared part of a prompt or a whole request. Only losses that follow one another count, so engines that crash together are one loss; an attempt whose answer had begun says nothing of its parts; an answer clears the parts, an error does not; parts that engines have answered lately are suspected only if a call has no others. The peers learn of a loss after 10 ms instead of up to 250 ms, a new peer gets all evidence, and calls that wait are answered once their part is banned. Bans end after 60 s and double with each further loss.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
@@ -4,6 +4,7 @@
 import org.limpetdoor.core.agreed.OutboxEvents;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.gateway.CallEvents;
+import org.limpetdoor.core.gateway.CrashEvents;
 import org.limpetdoor.core.gateway.EngineNoticeEvents;
 import org.limpetdoor.core.gateway.EngineOrders;
 import org.limpetdoor.core.gateway.GatewayTick;
@@ -51,6 +52,8 @@
    * empty.
    */
   GATEWAY_TICK((state, key) -> GatewayTick.tick(state)),
+  /** Evidence of contents that crash engines is reported to the peers. The key is empty. */
+  CRASH_REPORT(CrashEvents::reportDue),
   /** A graceful shutdown has reached its timeout. The key is the instance. */
   DRAIN_TIMEOUT((state, key) -> DrainEvents.timedOut(state));
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -42,6 +42,8 @@
   ENGINE_ORDER("engine_order", "engine"),
   /** A requested model or adapter is still not loaded. */
   MODEL_WAITING("model_waiting", "model"),
+  /** A prompt part or a whole request was banned, because it crashes engines. */
+  CONTENT_BANNED("content_banned", "content"),
   /** The instance has stopped reading the log and must be replaced by a later version. */
   LOG_STOP("log_stop", "offset") {
     @Override
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/GatewayDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/GatewayDecision.java
@@ -67,6 +67,20 @@
         List.of(Field.of("state", "closed"), Field.of("closed_ms", closedMs)));
   }
 
+  /**
+   * Returns the decision that records that calls with a content are refused for a while.
+   *
+   * @param content hash of the content: a prompt part or a whole request
+   * @param losses number of engines that were lost in sequence while they ran such calls
+   * @param bannedMs time for which such calls are refused, in milliseconds
+   */
+  public static GatewayDecision contentBanned(long content, int losses, long bannedMs) {
+    return new GatewayDecision(
+        DecisionKind.CONTENT_BANNED,
+        Long.toHexString(content),
+        List.of(Field.of("losses", losses), Field.of("banned_ms", bannedMs)));
+  }
+
   /** Returns the decision that records that an engine is no longer listed. */
   public static GatewayDecision engineGone(BackendId id) {
     return new GatewayDecision(DecisionKind.ENGINE, id.value(), List.of(Field.of("state", "gone")));
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallContents.java
@@ -0,0 +1,38 @@
+package org.limpetdoor.core.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.limpetdoor.core.gateway.Call.Attempt;
+import org.limpetdoor.core.request.Rendezvous;
+
+/** Decides which contents of a call an attempt is evidence of. */
+final class CallContents {
+  private CallContents() {}
+
+  /** Returns the whole request and the parts of the prompt that other requests may share. */
+  static List<Long> all(CallSpec spec) {
+    List<Long> contents = new ArrayList<>(spec.sharedPromptParts());
+    contents.add(spec.fingerprint());
+    return contents;
+  }
+
+  /**
+   * Returns the contents that may have crashed the engine of a lost attempt. A part crashes engines
+   * that begin to answer, so an attempt that had begun is evidence against the whole request only.
+   * Parts that engines have answered lately are suspected only if the call has no others: a part
+   * that crashes engines comes together with sound ones.
+   */
+  static List<Long> suspected(CallSpec spec, Attempt attempt, AnsweredContents answered) {
+    List<Long> parts = attempt.started() ? List.of() : spec.sharedPromptParts();
+    List<Long> unanswered = parts.stream().filter(part -> !answered.contains(part)).toList();
+    List<Long> contents = new ArrayList<>(unanswered.isEmpty() ? parts : unanswered);
+    contents.add(spec.fingerprint());
+    return contents;
+  }
+
+  /** Returns the loss of an attempt, with an identifier that differs between all instances. */
+  static EngineLoss loss(CallSpec spec, Attempt attempt, long nowMs) {
+    long id = Rendezvous.hash(spec.callerAttemptId() + "/" + attempt.number());
+    return new EngineLoss(id, attempt.sentAtMs(), nowMs);
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -57,7 +57,7 @@
     if (node.nowMs() >= call.deadlineMs()) {
       return CallSteps.refuseOnArrival(node, spec, Reply.EXPIRED_UNSENT);
     }
-    if (state.crashRecords().isBanned(spec.fingerprint())) {
+    if (state.crashRecords().bannedContent(spec, node.nowMs()).isPresent()) {
       return CallSteps.refuseOnArrival(node, spec, Reply.CRASH_SUSPECT);
     }
     NodeState afterCount = CallSteps.countArrival(node, call);
@@ -80,17 +80,17 @@
     Attempt attempt = call.activeAttempt().orElseThrow();
     long tookMs = node.nowMs() - attempt.sentAtMs();
     GatewayState state = node.gateway();
-    return Transition.<NodeState, Effect>of(
-            node.withGateway(
-                state
-                    .withCall(call.withResponseStarted())
-                    .withEngines(
-                        state
-                            .engines()
-                            .update(
-                                attempt.engine(),
-                                engine -> CallSteps.recordResponseStarted(engine, call, tookMs)))))
-        .then(CallEvents::serveWaiting);
+    NodeState started =
+        node.withGateway(
+            state
+                .withCall(call.withResponseStarted())
+                .withEngines(
+                    state
+                        .engines()
+                        .update(
+                            attempt.engine(),
+                            engine -> CallSteps.recordResponseStarted(engine, call, tookMs))));
+    return CrashEvents.answerStarted(started, call).then(CallEvents::serveWaiting);
   }
 
   /**
@@ -148,11 +148,13 @@
     NodeState recorded =
         CallSteps.recordResult(
             CallSteps.releaseEngine(node, before, attempt), call, attempt, event.result());
-    Transition<NodeState, Effect> result =
-        event.result().failure()
-            ? attemptFailed(recorded, call, attempt, event.result())
-            : CallSteps.finish(recorded, call, CallDecision.Outcome.COMPLETED);
-    return result.then(CallEvents::serveWaiting);
+    return CrashEvents.attemptEnded(recorded, call, attempt, event.result())
+        .then(
+            next ->
+                event.result().failure()
+                    ? attemptFailed(next, call, attempt, event.result())
+                    : CallSteps.finish(next, call, CallDecision.Outcome.COMPLETED))
+        .then(CallEvents::serveWaiting);
   }
 
   /** Removes the call of a caller that has disconnected and cancels its attempt. */
@@ -239,7 +241,8 @@
    * Interrupted responses come first, since their callers accept only a short pause. Calls that
    * have already missed their target latency come last, so that the backlog of one crest does not
    * delay all later calls beyond their targets. Calls whose engines all accept no requests for
-   * longer than the calls can wait, or that have not begun and can't be retried, are answered.
+   * longer than the calls can wait, that have been banned meanwhile, or that have not begun and
+   * can't be retried, are answered.
    */
   static Transition<NodeState, Effect> serveWaiting(NodeState node) {
     Transition<NodeState, Effect> result = Transition.of(node);
@@ -263,11 +266,13 @@
         result = result.then(next -> CallSteps.send(CallSteps.dequeue(next, call), call, choice));
         continue;
       }
-      if (choice.verdict() != Verdict.PROMPT_HELD_BACK && call.triedEngines().isEmpty()) {
+      boolean banned = choice.verdict() == Verdict.REQUEST_BANNED;
+      boolean sameForTarget = !banned && choice.verdict() != Verdict.PROMPT_HELD_BACK;
+      if (sameForTarget && call.triedEngines().isEmpty()) {
         unavailable.put(target, choice);
       }
       boolean unaffordable = choice.verdict() == Verdict.RETRY_BUDGET_EMPTY && !call.delivered();
-      if (unaffordable || ClosedEngineAdmission.opensTooLate(call, choice)) {
+      if (banned || unaffordable || ClosedEngineAdmission.opensTooLate(call, choice)) {
         result = result.then(next -> CallSteps.failWithoutEngine(next, call, choice));
       }
     }
@@ -362,7 +367,7 @@
     if (node.nowMs() >= call.deadlineMs()) {
       return Optional.of(FailureCause.EXPIRED);
     }
-    if (node.gateway().crashRecords().isBanned(call.spec().fingerprint())) {
+    if (node.gateway().crashRecords().bannedContent(call.spec(), node.nowMs()).isPresent()) {
       return Optional.of(FailureCause.REQUEST_BANNED);
     }
     boolean mayWaitForRetry = !call.retryDue() || call.delivered();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -41,7 +41,10 @@
    * passes before an engine accepts requests. Requests the model if no engine has it loaded.
    */
   static Transition<NodeState, Effect> enqueue(NodeState node, Call call, Choice choice) {
-    if (node.nowMs() >= call.waitDeadlineMs() || ClosedEngineAdmission.opensTooLate(call, choice)) {
+    boolean hopeless =
+        choice.verdict() == Verdict.REQUEST_BANNED
+            || ClosedEngineAdmission.opensTooLate(call, choice);
+    if (hopeless || node.nowMs() >= call.waitDeadlineMs()) {
       return failWithoutEngine(node, call, choice);
     }
     Verdict verdict = choice.verdict();
@@ -116,6 +119,7 @@
           case MODEL_NOT_LOADED -> RETRY_AFTER_LOAD_MS;
           case CLOSED ->
               ClosedEngineAdmission.returnAfterMs(call, node.nowMs(), choice.opensAtMs());
+          case REQUEST_BANNED -> 0;
           default -> RETRY_AFTER_FULL_MS;
         };
     return fail(node, call, choice.verdict().refusal(), retryAfterMs, choice.verdict().cause());
@@ -220,16 +224,14 @@
                     engine -> engine.withLoad(load -> load.withEnded(call, attempt.started())))));
   }
 
-  /** Updates the health of the engine and the crash records with the result of an attempt. */
+  /** Updates the health of the engine with the result of an attempt. */
   static NodeState recordResult(NodeState node, Call call, Attempt attempt, ForwardResult result) {
     GatewayState state = node.gateway();
     EngineTable engines =
         state
             .engines()
             .update(attempt.engine(), engine -> withResult(node, engine, call, attempt, result));
-    CrashRecords crashRecords = updateCrashRecords(node, call, attempt, result);
-    NodeState recorded =
-        node.withGateway(state.withEngines(engines).withCrashRecords(crashRecords));
+    NodeState recorded = node.withGateway(state.withEngines(engines));
     return result.failure() ? withRetryTimers(recorded, attempt.engine()) : recorded;
   }
 
@@ -245,27 +247,6 @@
     return node.withTimers(timers);
   }
 
-  /**
-   * Updates the crash records. A request that an engine has answered does not crash engines, so its
-   * earlier losses are cleared.
-   */
-  private static CrashRecords updateCrashRecords(
-      NodeState node, Call call, Attempt attempt, ForwardResult result) {
-    long fingerprint = call.spec().fingerprint();
-    CrashRecords crashRecords = node.gateway().crashRecords();
-    return switch (result) {
-      case CONNECTION_LOST ->
-          crashRecords.withLoss(fingerprint, lossId(call, attempt), node.nowMs());
-      case COMPLETED, ERROR_ANSWER -> crashRecords.withoutLosses(fingerprint);
-      default -> crashRecords;
-    };
-  }
-
-  /** Returns an identifier of the loss of an attempt, which differs between all instances. */
-  private static String lossId(Call call, Attempt attempt) {
-    return call.spec().callerAttemptId() + "/" + attempt.number();
-  }
-
   private static EngineState withResult(
       NodeState node, EngineState engine, Call call, Attempt attempt, ForwardResult result) {
     if (result == ForwardResult.COMPLETED) {
--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashEvents.java
@@ -0,0 +1,115 @@
+package org.limpetdoor.core.gateway;
+
+import java.util.Collection;
+import java.util.List;
+import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Timed;
+import org.limpetdoor.core.Timer;
+import org.limpetdoor.core.TimerKind;
+import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.decision.GatewayDecision;
+import org.limpetdoor.core.effect.Effect;
+import org.limpetdoor.core.effect.RecordDecision;
+import org.limpetdoor.core.gateway.Call.Attempt;
+
+/** Records contents that crash engines, and shares the evidence with the peers. */
+public final class CrashEvents {
+  /**
+   * Delay of a report to the peers, in milliseconds; the calls that were in flight on an engine are
+   * lost within it. Without a report, peers would crash further engines until the next digest.
+   */
+  private static final long REPORT_DELAY_MS = 10;
+
+  private CrashEvents() {}
+
+  /** Records what the end of an attempt shows about the contents of its call. */
+  static Transition<NodeState, Effect> attemptEnded(
+      NodeState node, Call call, Attempt attempt, ForwardResult result) {
+    CrashRecords records = node.gateway().crashRecords();
+    return switch (result) {
+      case CONNECTION_LOST -> {
+        Collection<Long> contents =
+            CallContents.suspected(call.spec(), attempt, records.answered());
+        EngineLoss loss = CallContents.loss(call.spec(), attempt, node.nowMs());
+        yield changed(node, records.withLoss(contents, loss, node.nowMs()), contents)
+            .then(CrashEvents::scheduleReport);
+      }
+      case COMPLETED -> answered(node, CallContents.all(call.spec()));
+      default -> Transition.of(node);
+    };
+  }
+
+  /**
+   * Records that an engine has begun to answer a call. Its prompt parts do not crash engines; the
+   * request as a whole may still do so.
+   */
+  static Transition<NodeState, Effect> answerStarted(NodeState node, Call call) {
+    return answered(node, call.spec().sharedPromptParts());
+  }
+
+  private static Transition<NodeState, Effect> answered(NodeState node, List<Long> contents) {
+    CrashRecords records = node.gateway().crashRecords();
+    CrashRecords next = records.withAnswer(contents, node.nowMs());
+    NodeState recorded = withRecords(node, next);
+    boolean lossesCancelled = next.suspicions() != records.suspicions();
+    return lossesCancelled ? scheduleReport(recorded) : Transition.of(recorded);
+  }
+
+  /**
+   * Records the evidence of a peer. Instances through which others exchange messages pass it on at
+   * once.
+   */
+  static Transition<NodeState, Effect> reportsReceived(NodeState node, List<CrashReport> reports) {
+    CrashRecords records = node.gateway().crashRecords();
+    CrashRecords merged = records.withReports(reports, node.nowMs());
+    if (merged.suspicions() == records.suspicions()) {
+      return Transition.of(node);
+    }
+    Transition<NodeState, Effect> result =
+        changed(node, merged, reports.stream().map(CrashReport::content).toList());
+    return node.gateway().peers().hasSpokes() ? result.then(CrashEvents::scheduleReport) : result;
+  }
+
+  /** Sends the evidence to the peers. */
+  public static Transition<NodeState, Effect> reportDue(NodeState node, String key) {
+    CrashRecords records = node.gateway().crashRecords();
+    return Digests.send(withRecords(node, records.withReportDueAtMs(Timed.NEVER_MS)));
+  }
+
+  private static Transition<NodeState, Effect> scheduleReport(NodeState node) {
+    CrashRecords records = node.gateway().crashRecords();
+    if (records.reportDueAtMs() != Timed.NEVER_MS) {
+      return Transition.of(node);
+    }
+    long dueAtMs = node.nowMs() + REPORT_DELAY_MS;
+    return Transition.of(
+        withRecords(node, records.withReportDueAtMs(dueAtMs))
+            .withTimers(node.timers().plus(new Timer(dueAtMs, TimerKind.CRASH_REPORT, ""))));
+  }
+
+  /** Applies changed records, and records the decision to ban contents. */
+  private static Transition<NodeState, Effect> changed(
+      NodeState node, CrashRecords next, Collection<Long> contents) {
+    CrashRecords previous = node.gateway().crashRecords();
+    Transition<NodeState, Effect> result = Transition.of(withRecords(node, next));
+    for (long content : contents) {
+      if (next.isBanned(content, node.nowMs()) && !previous.isBanned(content, node.nowMs())) {
+        CrashSuspicion suspicion = next.suspicions().get(content);
+        result =
+            result.with(
+                new RecordDecision(
+                    GatewayDecision.contentBanned(
+                        content,
+                        suspicion.losses().size(),
+                        suspicion.bannedUntilMs() - node.nowMs())));
+      }
+    }
+    return result;
+  }
+
+  private static NodeState withRecords(NodeState node, CrashRecords records) {
+    return records == node.gateway().crashRecords()
+        ? node
+        : node.withGateway(node.gateway().withCrashRecords(records));
+  }
+}
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
@@ -1,88 +1,126 @@
 package org.limpetdoor.core.gateway;
 
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.limpetdoor.core.Timed;
 import org.pcollections.HashTreePMap;
-import org.pcollections.HashTreePSet;
 import org.pcollections.PMap;
-import org.pcollections.PSet;
 
 /**
- * The connections to engines that were lost while they ran a request, so that a request that
- * crashes engines is refused after a few attempts. Requests are identified by fingerprint, because
- * callers may send them again to any instance. Each loss has an identifier, so that one that is
- * reported on several ways counts once.
+ * Evidence of contents that crash engines, so that calls with them are refused after a few crashes.
+ * A content is a part of a prompt or a whole request. Callers may send it again to any instance, so
+ * the evidence is shared with the peers.
  *
- * @param losses losses by fingerprint, including those reported by peers
- * @param unreported losses not yet reported to peers, by fingerprint
+ * @param suspicions evidence by content, including that of peers
+ * @param answered contents that engines have answered lately
+ * @param reportDueAtMs time of the next report to the peers, in monotonic milliseconds, or {@link
+ *     Timed#NEVER_MS} if the next digest is early enough
  */
-record CrashRecords(PMap<Long, EngineLosses> losses, PMap<Long, PSet<String>> unreported) {
-  static final CrashRecords EMPTY = new CrashRecords(HashTreePMap.empty(), HashTreePMap.empty());
+record CrashRecords(
+    PMap<Long, CrashSuspicion> suspicions, AnsweredContents answered, long reportDueAtMs) {
+  static final CrashRecords EMPTY =
+      new CrashRecords(HashTreePMap.empty(), AnsweredContents.NONE, Timed.NEVER_MS);
 
-  /**
-   * Number of losses from which a request is refused; the platform allows three crashed engines.
-   */
-  private static final int MAX_LOSSES = 3;
+  /** Bounds the memory; each call in flight on a lost engine adds one or two contents. */
+  private static final int MAX_SUSPICIONS = 2_000;
 
-  /**
-   * Time after the last loss at which the record of a request is removed, in milliseconds. Callers
-   * stop retrying long before.
-   */
-  private static final long RETENTION_MS = 60_000;
+  /** Bounds the size of a digest. */
+  private static final int MAX_REPORTS = 200;
 
-  /**
-   * Losses attributed to one request.
-   *
-   * @param lossIds identifiers of the losses
-   * @param lastAtMs time of the last loss, in monotonic milliseconds
-   */
-  record EngineLosses(PSet<String> lossIds, long lastAtMs) {}
+  private static final Comparator<Map.Entry<Long, CrashSuspicion>> MOST_LOSSES_FIRST =
+      Comparator.<Map.Entry<Long, CrashSuspicion>>comparingInt(
+              entry -> -entry.getValue().losses().size())
+          .thenComparingLong(entry -> -entry.getValue().changedAtMs())
+          .thenComparingLong(Map.Entry::getKey);
 
-  boolean isBanned(long fingerprint) {
-    EngineLosses recorded = losses.get(fingerprint);
-    return recorded != null && recorded.lossIds().size() >= MAX_LOSSES;
+  /** Returns a banned content of the call, if it has one. */
+  Optional<Long> bannedContent(CallSpec spec, long nowMs) {
+    return suspicions.isEmpty()
+        ? Optional.empty()
+        : CallContents.all(spec).stream().filter(content -> isBanned(content, nowMs)).findFirst();
   }
 
-  /**
-   * Records that the connection to an engine was lost while it ran the request. A loss that is not
-   * known yet is reported to the peers.
-   */
-  CrashRecords withLoss(long fingerprint, String lossId, long nowMs) {
-    EngineLosses current =
-        losses.getOrDefault(fingerprint, new EngineLosses(HashTreePSet.empty(), nowMs));
-    if (current.lossIds().contains(lossId)) {
-      return this;
+  boolean isBanned(long content, long nowMs) {
+    CrashSuspicion suspicion = suspicions.get(content);
+    return suspicion != null && suspicion.isBanned(nowMs);
+  }
+
+  /** Records that the connection to an engine was lost while it ran a call with some contents. */
+  CrashRecords withLoss(Collection<Long> contents, EngineLoss loss, long nowMs) {
+    PMap<Long, CrashSuspicion> next = suspicions;
+    for (long content : contents) {
+      CrashSuspicion known = next.getOrDefault(content, CrashSuspicion.NONE);
+      next = next.plus(content, known.withLoss(loss, nowMs));
+    }
+    return withSuspicions(next).bounded();
+  }
+
+  /** Records that an engine answered a call with some contents. */
+  CrashRecords withAnswer(Collection<Long> contents, long nowMs) {
+    PMap<Long, CrashSuspicion> next = suspicions;
+    AnsweredContents nextAnswered = answered;
+    for (long content : contents) {
+      nextAnswered = nextAnswered.with(content, nowMs);
+      CrashSuspicion known = next.get(content);
+      CrashSuspicion cleared = known == null ? null : known.withAnswer(nowMs, nowMs);
+      next = cleared == known ? next : next.plus(content, cleared);
+    }
+    return next == suspicions && nextAnswered == answered
+        ? this
+        : new CrashRecords(next, nextAnswered, reportDueAtMs);
+  }
+
+  /** Returns the records together with what a peer has reported. */
+  CrashRecords withReports(List<CrashReport> reports, long nowMs) {
+    PMap<Long, CrashSuspicion> next = suspicions;
+    for (CrashReport report : reports) {
+      CrashSuspicion known = next.getOrDefault(report.content(), CrashSuspicion.NONE);
+      CrashSuspicion merged = known.withReport(report, nowMs);
+      next = merged == known ? next : next.plus(report.content(), merged);
     }
-    PSet<String> reports = unreported.getOrDefault(fingerprint, HashTreePSet.empty());
-    return new CrashRecords(
-        losses.plus(fingerprint, new EngineLosses(current.lossIds().plus(lossId), nowMs)),
-        unreported.plus(fingerprint, reports.plus(lossId)));
+    return withSuspicions(next).bounded();
   }
 
-  /** Removes the losses of a request that an engine has answered. */
-  CrashRecords withoutLosses(long fingerprint) {
-    return losses.containsKey(fingerprint)
-        ? new CrashRecords(losses.minus(fingerprint), unreported.minus(fingerprint))
-        : this;
+  /** Returns the evidence that has changed since a time, for a peer, the worst first. */
+  List<CrashReport> reportsSince(long sinceMs, long nowMs) {
+    return suspicions.entrySet().stream()
+        .filter(entry -> entry.getValue().changedAtMs() >= sinceMs)
+        .sorted(MOST_LOSSES_FIRST)
+        .limit(MAX_REPORTS)
+        .map(entry -> entry.getValue().toReport(entry.getKey(), nowMs))
+        .toList();
   }
 
-  /** Records losses that a peer reported. */
-  CrashRecords withPeerLosses(PMap<Long, PSet<String>> reported, long nowMs) {
-    CrashRecords result = this;
-    for (Map.Entry<Long, PSet<String>> entry : reported.entrySet()) {
-      for (String lossId : entry.getValue()) {
-        result = result.withLoss(entry.getKey(), lossId, nowMs);
-      }
+  CrashRecords withoutExpired(long nowMs) {
+    PMap<Long, CrashSuspicion> remaining = suspicions;
+    for (Map.Entry<Long, CrashSuspicion> entry : suspicions.entrySet()) {
+      remaining = entry.getValue().isExpired(nowMs) ? remaining.minus(entry.getKey()) : remaining;
     }
-    return result;
+    return withSuspicions(remaining);
+  }
+
+  CrashRecords withReportDueAtMs(long value) {
+    return new CrashRecords(suspicions, answered, value);
   }
 
-  /** Marks all losses as reported to peers and removes expired records. */
-  CrashRecords withAllReported(long nowMs) {
-    PMap<Long, EngineLosses> retained = losses;
-    for (Map.Entry<Long, EngineLosses> entry : losses.entrySet()) {
-      boolean expired = nowMs - entry.getValue().lastAtMs() > RETENTION_MS;
-      retained = expired ? retained.minus(entry.getKey()) : retained;
+  private CrashRecords withSuspicions(PMap<Long, CrashSuspicion> value) {
+    return value == suspicions ? this : new CrashRecords(value, answered, reportDueAtMs);
+  }
+
+  /** Drops all but the worst suspicions. The sort runs only when too many engines are lost. */
+  private CrashRecords bounded() {
+    if (suspicions.size() <= MAX_SUSPICIONS) {
+      return this;
     }
-    return new CrashRecords(retained, HashTreePMap.empty());
+    List<Long> dropped =
+        suspicions.entrySet().stream()
+            .sorted(MOST_LOSSES_FIRST)
+            .skip(MAX_SUSPICIONS / 2)
+            .map(Map.Entry::getKey)
+            .toList();
+    return withSuspicions(suspicions.minusAll(dropped));
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DigestWriter.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DigestWriter.java
@@ -1,6 +1,7 @@
 package org.limpetdoor.core.gateway;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.id.BackendId;
@@ -86,7 +87,14 @@
         load.gapsMs(),
         load.adaptersInUse(),
         upwards ? state.arrivals() : HashTreePMap.empty(),
-        state.crashRecords().unreported());
+        crashReports(state, receiver));
+  }
+
+  /** Returns the evidence of crashes since the last digest to a peer, or all for a new peer. */
+  private List<CrashReport> crashReports(GatewayState state, InstanceId receiver) {
+    LoadDigest previous = state.fleet().sent().get(receiver);
+    long sinceMs = previous == null ? Long.MIN_VALUE : previous.times().sentAtMs();
+    return state.crashRecords().reportsSince(sinceMs, node.nowMs());
   }
 
   /** A spoke counts its own calls itself, so they are not part of what its hub sends. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -58,7 +58,7 @@
     GatewayState sent =
         state
             .withFleet(state.fleet().withSent(sentDigests))
-            .withCrashRecords(state.crashRecords().withAllReported(node.nowMs()));
+            .withCrashRecords(state.crashRecords().withoutExpired(node.nowMs()));
     GatewayState reported =
         arrivalsKept
             ? sent
@@ -75,7 +75,7 @@
   private static boolean isDue(LoadDigest previous, LoadDigest next, long nowMs) {
     boolean overdue = nowMs - previous.times().sentAtMs() >= UNCHANGED_INTERVAL_MS;
     boolean betweenHubs = next.scope() == DigestScope.GROUP;
-    boolean urgent = !next.lostEngines().isEmpty() || next.scope() != previous.scope();
+    boolean urgent = !next.crashReports().isEmpty() || next.scope() != previous.scope();
     return overdue || urgent || (betweenHubs && !next.saysTheSameAs(previous));
   }
 
@@ -159,9 +159,7 @@
     PeerLoads peers = isHub || ofSpoke ? state.peers() : PeerLoads.NONE;
     GatewayState recorded =
         withArrivals(state, digest, node.nowMs())
-            .withPeers(peers.with(peer, ReceivedDigest.of(digest, node.nowMs())))
-            .withCrashRecords(
-                state.crashRecords().withPeerLosses(digest.lostEngines(), node.nowMs()));
+            .withPeers(peers.with(peer, ReceivedDigest.of(digest, node.nowMs())));
     Duty duty =
         digest.fencingNumber() > 0
             ? state.duty().withHolderReport(peer, digest.fencingNumber(), node.nowMs())
@@ -169,7 +167,11 @@
     boolean knownPeer = state.peers().byPeer().containsKey(peer);
     NodeState next = node.withGateway(recorded.withDuty(duty));
     NodeState resized = knownPeer ? next : RetryBudgets.resize(next);
-    return ofSpoke ? Transition.of(resized) : FactsEvents.digestReceived(resized, peer, digest);
+    Transition<NodeState, Effect> reported =
+        CrashEvents.reportsReceived(resized, digest.crashReports());
+    return ofSpoke
+        ? reported
+        : reported.then(current -> FactsEvents.digestReceived(current, peer, digest));
   }
 
   /** Adds the calls of a spoke to those that this instance reports with its next digest. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
@@ -83,6 +83,8 @@
     CLOSED(Reply.ENGINES_CLOSED, FailureCause.ENGINES_CLOSED),
     /** Engines have free slots, but still process earlier prompts of this instance. */
     PROMPT_HELD_BACK(Reply.ENGINES_FULL, FailureCause.ENGINES_FULL),
+    /** The call has a content that crashes engines. */
+    REQUEST_BANNED(Reply.CRASH_SUSPECT, FailureCause.REQUEST_BANNED),
     /** The call needs a retry, and the retry budget is empty. */
     RETRY_BUDGET_EMPTY(Reply.ENGINES_FULL, FailureCause.RETRY_BUDGET_EMPTY),
     /** No engine has the model or adapter loaded. */
@@ -102,7 +104,7 @@
 
     /** Returns whether an engine may become available for the call while it waits. */
     boolean mayChange() {
-      return this != NO_UNTRIED_ENGINE && this != NO_ENGINE;
+      return this != NO_UNTRIED_ENGINE && this != NO_ENGINE && this != REQUEST_BANNED;
     }
 
     /** Returns why a call that gets no engine fails. */
@@ -141,6 +143,9 @@
 
   static Choice choose(NodeState node, Call call) {
     GatewayState state = node.gateway();
+    if (state.crashRecords().bannedContent(call.spec(), node.nowMs()).isPresent()) {
+      return Choice.none(Verdict.REQUEST_BANNED, 0);
+    }
     if (call.retryDue() && !CallSteps.budget(node, call.service()).allowsRetry()) {
       return Choice.none(Verdict.RETRY_BUDGET_EMPTY, 0);
     }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.limpetdoor.core.config.Ranges;
+import org.limpetdoor.core.gateway.CrashReport;
 import org.limpetdoor.core.gateway.EngineListing;
 import org.limpetdoor.core.gateway.ModelKey;
 import org.limpetdoor.core.gateway.RouteTable;
@@ -84,8 +85,8 @@
    * @param adaptersInUse adapters with calls in flight; empty in a digest of the fleet
    * @param arrivals number of calls that arrived for each model since the last digest; empty in a
    *     digest of the fleet
-   * @param lostEngines identifiers of the losses of connections while each call ran, since the last
-   *     digest, by fingerprint of the call
+   * @param crashReports evidence of contents that crash engines that has changed since the last
+   *     digest to the receiver
    */
   record LoadDigest(
       DigestScope scope,
@@ -96,15 +97,20 @@
       PMap<BackendId, Integer> gapsMs,
       PSet<ModelKey> adaptersInUse,
       PMap<ModelKey, Integer> arrivals,
-      PMap<Long, PSet<String>> lostEngines)
+      List<CrashReport> crashReports)
       implements PeerMessage {
+    /** Copies the reports. */
+    public LoadDigest {
+      crashReports = List.copyOf(crashReports);
+    }
+
     /**
      * Returns whether a receiver of the other digest learns nothing new from this one but that its
-     * sender is live. Calls and losses since the last digest are always new.
+     * sender is live. Calls and reports since the last digest are always new.
      */
     public boolean saysTheSameAs(LoadDigest other) {
       return arrivals.isEmpty()
-          && lostEngines.isEmpty()
+          && crashReports.isEmpty()
           && scope == other.scope
           && fencingNumber == other.fencingNumber
           && facts.configurationVersion() == other.facts.configurationVersion()
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -827,7 +827,7 @@
                 HashTreePMap.empty(),
                 HashTreePSet.empty(),
                 HashTreePMap.empty(),
-                HashTreePMap.empty())));
+                List.of())));
   }
 
   /** Guards against a call that waits although the calls of peers have left its engine. */
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FactsEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FactsEventsTest.java
@@ -41,7 +41,7 @@
         HashTreePMap.empty(),
         HashTreePSet.empty(),
         HashTreePMap.empty(),
-        HashTreePMap.empty());
+        List.of());
   }
 
   private void receive(InstanceId peer, PeerMessage message) {
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
@@ -18,10 +18,13 @@
 import org.limpetdoor.core.effect.ConnectPeer;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.FollowStore;
+import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.effect.SendToPeer;
 import org.limpetdoor.core.event.CallArrived;
 import org.limpetdoor.core.event.EnginesRead;
 import org.limpetdoor.core.event.Event;
+import org.limpetdoor.core.event.ForwardEnded;
+import org.limpetdoor.core.event.ForwardStarted;
 import org.limpetdoor.core.event.GatewayStarted;
 import org.limpetdoor.core.event.InstancesListed;
 import org.limpetdoor.core.event.PeerLinkDown;
@@ -45,6 +48,7 @@
   private static final int LONG_TIMEOUT_MS = 1_000_000;
 
   private static final long LATENCY_MS = 4;
+  private static final long FIRST_EVENT_MS = 40;
   private static final long CONNECT_MS = 15;
   private static final long STORE_MS = 8;
 
@@ -59,6 +63,9 @@
   private final List<BackendId> removed = new ArrayList<>();
   private final Set<InstanceId> cutFromStore = new HashSet<>();
   private final Map<InstanceId, Integer> reportedCalls = new HashMap<>();
+  private final List<Long> crashTimesMs = new ArrayList<>();
+  private Optional<Long> crashingPart = Optional.empty();
+  private int answeredCalls;
   private RouteTable routes;
   private long listOffset = 10;
   private long nowMs = 1_000;
@@ -197,6 +204,13 @@
   }
 
   /** Stops an instance for some time; its links stay open and messages to it are delayed. */
+  /** Starts an instance again that was ended; it has forgotten everything. */
+  void restart(InstanceId id) {
+    Instance restarted = new Instance(id, instances.get(id).zone);
+    instances.put(id, restarted);
+    reduce(restarted, new GatewayStarted(nowMs, GatewayFixture.SETTINGS));
+  }
+
   void freeze(InstanceId id, boolean frozen) {
     instances.get(id).frozen = frozen;
   }
@@ -235,7 +249,33 @@
     call(id, number, Optional.of(model));
   }
 
+  /** Lets engines answer calls from now on, unless their prompt has a part that crashes them. */
+  void answerCallsWithout(long part) {
+    crashingPart = Optional.of(part);
+  }
+
+  /** Returns the times at which engines crashed, in monotonic milliseconds. */
+  List<Long> crashTimesMs() {
+    return List.copyOf(crashTimesMs);
+  }
+
+  int answeredCalls() {
+    return answeredCalls;
+  }
+
+  long nowMs() {
+    return nowMs;
+  }
+
+  void prompt(InstanceId id, long number, List<Long> sharedParts) {
+    call(id, number, Optional.empty(), sharedParts);
+  }
+
   private void call(InstanceId id, long number, Optional<ModelKey> model) {
+    call(id, number, model, List.of());
+  }
+
+  private void call(InstanceId id, long number, Optional<ModelKey> model, List<Long> sharedParts) {
     CallSpec spec =
         new CallSpec(
             number,
@@ -246,7 +286,7 @@
             model,
             0,
             0,
-            List.of(),
+            sharedParts,
             number);
     reduce(instances.get(id), new CallArrived(nowMs, spec, nowMs));
   }
@@ -310,7 +350,26 @@
       after(LATENCY_MS, () -> deliver(instance, message.peer(), message.message()));
     } else if (effect instanceof FollowStore follow) {
       follow(instance, follow.engineIntervalMs());
+    } else if (effect instanceof ForwardCall forward && crashingPart.isPresent()) {
+      after(FIRST_EVENT_MS, () -> runOnEngine(instance, forward));
+    }
+  }
+
+  /** Answers a call, or loses its connection if its prompt has the part that crashes engines. */
+  private void runOnEngine(Instance instance, ForwardCall forward) {
+    Call call = instance.state.gateway().calls().get(forward.call());
+    if (!instance.live || call == null) {
+      return;
+    }
+    boolean crashes = call.spec().sharedPromptParts().contains(crashingPart.get());
+    if (crashes) {
+      crashTimesMs.add(nowMs);
+    } else {
+      answeredCalls++;
+      reduce(instance, new ForwardStarted(nowMs, forward.call(), forward.attempt()));
     }
+    ForwardResult result = crashes ? ForwardResult.CONNECTION_LOST : ForwardResult.COMPLETED;
+    reduce(instance, new ForwardEnded(nowMs, forward.call(), forward.attempt(), result, !crashes));
   }
 
   private void connect(Instance from, Instance to) {
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
@@ -133,13 +133,45 @@
     reduce(
         new CallArrived(
             nowMs,
-            new CallSpec(id, "c" + id, HOST, path, Optional.of(timeLeftMs), model, 100, 0, List.of(), 7),
+            new CallSpec(
+                id, "c" + id, HOST, path, Optional.of(timeLeftMs), model, 100, 0, List.of(), 7),
             nowMs));
     return id;
   }
 
+  /** Delivers a call for {@code m1} whose prompt has the given shared parts and one of its own. */
+  long prompt(Long... sharedParts) {
+    long id = nextCall++;
+    reduce(
+        new CallArrived(
+            nowMs,
+            new CallSpec(
+                id,
+                "c" + id,
+                HOST,
+                "/chat/x",
+                Optional.of(10_000),
+                Optional.of(ModelKey.of("m1")),
+                100,
+                0,
+                List.of(sharedParts),
+                1_000 + id),
+            nowMs));
+    return id;
+  }
+
+  /** Establishes a link to a peer and delivers evidence of crashes from it. */
+  void peerReports(CrashReport... reports) {
+    peerDigest("node-2", true, 0, List.of(reports));
+  }
+
   /** Establishes a link to a peer and delivers a digest from it. */
   void peerDigest(String peer, boolean storeReachable, long fencingNumber) {
+    peerDigest(peer, storeReachable, fencingNumber, List.of());
+  }
+
+  private void peerDigest(
+      String peer, boolean storeReachable, long fencingNumber, List<CrashReport> reports) {
     InstanceId id = new InstanceId(peer);
     LoadDigest digest =
         new LoadDigest(
@@ -151,7 +183,7 @@
             HashTreePMap.empty(),
             HashTreePSet.empty(),
             HashTreePMap.empty(),
-            HashTreePMap.empty());
+            reports);
     reduce(new PeerLinkUp(nowMs, id));
     reduce(new PeerMessageReceived(nowMs, id, digest));
   }
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
@@ -1,8 +1,10 @@
 package org.limpetdoor.format.peer;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import org.limpetdoor.core.LimpetdoorException;
+import org.limpetdoor.core.gateway.CrashReport;
 import org.limpetdoor.core.gateway.ModelKey;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.membership.DigestScope;
@@ -119,11 +121,7 @@
           Values.packKey(packer, entry.getKey());
           packer.packInt(entry.getValue());
         }
-        packer.packMapHeader(digest.lostEngines().size());
-        for (Map.Entry<Long, PSet<String>> entry : digest.lostEngines().entrySet()) {
-          packer.packLong(entry.getKey());
-          Values.packTexts(packer, entry.getValue());
-        }
+        Values.packList(packer, digest.crashReports(), CrashReportCodec::pack);
       }
 
       @Override
@@ -142,8 +140,7 @@
         PSet<ModelKey> adaptersInUse = Values.unpackKeys(unpacker);
         PMap<ModelKey, Integer> arrivals =
             Values.unpackMap(unpacker, Values::unpackKey, MessageUnpacker::unpackInt);
-        PMap<Long, PSet<String>> lostEngines =
-            Values.unpackMap(unpacker, MessageUnpacker::unpackLong, Values::unpackTexts);
+        List<CrashReport> crashReports = Values.unpackList(unpacker, CrashReportCodec::unpack);
         return new LoadDigest(
             scope,
             times,
@@ -153,7 +150,7 @@
             gapsMs,
             adaptersInUse,
             arrivals,
-            lostEngines);
+            crashReports);
       }
     },
     MODEL_REQUESTED(ModelRequested.class) {
--- a/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.limpetdoor.core.gateway.CallKind;
+import org.limpetdoor.core.gateway.CrashReport;
 import org.limpetdoor.core.gateway.EngineEntry;
 import org.limpetdoor.core.gateway.EngineListing;
 import org.limpetdoor.core.gateway.ModelKey;
@@ -54,7 +55,9 @@
               HashTreePMap.singleton(new BackendId("g2"), 74),
               HashTreePSet.singleton(ModelKey.of("m1", "a2")),
               HashTreePMap.singleton(ModelKey.of("m1", "a1"), 2),
-              HashTreePMap.singleton(-5L, HashTreePSet.singleton("g1@9"))),
+              List.of(
+                  new CrashReport(-5, List.of(new CrashReport.Loss(9, 30, 10)), 40),
+                  new CrashReport(6, List.of(), CrashReport.NOT_ANSWERED))),
           new DutyReleased(41),
           new DutyHandedOver(42),
           new ModelRequested("llm", ModelKey.of("m1")),
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/TestCallProtocol.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/TestCallProtocol.java
@@ -18,7 +18,16 @@
   public CallSpec parseCall(long id, HttpRequest head, byte[] body) {
     String callerAttemptId = head.headers().get("Call", "none");
     return new CallSpec(
-        id, callerAttemptId, "h", head.uri(), Optional.empty(), Optional.empty(), 0, 0, List.of(), 0);
+        id,
+        callerAttemptId,
+        "h",
+        head.uri(),
+        Optional.empty(),
+        Optional.empty(),
+        0,
+        0,
+        List.of(),
+        0);
   }
 
   @Override
