Do not ban a stream that each lost engine had continued

Cause: each loss of a call counted against the whole request, also when the engine had continued the response of the one before. A request that crashes engines does not get further from engine to engine.

Test: resumesAStreamThatWasContinuedByEachLostEngine, which failed before.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallContents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallContents.java
@@ -18,15 +18,21 @@
 
   /**
    * Returns the contents that may have crashed the engine of a lost attempt. A part crashes engines
-   * that begin to answer, so an attempt that had begun is evidence against the whole request only.
-   * Parts that engines have answered lately are suspected only if the call has no others: a part
-   * that crashes engines comes together with sound ones.
+   * that begin to answer, so an attempt that had begun is evidence against the whole request only,
+   * and against nothing if it continued the response of an earlier one. Parts that engines have
+   * answered lately are suspected only if the call has no others: a part that crashes engines comes
+   * together with sound ones.
    */
-  static List<Long> suspected(CallSpec spec, Attempt attempt, AnsweredContents answered) {
-    List<Long> parts = attempt.started() ? List.of() : spec.sharedPromptParts();
+  static List<Long> suspected(Call call, Attempt attempt, AnsweredContents answered) {
+    long request = call.spec().fingerprint();
+    if (attempt.started()) {
+      boolean continued = call.ranAt().size() > 1;
+      return continued ? List.of() : List.of(request);
+    }
+    List<Long> parts = call.spec().sharedPromptParts();
     List<Long> unanswered = parts.stream().filter(part -> !answered.contains(part)).toList();
     List<Long> contents = new ArrayList<>(unanswered.isEmpty() ? parts : unanswered);
-    contents.add(spec.fingerprint());
+    contents.add(request);
     return contents;
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashEvents.java
@@ -29,7 +29,7 @@
     return switch (result) {
       case CONNECTION_LOST -> {
         Collection<Long> contents =
-            CallContents.suspected(call.spec(), attempt, records.answered());
+            CallContents.suspected(call, attempt, records.answered());
         EngineLoss loss = CallContents.loss(call.spec(), attempt, node.nowMs());
         yield changed(node, records.withLoss(contents, loss, node.nowMs()), contents)
             .then(CrashEvents::scheduleReport);
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CrashingPromptPartTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CrashingPromptPartTest.java
@@ -224,6 +224,38 @@
     assertThat(isSent(COMMON, CRASHING)).isTrue();
   }
 
+  /** Guards against ending a sound stream because three of its engines were crashed by others. */
+  @Test
+  void resumesAStreamThatWasContinuedByEachLostEngine() {
+    Route chat = GatewayFixture.modelRoute("/chat/");
+    fixture.routes(2, withMaxAttempts(chat, 5));
+    long id = fixture.prompt(COMMON);
+    for (int attempt = 1; attempt <= 4; attempt++) {
+      fixture.take(ForwardCall.class);
+      fixture.advance(20);
+      fixture.reduce(new ForwardStarted(fixture.nowMs(), id, attempt));
+      fixture.reduce(
+          new ForwardEnded(fixture.nowMs(), id, attempt, ForwardResult.CONNECTION_LOST, true));
+    }
+
+    assertThat(fixture.take(ForwardCall.class)).hasSize(1);
+  }
+
+  private static Route withMaxAttempts(Route route, int maxAttempts) {
+    return new Route(
+        route.name(),
+        route.host(),
+        route.pathPrefix(),
+        route.kind(),
+        route.timeoutMs(),
+        route.targetLatencyMs(),
+        maxAttempts,
+        route.priority(),
+        route.resumable(),
+        route.maxGapMs(),
+        route.services());
+  }
+
   private static CrashReport report(long content, int losses) {
     List<CrashReport.Loss> inSequence =
         IntStream.range(0, losses)
