Suspect the shared parts of prompts in the product's own entry as well

The same cause as in the gateway: limpetdoor-entry charged a crash to the fingerprint of the whole request only, so prompts that share a crashing part and are otherwise different crashed one engine after another.

Change: RequestSpec names the shared parts (each message but the last). A crash is charged to the parts of the prompts that the engine had not begun to answer, to parts that engines have answered lately only if a prompt has no others. A request with a suspected part runs in isolation; a part is banned when a request with it crashes an engine in isolation and the part has been in three crashes without an answer between them.

AnsweredPromptParts moved to core.backend, where both mechanisms use it. It holds parts only, so that whole requests do not displace them.

Test: the scenario "Prompts with a part that crashes every engine are refused" failed with parts ignored (all 8 engines crashed, at most 5 allowed).

--- a/limpetdoor-bench/src/main/java/org/limpetdoor/bench/RequestCycle.java
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/RequestCycle.java
@@ -93,6 +93,7 @@
         PROMPT_TOKENS,
         OUTPUT_TOKENS,
         sequence % 1_000,
+        List.of(),
         sequence);
   }
 
--- a/limpetdoor-bench/src/main/java/org/limpetdoor/bench/experiment/Arrival.java
+++ b/limpetdoor-bench/src/main/java/org/limpetdoor/bench/experiment/Arrival.java
@@ -38,7 +38,9 @@
   }
 
   RequestShape shape() {
-    return new RequestShape(promptTokens, outputTokens, MAX_OUTPUT_TOKENS, prefix, 0);
+    return RequestShape.of(promptTokens, outputTokens)
+        .withMaxOutputTokens(MAX_OUTPUT_TOKENS)
+        .withPrefixHash(prefix);
   }
 
   /** Returns the duration on an idle engine without a cached prefix, in milliseconds. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/CrashSuspects.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/CrashSuspects.java
@@ -8,13 +8,22 @@
 import org.pcollections.PMap;
 
 /**
- * Requests that were in flight on engines when the engines crashed, by fingerprint.
+ * Contents that were in flight on engines when the engines crashed: whole requests, by fingerprint,
+ * and parts of prompts that the engines had not begun to answer.
  *
- * @param entries suspects by fingerprint
+ * @param entries suspects by content
+ * @param answered shared parts of prompts that engines have answered lately
  */
-public record CrashSuspects(PMap<Long, CrashSuspect> entries) {
+public record CrashSuspects(PMap<Long, CrashSuspect> entries, AnsweredPromptParts answered) {
   /** No suspects. */
-  public static final CrashSuspects NONE = new CrashSuspects(HashTreePMap.empty());
+  public static final CrashSuspects NONE =
+      new CrashSuspects(HashTreePMap.empty(), AnsweredPromptParts.NONE);
+
+  /**
+   * Number of crashes without an answer in between from which a part is banned if a request with it
+   * crashes an engine in isolation. The request may have other parts that are sound.
+   */
+  private static final int MIN_CRASHES_OF_BANNED_PART = 3;
 
   /** Bounds the memory; an engine has tens of requests in flight when it crashes. */
   private static final int MAX_ENTRIES = 1_000;
@@ -33,15 +42,15 @@
    */
   public record Shared(long fingerprint, double score, int crashes, long bannedForMs) {}
 
-  /** Returns whether requests with this fingerprint must run in isolation. */
-  public boolean isSuspect(long fingerprint, long nowMs) {
-    CrashSuspect entry = entries.get(fingerprint);
+  /** Returns whether requests with this content must run in isolation. */
+  public boolean isSuspect(long content, long nowMs) {
+    CrashSuspect entry = entries.get(content);
     return entry != null && entry.isSuspectAt(nowMs);
   }
 
-  /** Returns whether requests with this fingerprint are refused. */
-  public boolean isBanned(long fingerprint, long nowMs) {
-    CrashSuspect entry = entries.get(fingerprint);
+  /** Returns whether requests with this content are refused. */
+  public boolean isBanned(long content, long nowMs) {
+    CrashSuspect entry = entries.get(content);
     return entry != null && entry.isBannedAt(nowMs);
   }
 
@@ -53,7 +62,26 @@
       CrashSuspect current = next.getOrDefault(fingerprint, CrashSuspect.NONE);
       next = next.plus(fingerprint, current.withCrash(fraction, nowMs));
     }
-    return new CrashSuspects(next).bounded(nowMs);
+    return with(next).bounded(nowMs);
+  }
+
+  /**
+   * Returns a copy that attributes a fraction of a crash to the parts of a prompt that an engine
+   * was about to answer.
+   *
+   * @param promptParts shared parts of the prompt
+   * @param fraction fraction of the crash that is attributed to the request, from 0 to 1
+   * @param isolated whether the engine ran this request only
+   */
+  public CrashSuspects withUnansweredPrompt(
+      List<Long> promptParts, double fraction, boolean isolated, long nowMs) {
+    PMap<Long, CrashSuspect> next = entries;
+    for (long part : answered.suspectedOf(promptParts)) {
+      CrashSuspect charged = next.getOrDefault(part, CrashSuspect.NONE).withCrash(fraction, nowMs);
+      boolean banned = isolated && charged.crashes() >= MIN_CRASHES_OF_BANNED_PART;
+      next = next.plus(part, banned ? charged.withBan(nowMs) : charged);
+    }
+    return with(next).bounded(nowMs);
   }
 
   /**
@@ -63,7 +91,20 @@
   public CrashSuspects withIsolatedCrash(long fingerprint, long nowMs) {
     CrashSuspect current = entries.getOrDefault(fingerprint, CrashSuspect.NONE);
     CrashSuspect next = current.withCrash(1, nowMs).withBan(nowMs);
-    return new CrashSuspects(entries.plus(fingerprint, next)).bounded(nowMs);
+    return with(entries.plus(fingerprint, next)).bounded(nowMs);
+  }
+
+  /** Returns a copy without the suspicion of parts that an engine has begun to answer. */
+  public CrashSuspects withAnsweredPrompt(List<Long> promptParts, long nowMs) {
+    AnsweredPromptParts nextAnswered = answered;
+    PMap<Long, CrashSuspect> next = entries;
+    for (long part : promptParts) {
+      nextAnswered = nextAnswered.with(part, nowMs);
+      next = isBanned(part, nowMs) ? next : next.minus(part);
+    }
+    return next == entries && nextAnswered == answered
+        ? this
+        : new CrashSuspects(next, nextAnswered);
   }
 
   /**
@@ -73,7 +114,11 @@
   public CrashSuspects withCompleted(long fingerprint, long nowMs) {
     return !entries.containsKey(fingerprint) || isBanned(fingerprint, nowMs)
         ? this
-        : new CrashSuspects(entries.minus(fingerprint));
+        : with(entries.minus(fingerprint));
+  }
+
+  private CrashSuspects with(PMap<Long, CrashSuspect> value) {
+    return new CrashSuspects(value, answered);
   }
 
   /** Returns the suspects to send to peers, worst first and limited in number. */
@@ -96,7 +141,7 @@
       CrashSuspect current = next.getOrDefault(peerSuspect.fingerprint(), CrashSuspect.NONE);
       next = next.plus(peerSuspect.fingerprint(), current.withShared(peerSuspect, nowMs));
     }
-    return new CrashSuspects(next).bounded(nowMs);
+    return with(next).bounded(nowMs);
   }
 
   /** Drops all but the worst suspects. The sort runs only at crashes and on messages of peers. */
@@ -110,7 +155,7 @@
             .skip(MAX_ENTRIES)
             .map(Map.Entry::getKey)
             .toList();
-    return new CrashSuspects(entries.minusAll(dropped));
+    return with(entries.minusAll(dropped));
   }
 
   private static Comparator<Map.Entry<Long, CrashSuspect>> worstFirst(long nowMs) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallContents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallContents.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.limpetdoor.core.backend.AnsweredPromptParts;
 import org.limpetdoor.core.gateway.Call.Attempt;
 import org.limpetdoor.core.request.Rendezvous;
 
@@ -19,19 +20,15 @@
   /**
    * Returns the contents that may have crashed the engine of a lost attempt. A part crashes engines
    * that begin to answer, so an attempt that had begun is evidence against the whole request only,
-   * and against nothing if it continued the response of an earlier one. Parts that engines have
-   * answered lately are suspected only if the call has no others: a part that crashes engines comes
-   * together with sound ones.
+   * and against nothing if it continued the response of an earlier one.
    */
-  static List<Long> suspected(Call call, Attempt attempt, AnsweredContents answered) {
+  static List<Long> suspected(Call call, Attempt attempt, AnsweredPromptParts answered) {
     long request = call.spec().fingerprint();
     if (attempt.started()) {
       boolean continued = call.ranAt().size() > 1;
       return continued ? List.of() : List.of(request);
     }
-    List<Long> parts = call.spec().sharedPromptParts();
-    List<Long> unanswered = parts.stream().filter(part -> !answered.contains(part)).toList();
-    List<Long> contents = new ArrayList<>(unanswered.isEmpty() ? parts : unanswered);
+    List<Long> contents = new ArrayList<>(answered.suspectedOf(call.spec().sharedPromptParts()));
     contents.add(request);
     return contents;
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashEvents.java
@@ -28,13 +28,17 @@
     CrashRecords records = node.gateway().crashRecords();
     return switch (result) {
       case CONNECTION_LOST -> {
-        Collection<Long> contents =
-            CallContents.suspected(call, attempt, records.answered());
+        Collection<Long> contents = CallContents.suspected(call, attempt, records.answered());
         EngineLoss loss = CallContents.loss(call.spec(), attempt, node.nowMs());
         yield changed(node, records.withLoss(contents, loss, node.nowMs()), contents)
             .then(CrashEvents::scheduleReport);
       }
-      case COMPLETED -> answered(node, CallContents.all(call.spec()));
+      case COMPLETED ->
+          answered(
+              node,
+              records
+                  .withAnswer(call.spec().sharedPromptParts(), node.nowMs())
+                  .withCompletion(call.spec().fingerprint(), node.nowMs()));
       default -> Transition.of(node);
     };
   }
@@ -44,12 +48,12 @@
    * request as a whole may still do so.
    */
   static Transition<NodeState, Effect> answerStarted(NodeState node, Call call) {
-    return answered(node, call.spec().sharedPromptParts());
+    CrashRecords records = node.gateway().crashRecords();
+    return answered(node, records.withAnswer(call.spec().sharedPromptParts(), node.nowMs()));
   }
 
-  private static Transition<NodeState, Effect> answered(NodeState node, List<Long> contents) {
+  private static Transition<NodeState, Effect> answered(NodeState node, CrashRecords next) {
     CrashRecords records = node.gateway().crashRecords();
-    CrashRecords next = records.withAnswer(contents, node.nowMs());
     NodeState recorded = withRecords(node, next);
     boolean lossesCancelled = next.suspicions() != records.suspicions();
     return lossesCancelled ? scheduleReport(recorded) : Transition.of(recorded);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.limpetdoor.core.Timed;
+import org.limpetdoor.core.backend.AnsweredPromptParts;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
@@ -15,14 +16,14 @@
  * the evidence is shared with the peers.
  *
  * @param suspicions evidence by content, including that of peers
- * @param answered contents that engines have answered lately
+ * @param answered shared parts of prompts that engines have answered lately
  * @param reportDueAtMs time of the next report to the peers, in monotonic milliseconds, or {@link
  *     Timed#NEVER_MS} if the next digest is early enough
  */
 record CrashRecords(
-    PMap<Long, CrashSuspicion> suspicions, AnsweredContents answered, long reportDueAtMs) {
+    PMap<Long, CrashSuspicion> suspicions, AnsweredPromptParts answered, long reportDueAtMs) {
   static final CrashRecords EMPTY =
-      new CrashRecords(HashTreePMap.empty(), AnsweredContents.NONE, Timed.NEVER_MS);
+      new CrashRecords(HashTreePMap.empty(), AnsweredPromptParts.NONE, Timed.NEVER_MS);
 
   /** Bounds the memory; each call in flight on a lost engine adds one or two contents. */
   private static final int MAX_SUSPICIONS = 2_000;
@@ -58,19 +59,30 @@
     return withSuspicions(next).bounded();
   }
 
-  /** Records that an engine answered a call with some contents. */
-  CrashRecords withAnswer(Collection<Long> contents, long nowMs) {
+  /** Records that an engine has begun to answer a prompt with some parts. */
+  CrashRecords withAnswer(Collection<Long> promptParts, long nowMs) {
+    AnsweredPromptParts next = answered;
+    for (long part : promptParts) {
+      next = next.with(part, nowMs);
+    }
+    CrashRecords recorded =
+        next == answered ? this : new CrashRecords(suspicions, next, reportDueAtMs);
+    return recorded.withLossesCancelled(promptParts, nowMs);
+  }
+
+  /** Records that an engine has answered a whole request. */
+  CrashRecords withCompletion(long request, long nowMs) {
+    return withLossesCancelled(List.of(request), nowMs);
+  }
+
+  private CrashRecords withLossesCancelled(Collection<Long> contents, long nowMs) {
     PMap<Long, CrashSuspicion> next = suspicions;
-    AnsweredContents nextAnswered = answered;
     for (long content : contents) {
-      nextAnswered = nextAnswered.with(content, nowMs);
       CrashSuspicion known = next.get(content);
       CrashSuspicion cleared = known == null ? null : known.withAnswer(nowMs, nowMs);
       next = cleared == known ? next : next.plus(content, cleared);
     }
-    return next == suspicions && nextAnswered == answered
-        ? this
-        : new CrashRecords(next, nextAnswered, reportDueAtMs);
+    return withSuspicions(next);
   }
 
   /** Returns the records together with what a peer has reported. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Quarantine.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Quarantine.java
@@ -1,11 +1,15 @@
 package org.limpetdoor.core.request;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.backend.BackendState;
 import org.limpetdoor.core.backend.BackendTable;
 import org.limpetdoor.core.backend.CrashSuspects;
+import org.limpetdoor.core.backend.InFlight;
 import org.limpetdoor.core.decision.PassOverReason;
+import org.limpetdoor.core.id.AttemptId;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.request.Target.ModelTarget;
 
@@ -21,21 +25,25 @@
 
   /** Returns whether the request has to be refused because it crashed engines. */
   static boolean isBanned(NodeState state, RequestSpec spec) {
-    return state.backends().suspects().isBanned(spec.fingerprint(), state.nowMs());
+    CrashSuspects suspects = state.backends().suspects();
+    return contents(spec).stream().anyMatch(content -> suspects.isBanned(content, state.nowMs()));
   }
 
-  /** Returns the request, moved to the pool for suspects if its fingerprint is suspected. */
+  /** Returns the request, moved to the pool for suspects if one of its contents is suspected. */
   static RequestState classify(NodeState state, RequestState request) {
+    CrashSuspects suspects = state.backends().suspects();
     boolean suspect =
         request.spec().target() instanceof ModelTarget
-            && state.backends().suspects().isSuspect(request.spec().fingerprint(), state.nowMs());
+            && contents(request.spec()).stream()
+                .anyMatch(content -> suspects.isSuspect(content, state.nowMs()));
     return suspect ? request.withPlan(request.plan().withClass(WorkClass.SUSPECT)) : request;
   }
 
   /**
-   * Records a broken connection to an engine as a crash, attributed to the requests in flight on
-   * it. Plain services are excluded, because their connections also break after an idle period, and
-   * many of their calls share a fingerprint.
+   * Records a broken connection to an engine as a crash, attributed to the requests in flight on it
+   * and to the parts of the prompts that it had not begun to answer. Plain services are excluded,
+   * because their connections also break after an idle period, and many of their calls share a
+   * fingerprint.
    */
   static NodeState recordLostConnection(
       NodeState state, RequestState request, ActiveAttempt attempt) {
@@ -46,19 +54,71 @@
       return state;
     }
     CrashSuspects suspects = state.backends().suspects();
+    InFlight attempts = backendState.attempts();
     CrashSuspects updatedSuspects =
-        backendState.attempts().isolated()
+        attempts.isolated()
             ? suspects.withIsolatedCrash(request.spec().fingerprint(), state.nowMs())
-            : suspects.withCrash(backendState.attempts().fingerprints().values(), state.nowMs());
+            : suspects.withCrash(attempts.fingerprints().values(), state.nowMs());
+    for (List<Long> promptParts : unansweredPrompts(state, request, attempt)) {
+      double fraction = 1.0 / Math.max(1, attempts.size());
+      updatedSuspects =
+          updatedSuspects.withUnansweredPrompt(
+              promptParts, fraction, attempts.isolated(), state.nowMs());
+    }
     BackendTable table = state.backends().update(backend, b -> b.withCrash(state.nowMs()));
     return state.withBackends(table.withSuspects(updatedSuspects));
   }
 
+  /**
+   * Returns the prompts that a crashed engine had not begun to answer. A part of a prompt crashes
+   * engines that begin to answer it, so those of the others are not suspected.
+   */
+  private static List<List<Long>> unansweredPrompts(
+      NodeState state, RequestState failed, ActiveAttempt failedAttempt) {
+    List<List<Long>> prompts = new ArrayList<>();
+    if (!failedAttempt.started()) {
+      prompts.add(failed.spec().sharedPromptParts());
+    }
+    BackendState backendState = state.backends().get(failedAttempt.backend());
+    for (AttemptId id : backendState.attempts().fingerprints().keySet()) {
+      boolean isFailedAttempt = id.request().equals(failed.spec().id());
+      Optional<RequestState> other =
+          isFailedAttempt ? Optional.empty() : state.requests().find(id.request());
+      other
+          .filter(found -> found.activeAttempt(id).filter(a -> !a.started()).isPresent())
+          .ifPresent(found -> prompts.add(found.spec().sharedPromptParts()));
+    }
+    return prompts;
+  }
+
+  /** Records that an engine has begun to answer a prompt, whose parts do not crash engines. */
+  static NodeState recordStarted(NodeState state, RequestState request) {
+    CrashSuspects suspects = state.backends().suspects();
+    return withSuspects(
+        state, suspects.withAnsweredPrompt(request.spec().sharedPromptParts(), state.nowMs()));
+  }
+
   /** Records that a request completed without a crash. */
   static NodeState recordCompletion(NodeState state, RequestState request) {
     CrashSuspects suspects = state.backends().suspects();
-    CrashSuspects next = suspects.withCompleted(request.spec().fingerprint(), state.nowMs());
-    return next == suspects ? state : state.withBackends(state.backends().withSuspects(next));
+    return withSuspects(
+        state,
+        suspects
+            .withAnsweredPrompt(request.spec().sharedPromptParts(), state.nowMs())
+            .withCompleted(request.spec().fingerprint(), state.nowMs()));
+  }
+
+  private static NodeState withSuspects(NodeState state, CrashSuspects suspects) {
+    return suspects == state.backends().suspects()
+        ? state
+        : state.withBackends(state.backends().withSuspects(suspects));
+  }
+
+  /** Returns the whole request and the parts of its prompt that other requests may share. */
+  private static List<Long> contents(RequestSpec spec) {
+    List<Long> contents = new ArrayList<>(spec.sharedPromptParts());
+    contents.add(spec.fingerprint());
+    return contents;
   }
 
   /**
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -60,7 +60,8 @@
     NodeState withPace = Paces.recordFirstToken(state, found.get().request(), attempt);
     RequestState request = found.get().request().withStarted(attempt, state.nowMs());
     NodeState answered = BackendEvents.answered(withPace, attempt.backend(), attempt.sentAtMs());
-    NodeState next = answered.withRequests(answered.requests().with(request));
+    NodeState cleared = Quarantine.recordStarted(answered, request);
+    NodeState next = cleared.withRequests(cleared.requests().with(request));
     return Attempts.adapterLoadEnded(next, event.attempt());
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestSpec.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestSpec.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.core.request;
 
+import java.util.List;
 import java.util.Optional;
 import org.limpetdoor.core.config.Ranges;
 import org.limpetdoor.core.id.KeyDigest;
@@ -16,6 +17,8 @@
  * @param promptTokens length of the prompt, in tokens, at least 0
  * @param maxOutputTokens bound on the output set by the caller, in tokens, at least 0
  * @param prefixHash hash of the start of the prompt, for prefix cache affinity; 0 means no affinity
+ * @param sharedPromptParts hashes of the prompt parts that other requests may share, in order; the
+ *     last part of a prompt is the request's own and is not among them
  * @param fingerprint hash of target and body, by which a repeated request is recognized
  */
 public record RequestSpec(
@@ -26,11 +29,13 @@
     int promptTokens,
     int maxOutputTokens,
     long prefixHash,
+    List<Long> sharedPromptParts,
     long fingerprint) {
-  /** Checks ranges. */
+  /** Checks ranges and copies the parts. */
   public RequestSpec {
     Ranges.atLeast("promptTokens", promptTokens, 0);
     Ranges.atLeast("maxOutputTokens", maxOutputTokens, 0);
+    sharedPromptParts = List.copyOf(sharedPromptParts);
   }
 
   /** Returns the upper bound on the work of the request, in tokens. */
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/limits/LimitEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/limits/LimitEventsTest.java
@@ -168,7 +168,7 @@
     advance(1);
     RequestId id = new RequestId("r1");
     Target target = new ModelTarget(model, Optional.empty());
-    RequestSpec spec = new RequestSpec(id, key, target, Optional.empty(), 9, 9, 0, 1);
+    RequestSpec spec = new RequestSpec(id, key, target, Optional.empty(), 9, 9, 0, List.of(), 1);
     assertThat(new NodeReducer().reduce(state, new RequestArrived(nowMs, spec)).effects())
         .contains(new RefuseRequest(id, Refusal.notRun(RefusalReason.NO_LIMIT_SHARE, 1_000)));
   }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/request/AttemptFailureTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/request/AttemptFailureTest.java
@@ -115,7 +115,8 @@
   private static RequestArrived arrival(String id) {
     ModelTarget target = new ModelTarget(MODEL, Optional.empty());
     return new RequestArrived(
-        1, new RequestSpec(new RequestId(id), KEY, target, Optional.empty(), 1, 1, 0, 0));
+        1,
+        new RequestSpec(new RequestId(id), KEY, target, Optional.empty(), 1, 1, 0, List.of(), 0));
   }
 
   private static Configuration configuration() {
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/request/LedgerRoutingTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/request/LedgerRoutingTest.java
@@ -109,7 +109,15 @@
     RequestId id = new RequestId("r" + requestCount);
     RequestSpec spec =
         new RequestSpec(
-            id, KEY, new ModelTarget(MODEL, Optional.empty()), Optional.empty(), 9, 9, 0, 1);
+            id,
+            KEY,
+            new ModelTarget(MODEL, Optional.empty()),
+            Optional.empty(),
+            9,
+            9,
+            0,
+            List.of(),
+            1);
     var transition = reducer.reduce(state, new RequestArrived(state.nowMs(), spec));
     state = transition.state();
     return transition.effects().stream()
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/request/SupersededAttemptTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/request/SupersededAttemptTest.java
@@ -65,7 +65,15 @@
   private static NodeState retried() {
     RequestSpec spec =
         new RequestSpec(
-            REQUEST, KEY, new ModelTarget(MODEL, Optional.empty()), Optional.empty(), 9, 9, 0, 1);
+            REQUEST,
+            KEY,
+            new ModelTarget(MODEL, Optional.empty()),
+            Optional.empty(),
+            9,
+            9,
+            0,
+            List.of(),
+            1);
     NodeReducer reducer = new NodeReducer();
     NodeState sent = reducer.reduce(configured(), new RequestArrived(NOW_MS, spec)).state();
     Transition<NodeState, Effect> failed =
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/CallerRequestHandler.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/CallerRequestHandler.java
@@ -87,6 +87,7 @@
             estimateTokens(chat.prompt()),
             chat.maxTokens(),
             RequestHashes.prefixHash(targetLabel, chat.prompt()),
+            RequestHashes.promptParts(chat.sharedMessages()),
             RequestHashes.fingerprint(targetLabel, body));
     ResponseMode mode = chat.stream() ? ResponseMode.TOKEN_STREAM : ResponseMode.MODEL_DOCUMENT;
     BackendCall call =
@@ -109,6 +110,7 @@
             0,
             0,
             0,
+            List.of(),
             RequestHashes.fingerprint(target.label() + http.getMethodName() + path, body));
     String query = uri.getRawQuery() == null ? "" : "?" + uri.getRawQuery();
     BackendCall call =
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/ChatRequest.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/ChatRequest.java
@@ -6,6 +6,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.Function;
 import org.limpetdoor.core.id.AdapterId;
@@ -17,11 +19,11 @@
  * The fields of a chat completion request that routing uses. The engine receives the whole body.
  *
  * @param target model and adapter
- * @param prompt concatenated text of all messages
+ * @param messages text of each message
  * @param maxTokens maximum output length in tokens
  * @param stream whether the response is streamed token by token
  */
-record ChatRequest(ModelTarget target, String prompt, int maxTokens, boolean stream) {
+record ChatRequest(ModelTarget target, List<String> messages, int maxTokens, boolean stream) {
   /** Maximum output length in tokens of a request without {@code max_tokens}. */
   static final int DEFAULT_MAX_TOKENS = 512;
 
@@ -48,7 +50,7 @@
 
   private static ChatRequest of(JsonNode root) {
     return new ChatRequest(
-        target(root), prompt(root.path("messages")), maxTokens(root), stream(root));
+        target(root), messages(root.path("messages")), maxTokens(root), stream(root));
   }
 
   private static JsonNode parseJson(byte[] body) {
@@ -90,27 +92,44 @@
     }
   }
 
-  private static String prompt(JsonNode messages) {
+  /** Copies the messages. */
+  ChatRequest {
+    messages = List.copyOf(messages);
+  }
+
+  /** Returns the messages before the last one, which is the request's own. */
+  List<String> sharedMessages() {
+    return messages.subList(0, messages.size() - 1);
+  }
+
+  /** Returns the text of all messages. */
+  String prompt() {
+    return String.join("", messages);
+  }
+
+  private static List<String> messages(JsonNode messages) {
     if (!messages.isArray() || messages.isEmpty()) {
       throw InvalidRequestException.invalidField("messages", "an array of at least one message");
     }
-    StringBuilder text = new StringBuilder();
+    List<String> texts = new ArrayList<>();
     for (int i = 0; i < messages.size(); i++) {
       JsonNode message = messages.get(i);
       if (!message.isObject() || !message.path("role").isTextual()) {
         throw InvalidRequestException.invalidField("messages[" + i + "]", "an object with a role");
       }
-      appendContent(text, message.path("content"));
+      texts.add(text(message.path("content")));
     }
-    return text.toString();
+    return texts;
   }
 
-  /** Appends content, which is a string or an array of parts; parts without text are ignored. */
-  private static void appendContent(StringBuilder text, JsonNode content) {
+  /** Returns the text of a content, which is a string or an array of parts, some without text. */
+  private static String text(JsonNode content) {
+    StringBuilder text = new StringBuilder();
     if (content.isTextual()) {
       text.append(content.textValue()).append('\n');
     }
     content.forEach(part -> text.append(part.path("text").asText("")).append('\n'));
+    return text.toString();
   }
 
   private static int maxTokens(JsonNode root) {
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/RequestHashes.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/RequestHashes.java
@@ -5,6 +5,7 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.List;
 import org.limpetdoor.core.id.KeyDigest;
 
 /** SHA-256 digests of keys, prompts and bodies. */
@@ -26,6 +27,11 @@
     return first64Bits(sha256(bytes(target), bytes(prompt.substring(0, PREFIX_CHARS))));
   }
 
+  /** Returns a hash of each message, by which it is recognized in prompts of other requests. */
+  static List<Long> promptParts(List<String> messages) {
+    return messages.stream().map(message -> first64Bits(sha256(bytes(message)))).toList();
+  }
+
   static long fingerprint(String target, byte[] body) {
     return first64Bits(sha256(bytes(target), body));
   }
--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/DrainReducerTest.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/DrainReducerTest.java
@@ -107,7 +107,15 @@
     return new RequestArrived(
         1,
         new RequestSpec(
-            new RequestId(id), Fixtures.keyDigest(), target, Optional.empty(), 0, 0, 0, 0));
+            new RequestId(id),
+            Fixtures.keyDigest(),
+            target,
+            Optional.empty(),
+            0,
+            0,
+            0,
+            List.of(),
+            0));
   }
 
   private static AttemptCompleted completed(String id) {
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
@@ -40,6 +40,7 @@
   private final TreeSet<BackendJob> waiting = new TreeSet<>(BackendJob.ORDER);
   private final EnumMap<BackendFault, Integer> faults = new EnumMap<>(BackendFault.class);
   private final Set<Long> fatalFingerprints = new HashSet<>();
+  private final Set<Long> fatalPromptParts = new HashSet<>();
   private final FakeAdapterStore adapterStore;
   private final LruSet<Long> prefixCache = new LruSet<>(PREFIX_CACHE_CAPACITY);
   private final LruSet<AdapterId> adapterCache = new LruSet<>(ADAPTER_CACHE_CAPACITY);
@@ -95,6 +96,11 @@
     fatalFingerprints.add(fingerprint);
   }
 
+  /** Makes every request whose prompt has this part crash the back end when it starts. */
+  public void crashOnPromptPart(long part) {
+    fatalPromptParts.add(part);
+  }
+
   /** Stops sending on all open connections. Their jobs go on, and new connections work. */
   public void silenceOpenConnections() {
     jobs.values().forEach(job -> job.silent = true);
@@ -235,7 +241,8 @@
     job.running = true;
     running++;
     maxRunning = Math.max(maxRunning, running);
-    if (fatalFingerprints.contains(job.spec.fingerprint())) {
+    if (fatalFingerprints.contains(job.spec.fingerprint())
+        || job.spec.sharedPromptParts().stream().anyMatch(fatalPromptParts::contains)) {
       crash();
       return;
     }
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioSimulation.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/ScenarioSimulation.java
@@ -145,6 +145,7 @@
             shape.promptTokens(),
             shape.maxOutputTokens(),
             shape.prefixHash(),
+            shape.sharedPromptParts(),
             shape.fingerprint() == 0 ? number : shape.fingerprint());
     CallerRecord caller = new CallerRecord(spec, customer, shape.outputTokens(), time.nowMs());
     callers.add(caller);
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/TrafficSteps.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/TrafficSteps.java
@@ -2,6 +2,8 @@
 
 import io.cucumber.java.en.Given;
 import io.cucumber.java.en.When;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import org.limpetdoor.core.id.AdapterId;
 import org.limpetdoor.core.id.ModelId;
@@ -36,13 +38,28 @@
           + " tokens each")
   public void boundedStream(
       String customer, int perSecond, String model, int durationMs, int tokens, int maxTokens) {
+    RequestShape shape = RequestShape.of(PROMPT_TOKENS, tokens).withMaxOutputTokens(maxTokens);
+    sendEvenly(customer, target(model), shape, perSecond, durationMs);
+  }
+
+  @When(
+      "{string} sends {int} requests per second to {string} for {int} ms with {int} tokens each and"
+          + " prompt parts {string}")
+  public void streamWithPromptParts(
+      String customer, int perSecond, String model, int durationMs, int tokens, String parts) {
+    List<Long> shared = Arrays.stream(parts.split(",")).map(Long::valueOf).toList();
+    RequestShape shape = RequestShape.of(PROMPT_TOKENS, tokens).withSharedPromptParts(shared);
+    sendEvenly(customer, target(model), shape, perSecond, durationMs);
+  }
+
+  private void sendEvenly(
+      String customer, Target target, RequestShape shape, int perSecond, int durationMs) {
     long startMs = simulation.time().nowMs();
     int count = (int) (perSecond * (long) durationMs / MS_PER_SECOND);
-    RequestShape shape = RequestShape.of(PROMPT_TOKENS, tokens).withMaxOutputTokens(maxTokens);
     simulation.instances();
     for (int i = 0; i < count; i++) {
       long atMs = startMs + (long) (i * MS_PER_SECOND / perSecond);
-      simulation.time().at(atMs, () -> simulation.send(customer, target(model), shape));
+      simulation.time().at(atMs, () -> simulation.send(customer, target, shape));
     }
   }
 
@@ -174,6 +191,11 @@
     simulation.backends().forEach(backend -> backend.crashOn(fingerprint));
   }
 
+  @Given("every back end crashes on prompt part {long}")
+  public void crashOnPromptPart(long part) {
+    simulation.backends().forEach(backend -> backend.crashOnPromptPart(part));
+  }
+
   private static BackendFault faultNamed(String name) {
     for (BackendFault fault : BackendFault.values()) {
       if (fault.label().equals(name)) {
