Take a stream that ends inside an event with its connection as broken off

Responses may have neither a length nor chunks and end with their connection. The gateway took such a stream that ended inside an event or before its first one for a malformed response: it was not relayed as complete, but it counted as an error of an engine that works, so nothing was learned of a prompt that crashes engines.

It is a lost connection now. A response that states its framing and ends inside an event is malformed as before.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
@@ -165,13 +165,18 @@
     }
   }
 
-  /** Called at the end of the response according to its HTTP framing. */
-  void responseEnded() {
+  /**
+   * Called at the end of the response according to its HTTP framing.
+   *
+   * @param framed whether the response stated its length or came in chunks; otherwise it ended with
+   *     its connection
+   */
+  void responseEnded(boolean framed) {
     if (ended) {
       return;
     }
     if (streaming) {
-      completeStream();
+      completeStream(framed);
     } else {
       completeResponse();
     }
@@ -244,9 +249,9 @@
     }
   }
 
-  private void completeStream() {
+  private void completeStream(boolean framed) {
     if (splitter.hasIncompleteEvent() || !eventsAccepted) {
-      end(ForwardResult.INVALID_ANSWER);
+      end(framed ? ForwardResult.INVALID_ANSWER : ForwardResult.CONNECTION_LOST);
       return;
     }
     call.caller().endStream();
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
@@ -61,6 +61,7 @@
   private boolean bytesAfterResponse;
   private boolean inResponse;
   private boolean skipping;
+  private boolean framed;
   private boolean reusable;
   private boolean connectionFailed;
   private long idleSinceNs;
@@ -206,7 +207,8 @@
       return;
     }
     inResponse = true;
-    reusable = HttpUtil.isKeepAlive(head) && isFramed(head);
+    framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+    reusable = HttpUtil.isKeepAlive(head) && framed;
     updateIdleLimit(head);
     attempt.responseStarted(head);
   }
@@ -232,7 +234,7 @@
     if (last && attempt != null) {
       EngineAttempt completed = attempt;
       attempt = null;
-      completed.responseEnded();
+      completed.responseEnded(framed);
       returnToPool();
     }
   }
@@ -284,8 +286,4 @@
     }
     return DEFAULT_IDLE_MS;
   }
-
-  private static boolean isFramed(HttpResponse head) {
-    return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-  }
 }
