Pass over odd entries of other writers instead of acting on them

Reported by other operators: one odd entry ended the machines that read the list, or they stopped following it. Deep nesting was rejected already.

Entries out of range name no engine now, and the others hold. HostPort compiles its patterns once, since each entry is checked with it.

--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/InstanceListPoller.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/InstanceListPoller.java
@@ -6,10 +6,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.limpetdoor.core.LimpetdoorException;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.InstancesListed;
 import org.limpetdoor.core.id.InstanceId;
@@ -80,14 +82,25 @@
     }
     List<ListedInstance> instances = new ArrayList<>();
     for (JsonNode entry : entries) {
-      instances.add(
+      parseInstance(entry).ifPresent(instances::add);
+    }
+    return instances;
+  }
+
+  /** Parses an entry. A malformed one is logged and passed over; the others hold. */
+  private static Optional<ListedInstance> parseInstance(JsonNode entry) {
+    try {
+      return Optional.of(
           new ListedInstance(
               new InstanceId(entry.path("name").asText()),
-              entry.path("address").asText(),
+              HostPort.parse(entry.path("address").asText()).toString(),
               new ZoneId(entry.path("zone").asText(UNKNOWN)),
               entry.path("region").asText(UNKNOWN),
               entry.path("state").asText().equals("leaving")));
+    } catch (LimpetdoorException e) {
+      LogLine line = LogLine.event("instance_malformed").with("reason", e.getMessage());
+      LOG.log(Level.WARNING, line.toString());
+      return Optional.empty();
     }
-    return instances;
   }
 }
--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/traffic/ControlPlaneEffectsTest.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/traffic/ControlPlaneEffectsTest.java
@@ -180,6 +180,25 @@
     assertThat(listed.instances().get(1).leaving()).isTrue();
   }
 
+  /** Guards against a list of instances that is no longer followed because of one odd entry. */
+  @Test
+  void oddEntriesDoNotHideTheOtherInstances() throws Exception {
+    String nested = "[".repeat(900) + "]".repeat(900);
+    responseBody =
+        """
+        {"instances": [{"name": "", "address": "127.0.0.1:1"}, 7, %s,
+                       {"name": "i2", "address": "127.0.0.1:99999"},
+                       {"name": "i3", "address": "999.1.1.1:1"},
+                       {"name": "i4", "address": 1e400},
+                       {"name": "i5", "address": "127.0.0.1:5"}]}
+        """
+            .formatted(nested);
+    HostPort address = new HostPort("127.0.0.1", server.getAddress().getPort());
+    InstanceListPoller.start(address, scheduler, events::add);
+    InstancesListed listed = (InstancesListed) nextEvent();
+    assertThat(listed.instances().stream().map(entry -> entry.id().value())).containsExactly("i5");
+  }
+
   private Event nextEvent() throws InterruptedException {
     return events.take().apply(9L);
   }
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/json/HostPort.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/json/HostPort.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.format.json;
 
+import java.util.regex.Pattern;
 import org.limpetdoor.core.LimpetdoorException;
 
 /**
@@ -13,8 +14,9 @@
   public static final String ACCEPTED = "an address ip:port, for example 127.0.0.1:18080";
 
   private static final int MAX_PORT = 65_535;
-  private static final String IPV4 = "((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(?!$)|$)){4}";
-  private static final String IPV6 = "\\[[0-9a-fA-F:.]{2,45}]";
+  private static final Pattern HOST =
+      Pattern.compile("((25[0-5]|2[0-4]\\d|1?\\d?\\d)(\\.(?!$)|$)){4}|\\[[0-9a-fA-F:.]{2,45}]");
+  private static final Pattern PORT = Pattern.compile("\\d{1,5}");
 
   /**
    * Parses an address.
@@ -28,8 +30,8 @@
     }
     String host = text.substring(0, colon);
     String port = text.substring(colon + 1);
-    boolean isHost = host.matches(IPV4) || host.matches(IPV6);
-    if (!isHost || !port.matches("\\d{1,5}") || Integer.parseInt(port) > MAX_PORT) {
+    boolean isPort = PORT.matcher(port).matches() && Integer.parseInt(port) <= MAX_PORT;
+    if (!isPort || !HOST.matcher(host).matches()) {
       throw new InvalidAddressException(text);
     }
     return new HostPort(host, Integer.parseInt(port));
