Answer every call before a shutdown ends, and send none late in it

Reported by other operators: in a planned stop, requests that came late were passed on and cut at the end without an answer. Here calls were refused from 2.9 s after SIGTERM on, but one that waited then, or that an engine had refused, could be sent until the end; calls at an engine at the end got no answer; and the replies at the drain timeout were written at the moment at which the process ended.

From 2.9 s on a call that has not run is refused as not run instead of being sent. The gateway's drain timeout leaves the 300 ms that its last bytes need. limpetdoor-entry refuses queued requests and those at back ends (interrupted_by_shutdown, 502, outcome unknown) at its drain timeout.

No test shows the 300 ms.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/DrainEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/DrainEvents.java
@@ -7,13 +7,15 @@
 import org.limpetdoor.core.event.DrainRequested;
 import org.limpetdoor.core.gateway.CallEvents;
 import org.limpetdoor.core.gateway.GatewayTick;
+import org.limpetdoor.core.request.RequestEvents;
 
 /** Reduces the events of the graceful shutdown of the instance. */
 final class DrainEvents {
   /**
    * Time after the start of the drain during which forwarded calls are still accepted, in
    * milliseconds. The load balancer polls readiness once a second and sends callers elsewhere after
-   * two negative answers.
+   * two negative answers. A call that is still waiting then is refused, so that none is sent that
+   * the end of the instance would interrupt.
    */
   private static final long LATE_CALL_ACCEPTANCE_MS = 2_900;
 
@@ -51,12 +53,11 @@
     return idle ? stop(state, StopInstance.Reason.ALL_ENDED) : Transition.of(state);
   }
 
-  /**
-   * Stops the instance at the drain timeout, even with requests still open. Calls that wait for an
-   * engine are answered first.
-   */
+  /** Answers all requests that are still open at the drain timeout, and stops the instance. */
   static Transition<NodeState, Effect> timedOut(NodeState state) {
-    return CallEvents.endWaiting(state).then(next -> stop(next, StopInstance.Reason.TIMED_OUT));
+    return CallEvents.endAll(state)
+        .then(RequestEvents::endAll)
+        .then(next -> stop(next, StopInstance.Reason.TIMED_OUT));
   }
 
   private static Transition<NodeState, Effect> stop(NodeState state, StopInstance.Reason reason) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -42,8 +42,7 @@
    */
   static Transition<NodeState, Effect> enqueue(NodeState node, Call call, Choice choice) {
     boolean hopeless =
-        choice.verdict() == Verdict.REQUEST_BANNED
-            || ClosedEngineAdmission.opensTooLate(call, choice);
+        choice.verdict().refusesCall() || ClosedEngineAdmission.opensTooLate(call, choice);
     if (hopeless || node.nowMs() >= call.waitDeadlineMs()) {
       return failWithoutEngine(node, call, choice);
     }
@@ -119,7 +118,7 @@
           case MODEL_NOT_LOADED -> RETRY_AFTER_LOAD_MS;
           case CLOSED ->
               ClosedEngineAdmission.returnAfterMs(call, node.nowMs(), choice.opensAtMs());
-          case REQUEST_BANNED -> 0;
+          case REQUEST_BANNED, SHUTTING_DOWN -> 0;
           default -> RETRY_AFTER_FULL_MS;
         };
     return fail(node, call, choice.verdict().refusal(), retryAfterMs, choice.verdict().cause());
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
@@ -85,6 +85,8 @@
     PROMPT_HELD_BACK(Reply.ENGINES_FULL, FailureCause.ENGINES_FULL),
     /** The call has a content that crashes engines. */
     REQUEST_BANNED(Reply.CRASH_SUSPECT, FailureCause.REQUEST_BANNED),
+    /** The call has not run, and would be interrupted by the end of the instance. */
+    SHUTTING_DOWN(Reply.SHUTTING_DOWN, FailureCause.SHUTTING_DOWN),
     /** The call needs a retry, and the retry budget is empty. */
     RETRY_BUDGET_EMPTY(Reply.ENGINES_FULL, FailureCause.RETRY_BUDGET_EMPTY),
     /** No engine has the model or adapter loaded. */
@@ -104,7 +106,12 @@
 
     /** Returns whether an engine may become available for the call while it waits. */
     boolean mayChange() {
-      return this != NO_UNTRIED_ENGINE && this != NO_ENGINE && this != REQUEST_BANNED;
+      return this != NO_UNTRIED_ENGINE && this != NO_ENGINE && !refusesCall();
+    }
+
+    /** Returns whether the call may not be sent to any engine, whichever are available. */
+    boolean refusesCall() {
+      return this == REQUEST_BANNED || this == SHUTTING_DOWN;
     }
 
     /** Returns why a call that gets no engine fails. */
@@ -146,6 +153,9 @@
     if (state.crashRecords().bannedContent(call.spec(), node.nowMs()).isPresent()) {
       return Choice.none(Verdict.REQUEST_BANNED, 0);
     }
+    if (node.nowMs() >= state.acceptsUntilMs() && !call.mayHaveRun()) {
+      return Choice.none(Verdict.SHUTTING_DOWN, 0);
+    }
     if (call.retryDue() && !CallSteps.budget(node, call.service()).allowsRetry()) {
       return Choice.none(Verdict.RETRY_BUDGET_EMPTY, 0);
     }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RefusalReason.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RefusalReason.java
@@ -24,6 +24,8 @@
   NO_BACKEND(503),
   /** The instance is shutting down and accepts no new requests. */
   SHUTTING_DOWN(503),
+  /** The instance ended before the back end had answered. */
+  INTERRUPTED_BY_SHUTDOWN(502),
   /** The request has crashed engines before and is refused for a time. */
   CRASH_SUSPECT(422),
   /** A call with an idempotency key needs the log service, which cannot be reached. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -145,6 +145,29 @@
                     request.get().refusal(RefusalReason.DEADLINE_PASSED)));
   }
 
+  /** Refuses all open requests, because the instance ends. */
+  public static Transition<NodeState, Effect> endAll(NodeState state) {
+    Transition<NodeState, Effect> result = Transition.of(state);
+    for (RequestState request : state.requests().byId().values()) {
+      result = result.then(next -> end(next, request));
+    }
+    return result;
+  }
+
+  private static Transition<NodeState, Effect> end(NodeState state, RequestState request) {
+    if (!request.running()) {
+      return Refusals.refuseAccepted(
+          Queues.remove(state, request), request, request.refusal(RefusalReason.SHUTTING_DOWN));
+    }
+    Transition<NodeState, Effect> result =
+        Refusals.refuseAccepted(
+            state, request, Refusal.outcomeUnknown(RefusalReason.INTERRUPTED_BY_SHUTDOWN));
+    for (ActiveAttempt attempt : request.activeAttempts()) {
+      result = result.with(new CancelAttempt(new AttemptId(request.spec().id(), attempt.number())));
+    }
+    return result;
+  }
+
   /** Updates the routing index to the configuration and the replicas of the agreed state. */
   public static NodeState agreedStateChanged(NodeState state) {
     return DecisionInputs.refresh(state);
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -809,8 +809,65 @@
 
     fixture.advance(500);
 
+    List<ReplyToCall> replies = fixture.take(ReplyToCall.class);
+    assertThat(replies.stream().filter(reply -> reply.call() == waiting).toList())
+        .containsExactly(new ReplyToCall(waiting, Reply.SHUTTING_DOWN, 0));
+    assertThat(replies.stream().filter(reply -> reply.reply().notRun()).count()).isEqualTo(1);
+  }
+
+  /** Guards against a call at an engine whose caller gets no answer because the process ends. */
+  @Test
+  void answersCallsAtEnginesWhenTheShutdownTimesOut() {
+    setUpTwoPlainEngines();
+    long id = fixture.call("/once/x", Optional.empty(), 2_000);
+    fixture.reduce(new DrainRequested(fixture.nowMs(), 500));
+
+    fixture.advance(500);
+
+    assertThat(fixture.take(ReplyToCall.class))
+        .containsExactly(new ReplyToCall(id, Reply.OUTCOME_UNKNOWN, 0));
+    assertThat(fixture.gateway().calls()).isEmpty();
+  }
+
+  /** Guards against a call that is sent late in a shutdown and cut by the end of the process. */
+  @Test
+  void refusesWaitingCallsWhenAShutdownStopsAcceptingOthers() {
+    fixture.routes(1, GatewayFixture.modelRoute("/chat/"));
+    fixture.engines(GatewayFixture.entry("e0", "llm", 1, 0, M1));
+    for (int i = 0; i < 4; i++) {
+      fixture.call("/chat/x", Optional.of(M1), 10_000);
+      fixture.advance(130);
+    }
+    fixture.reduce(new DrainRequested(fixture.nowMs(), 7_000));
+    fixture.advance(2_500);
+    long waiting = fixture.call("/chat/x", Optional.of(M1), 10_000);
+    fixture.take(ForwardCall.class);
+
+    fixture.advance(700);
     assertThat(fixture.take(ReplyToCall.class))
         .containsExactly(new ReplyToCall(waiting, Reply.SHUTTING_DOWN, 0));
+    fixture.endForward(1, 1, ForwardResult.COMPLETED);
+    assertThat(fixture.take(ForwardCall.class)).isEmpty();
+  }
+
+  /** Guards against a call that may not be repeated and is sent again late in a shutdown. */
+  @Test
+  void doesNotSendARefusedCallAgainLateInAShutdown() {
+    setUpTwoPlainEngines();
+    for (int i = 0; i < 40; i++) {
+      fixture.endForward(
+          fixture.call("/safe/x", Optional.empty(), 1_000), 1, ForwardResult.COMPLETED);
+    }
+    fixture.reduce(new DrainRequested(fixture.nowMs(), 7_000));
+    fixture.advance(2_800);
+    long id = fixture.call("/once/x", Optional.empty(), 2_000);
+    fixture.take(ForwardCall.class);
+    fixture.advance(150);
+
+    fixture.endForward(id, 1, ForwardResult.BUSY);
+
+    assertThat(fixture.take(ReplyToCall.class))
+        .containsExactly(new ReplyToCall(id, Reply.SHUTTING_DOWN, 0));
   }
 
   private void peerLoad(String engine, int inFlight) {
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
@@ -213,9 +213,9 @@
 
   private void onInstanceStopped(StopInstance.Reason reason) {
     if (reason == StopInstance.Reason.TIMED_OUT) {
-      drained.complete(DrainResult.TIMED_OUT);
+      completeAfterFlush(DrainResult.TIMED_OUT);
     } else {
-      requests.awaitEmpty().thenRun(this::completeAfterFlush);
+      requests.awaitEmpty().thenRun(() -> completeAfterFlush(DrainResult.ALL_ENDED));
     }
   }
 
@@ -225,12 +225,12 @@
         () -> drained.complete(DrainResult.TIMED_OUT),
         settings.drainTimeoutMs(),
         TimeUnit.MILLISECONDS);
-    requests.drain().thenRun(this::completeAfterFlush);
+    requests.drain().thenRun(() -> completeAfterFlush(DrainResult.ALL_ENDED));
   }
 
-  private void completeAfterFlush() {
-    scheduler.schedule(
-        () -> drained.complete(DrainResult.ALL_ENDED), FLUSH_MS, TimeUnit.MILLISECONDS);
+  /** Leaves time for the last bytes to leave the sockets. */
+  private void completeAfterFlush(DrainResult result) {
+    scheduler.schedule(() -> drained.complete(result), FLUSH_MS, TimeUnit.MILLISECONDS);
   }
 
   /** Breaks the cycle between effects and loop; no event is submitted before both are created. */
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
@@ -167,7 +167,8 @@
   /** Begins a graceful shutdown; {@link #stopped()} completes when the process may end. */
   public void drain() {
     traffic.beginDrain();
-    submit(atMs -> new DrainRequested(atMs, options.gatewaySettings().drainTimeoutMs()));
+    long timeoutMs = options.gatewaySettings().drainTimeoutMs() - FLUSH_MS;
+    submit(atMs -> new DrainRequested(atMs, timeoutMs));
   }
 
   /**
