Forget evidence that is too weak for a ban after a minute

Evidence of crashes was kept for 16 minutes whatever its weight, so a rare part that was near three crashes far apart would have been banned, and the losses of one bad minute filled the table. A ban is still remembered for twice its time, so that it can double.

Test: forgetsASingleLossAfterAMinute, which failed with the longer time.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashSuspicion.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashSuspicion.java
@@ -33,8 +33,11 @@
    */
   private static final long INITIAL_BAN_MS = 60_000;
 
-  /** Time since the last loss for which the evidence is kept, in milliseconds: two longest bans. */
-  private static final long RETENTION_MS = 2 * (INITIAL_BAN_MS << (MAX_KEPT_LOSSES - MAX_LOSSES));
+  /**
+   * Time since the last loss for which evidence that is too weak for a ban is kept, in
+   * milliseconds. Callers stop retrying long before.
+   */
+  private static final long WEAK_RETENTION_MS = 60_000;
 
   /** Time for which an answer is kept, so that peers learn of it, in milliseconds. */
   private static final long ANSWER_RETENTION_MS = 5_000;
@@ -50,14 +53,20 @@
 
   /** Returns the end of the ban, in monotonic milliseconds; the last loss must have caused one. */
   long bannedUntilMs() {
-    return lastLossAtMs() + (INITIAL_BAN_MS << (losses.size() - MAX_LOSSES));
+    return lastLossAtMs() + banMs();
   }
 
-  /** Returns whether the evidence no longer matters. */
+  private long banMs() {
+    return INITIAL_BAN_MS << (losses.size() - MAX_LOSSES);
+  }
+
+  /** Returns whether the evidence no longer matters. A ban is remembered for twice its time. */
   boolean isExpired(long nowMs) {
-    return losses.isEmpty()
-        ? nowMs - answeredAtMs > ANSWER_RETENTION_MS
-        : nowMs - lastLossAtMs() > RETENTION_MS;
+    if (losses.isEmpty()) {
+      return nowMs - answeredAtMs > ANSWER_RETENTION_MS;
+    }
+    long retentionMs = losses.size() < MAX_LOSSES ? WEAK_RETENTION_MS : 2 * banMs();
+    return nowMs - lastLossAtMs() > retentionMs;
   }
 
   CrashSuspicion withLoss(EngineLoss loss, long nowMs) {
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CrashingPromptPartTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CrashingPromptPartTest.java
@@ -241,6 +241,17 @@
     assertThat(fixture.take(ForwardCall.class)).hasSize(1);
   }
 
+  /** Guards against a rare part that is banned for crashes that were far apart. */
+  @Test
+  void forgetsASingleLossAfterAMinute() {
+    for (int i = 0; i < 3; i++) {
+      fixture.advance(62_000);
+      fixture.endForward(fixture.prompt(CRASHING), 1, ForwardResult.CONNECTION_LOST);
+    }
+
+    assertThat(isSent(CRASHING)).isTrue();
+  }
+
   private static Route withMaxAttempts(Route route, int maxAttempts) {
     return new Route(
         route.name(),
