--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -41,9 +41,9 @@
    * passes before an engine accepts requests. Requests the model if no engine has it loaded.
    */
   static Transition<NodeState, Effect> enqueue(NodeState node, Call call, Choice choice) {
-    boolean hopeless =
+    boolean cannotBeSent =
         choice.verdict().refusesCall() || ClosedEngineAdmission.opensTooLate(call, choice);
-    if (hopeless || node.nowMs() >= call.waitDeadlineMs()) {
+    if (cannotBeSent || node.nowMs() >= call.waitDeadlineMs()) {
       return failWithoutEngine(node, call, choice);
     }
     Verdict verdict = choice.verdict();
