Ask for more evidence against a part that engines have answered lately

One gateway had seen it answered at 3.2 s, but the two that lost calls at 8.7 s to 9.5 s had not, so both parts were suspected alike.

Change: evidence says whether engines have answered the content lately, and an instance that knows so tells its peers at once. Such a content is banned after six losses in sequence instead of three. The crashing part has been banned by then, and the losses end.

Tests: aPeerThatSawAnAnswerKeepsASoundPartFromBeingBanned covers it (the part was banned before); bansAPartThatWasAnswered... keeps a part that was sound before from crashing engines without end.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/AnsweredPromptParts.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/AnsweredPromptParts.java
@@ -33,7 +33,8 @@
     return unanswered.isEmpty() ? promptParts : unanswered;
   }
 
-  private boolean contains(long part) {
+  /** Returns whether engines have answered a prompt with the part lately. */
+  public boolean contains(long part) {
     return recent.contains(part) || earlier.contains(part);
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashEvents.java
@@ -61,7 +61,7 @@
 
   /**
    * Records the evidence of a peer. Instances through which others exchange messages pass it on at
-   * once.
+   * once, and each instance reports at once that engines have answered a content lately.
    */
   static Transition<NodeState, Effect> reportsReceived(NodeState node, List<CrashReport> reports) {
     CrashRecords records = node.gateway().crashRecords();
@@ -71,7 +71,9 @@
     }
     Transition<NodeState, Effect> result =
         changed(node, merged, reports.stream().map(CrashReport::content).toList());
-    return node.gateway().peers().hasSpokes() ? result.then(CrashEvents::scheduleReport) : result;
+    boolean urgent =
+        node.gateway().peers().hasSpokes() || reports.stream().anyMatch(merged::contradicts);
+    return urgent ? result.then(CrashEvents::scheduleReport) : result;
   }
 
   /** Sends the evidence to the peers. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
@@ -54,7 +54,7 @@
     PMap<Long, CrashSuspicion> next = suspicions;
     for (long content : contents) {
       CrashSuspicion known = next.getOrDefault(content, CrashSuspicion.NONE);
-      next = next.plus(content, known.withLoss(loss, nowMs));
+      next = next.plus(content, withOwnAnswers(content, known.withLoss(loss, nowMs), nowMs));
     }
     return withSuspicions(next).bounded();
   }
@@ -90,12 +90,27 @@
     PMap<Long, CrashSuspicion> next = suspicions;
     for (CrashReport report : reports) {
       CrashSuspicion known = next.getOrDefault(report.content(), CrashSuspicion.NONE);
-      CrashSuspicion merged = known.withReport(report, nowMs);
+      CrashSuspicion merged =
+          withOwnAnswers(report.content(), known.withReport(report, nowMs), nowMs);
       next = merged == known ? next : next.plus(report.content(), merged);
     }
     return withSuspicions(next).bounded();
   }
 
+  private CrashSuspicion withOwnAnswers(long content, CrashSuspicion suspicion, long nowMs) {
+    boolean answeredHere = !suspicion.losses().isEmpty() && answered.contains(content);
+    return answeredHere ? suspicion.withAnsweredLately(nowMs) : suspicion;
+  }
+
+  /**
+   * Returns whether this instance knows of answers to a reported content of which its peer did not
+   * know.
+   */
+  boolean contradicts(CrashReport report) {
+    CrashSuspicion known = suspicions.get(report.content());
+    return known != null && known.answeredLately() && !report.answeredLately();
+  }
+
   /** Returns the evidence that has changed since a time, for a peer, the worst first. */
   List<CrashReport> reportsSince(long sinceMs, long nowMs) {
     return suspicions.entrySet().stream()
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashSuspicion.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashSuspicion.java
@@ -11,21 +11,32 @@
  * reason, would otherwise look like several crashes by each content that they ran. An answer to a
  * call with the content cancels the losses before it.
  *
+ * <p>A content that engines have answered lately needs more evidence: it may only have come
+ * together with one that crashes them.
+ *
  * @param losses losses in order, each of a call that was sent after the loss before it
+ * @param answeredLately whether engines have answered calls with the content lately, as far as this
+ *     instance or a peer knows
  * @param answeredAtMs time of the last known answer to a call with the content, in monotonic
  *     milliseconds, or {@link #NOT_ANSWERED_MS}
  * @param changedAtMs time of the last change, in monotonic milliseconds
  */
-record CrashSuspicion(List<EngineLoss> losses, long answeredAtMs, long changedAtMs) {
+record CrashSuspicion(
+    List<EngineLoss> losses, boolean answeredLately, long answeredAtMs, long changedAtMs) {
   static final long NOT_ANSWERED_MS = Long.MIN_VALUE;
 
-  static final CrashSuspicion NONE = new CrashSuspicion(List.of(), NOT_ANSWERED_MS, 0);
+  static final CrashSuspicion NONE = new CrashSuspicion(List.of(), false, NOT_ANSWERED_MS, 0);
 
   /** Number of losses from which a content is banned; the platform allows three crashed engines. */
   private static final int MAX_LOSSES = 3;
 
-  /** Number of losses that are kept; each beyond {@link #MAX_LOSSES} doubles the ban. */
-  private static final int MAX_KEPT_LOSSES = 6;
+  /** Number of losses from which a content is banned that engines have answered lately. */
+  private static final int MAX_LOSSES_IF_ANSWERED = 2 * MAX_LOSSES;
+
+  /** Number of times that the ban doubles, once for each loss beyond those that cause it. */
+  private static final int MAX_DOUBLINGS = 3;
+
+  private static final int MAX_KEPT_LOSSES = MAX_LOSSES_IF_ANSWERED + MAX_DOUBLINGS;
 
   /**
    * Time for which a content is banned at first, in milliseconds. An innocent content that was near
@@ -48,7 +59,7 @@
   }
 
   boolean isBanned(long nowMs) {
-    return losses.size() >= MAX_LOSSES && nowMs < bannedUntilMs();
+    return losses.size() >= maxLosses() && nowMs < bannedUntilMs();
   }
 
   /** Returns the end of the ban, in monotonic milliseconds; the last loss must have caused one. */
@@ -57,7 +68,11 @@
   }
 
   private long banMs() {
-    return INITIAL_BAN_MS << (losses.size() - MAX_LOSSES);
+    return INITIAL_BAN_MS << Math.min(MAX_DOUBLINGS, losses.size() - maxLosses());
+  }
+
+  private int maxLosses() {
+    return answeredLately ? MAX_LOSSES_IF_ANSWERED : MAX_LOSSES;
   }
 
   /** Returns whether the evidence no longer matters. A ban is remembered for twice its time. */
@@ -65,7 +80,7 @@
     if (losses.isEmpty()) {
       return nowMs - answeredAtMs > ANSWER_RETENTION_MS;
     }
-    long retentionMs = losses.size() < MAX_LOSSES ? WEAK_RETENTION_MS : 2 * banMs();
+    long retentionMs = losses.size() < maxLosses() ? WEAK_RETENTION_MS : 2 * banMs();
     return nowMs - lastLossAtMs() > retentionMs;
   }
 
@@ -77,10 +92,15 @@
   CrashSuspicion withAnswer(long atMs, long nowMs) {
     List<EngineLoss> later = losses.stream().filter(loss -> loss.lostAtMs() > atMs).toList();
     return later.size() < losses.size()
-        ? new CrashSuspicion(later, Math.max(answeredAtMs, atMs), nowMs)
+        ? new CrashSuspicion(later, true, Math.max(answeredAtMs, atMs), nowMs)
         : this;
   }
 
+  /** Returns the evidence about a content that engines have answered lately. */
+  CrashSuspicion withAnsweredLately(long nowMs) {
+    return answeredLately ? this : new CrashSuspicion(losses, true, answeredAtMs, nowMs);
+  }
+
   /** Returns the evidence together with that of a peer, or this object if nothing is new. */
   CrashSuspicion withReport(CrashReport report, long nowMs) {
     List<EngineLoss> reported =
@@ -89,7 +109,8 @@
                 loss ->
                     new EngineLoss(loss.id(), nowMs - loss.sentAgeMs(), nowMs - loss.lostAgeMs()))
             .toList();
-    CrashSuspicion merged = withLosses(reported, nowMs);
+    CrashSuspicion known = withLosses(reported, nowMs);
+    CrashSuspicion merged = report.answeredLately() ? known.withAnsweredLately(nowMs) : known;
     return report.answeredAgeMs() == CrashReport.NOT_ANSWERED
         ? merged
         : merged.withAnswer(nowMs - report.answeredAgeMs(), nowMs);
@@ -105,7 +126,7 @@
             .toList();
     long answeredAgeMs =
         answeredAtMs == NOT_ANSWERED_MS ? CrashReport.NOT_ANSWERED : nowMs - answeredAtMs;
-    return new CrashReport(content, reported, answeredAgeMs);
+    return new CrashReport(content, reported, answeredLately, answeredAgeMs);
   }
 
   /**
@@ -118,7 +139,9 @@
         .filter(known -> added.stream().noneMatch(known::sameAttemptAs))
         .forEach(all::add);
     List<EngineLoss> merged = inSequence(all);
-    return sameAttempts(merged, losses) ? this : new CrashSuspicion(merged, answeredAtMs, nowMs);
+    return sameAttempts(merged, losses)
+        ? this
+        : new CrashSuspicion(merged, answeredLately, answeredAtMs, nowMs);
   }
 
   /**
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CrashingPromptPartTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CrashingPromptPartTest.java
@@ -206,7 +206,7 @@
   @Test
   void clearsAPartThatAnEngineOfAPeerAnswered() {
     fixture.peerReports(report(CRASHING, 3));
-    fixture.peerReports(new CrashReport(CRASHING, List.of(), 0));
+    fixture.peerReports(new CrashReport(CRASHING, List.of(), true, 0));
 
     assertThat(isSent(COMMON, CRASHING)).isTrue();
   }
@@ -252,6 +252,37 @@
     assertThat(isSent(CRASHING)).isTrue();
   }
 
+  /**
+   * Guards against refusing a caller's own part together with the crashing one that it came with.
+   */
+  @Test
+  void aPeerThatSawAnAnswerKeepsASoundPartFromBeingBanned() {
+    long ofCaller = 0x45;
+    answer(ofCaller);
+
+    fixture.peerReports(report(ofCaller, 3), report(CRASHING, 3));
+
+    assertThat(isSent(ofCaller)).isTrue();
+    assertThat(isSent(ofCaller, CRASHING)).isFalse();
+    fixture.take(SendToPeer.class);
+    fixture.peerReports(report(ofCaller, 4));
+    fixture.advance(15);
+    assertThat(reportedContents()).contains(ofCaller);
+  }
+
+  /** Guards against a part that crashes engines without end because it was sound before. */
+  @Test
+  void bansAPartThatWasAnsweredBeforeItBeganToCrashEngines() {
+    answer(CRASHING);
+    for (int i = 0; i < 6; i++) {
+      answer(COMMON);
+      crashEnginesWith(COMMON, CRASHING);
+    }
+
+    assertThat(isSent(COMMON, CRASHING)).isFalse();
+    assertThat(isSent(COMMON)).isTrue();
+  }
+
   private static Route withMaxAttempts(Route route, int maxAttempts) {
     return new Route(
         route.name(),
@@ -272,7 +303,7 @@
         IntStream.range(0, losses)
             .mapToObj(i -> new CrashReport.Loss(i, 100 * (losses - i), 100 * (losses - i) - 50))
             .toList();
-    return new CrashReport(content, inSequence, CrashReport.NOT_ANSWERED);
+    return new CrashReport(content, inSequence, false, CrashReport.NOT_ANSWERED);
   }
 
   private List<Long> reportedContents() {
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/CrashReportCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/CrashReportCodec.java
@@ -13,13 +13,15 @@
   static void pack(MessageBufferPacker packer, CrashReport report) throws IOException {
     packer.packLong(report.content());
     Values.packList(packer, report.losses(), CrashReportCodec::packLoss);
+    packer.packBoolean(report.answeredLately());
     packer.packLong(report.answeredAgeMs());
   }
 
   static CrashReport unpack(MessageUnpacker unpacker) throws IOException {
     long content = unpacker.unpackLong();
     List<CrashReport.Loss> losses = Values.unpackList(unpacker, CrashReportCodec::unpackLoss);
-    return new CrashReport(content, losses, unpacker.unpackLong());
+    boolean answeredLately = unpacker.unpackBoolean();
+    return new CrashReport(content, losses, answeredLately, unpacker.unpackLong());
   }
 
   private static void packLoss(MessageBufferPacker packer, CrashReport.Loss loss)
--- a/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
@@ -56,8 +56,8 @@
               HashTreePSet.singleton(ModelKey.of("m1", "a2")),
               HashTreePMap.singleton(ModelKey.of("m1", "a1"), 2),
               List.of(
-                  new CrashReport(-5, List.of(new CrashReport.Loss(9, 30, 10)), 40),
-                  new CrashReport(6, List.of(), CrashReport.NOT_ANSWERED))),
+                  new CrashReport(-5, List.of(new CrashReport.Loss(9, 30, 10)), true, 40),
+                  new CrashReport(6, List.of(), false, CrashReport.NOT_ANSWERED))),
           new DutyReleased(41),
           new DutyHandedOver(42),
           new ModelRequested("llm", ModelKey.of("m1")),
