--- a/review/build.sh
+++ b/review/build.sh
@@ -5,3 +5,4 @@
 rm -rf target/review
 mkdir -p target/review
 javac -Xlint:all -d target/review review/support/*.java
+cp review/support/wire.properties target/review/
--- a/review/support/Engine.java
+++ b/review/support/Engine.java
@@ -107,7 +107,7 @@
             .getBytes(StandardCharsets.UTF_8);
     Http.call(
         store,
-        "POST /put?topic=keyed.servers&key=" + id + " HTTP/1.1\r\nContent-Length: " + entry.length
+        "POST /put?topic=" + Wire.ENGINE_TOPIC + "&key=" + id + " HTTP/1.1\r\nContent-Length: " + entry.length
             + "\r\n\r\n",
         entry,
         2_000);
@@ -237,14 +237,14 @@
 
   /** Carries out an order to load or unload a model, and returns the status of the answer. */
   private synchronized int order(String body) {
-    long fence = Long.parseLong(field(body, "fencingToken"));
+    long fence = Long.parseLong(field(body, Wire.FENCE));
     String model = field(body, "model");
     boolean load = field(body, "operation").equals("loading");
     if (fence < highestFence) {
       return 412;
     }
     highestFence = fence;
-    if (busy || Long.parseLong(field(body, "precondition")) != ordersAccepted) {
+    if (busy || Long.parseLong(field(body, Wire.EXPECTED_ORDERS)) != ordersAccepted) {
       return 409;
     }
     if (models.contains(model) == load) {
--- a/review/support/Lab.java
+++ b/review/support/Lab.java
@@ -58,7 +58,8 @@
     store = freeAddress();
     javaProcess("Store", store);
     byte[] bytes = configuration.getBytes(StandardCharsets.UTF_8);
-    String head = "POST /put?topic=keyed.op&key=config HTTP/1.1\r\nContent-Length: " + bytes.length
+    String head = "POST /put?topic=" + Wire.OPERATOR_TOPIC
+        + "&key=config HTTP/1.1\r\nContent-Length: " + bytes.length
         + "\r\n\r\n";
     await(() -> Http.call(store, head, bytes, 1_000).complete(), "the store");
   }
@@ -95,7 +96,7 @@
     }
     ProcessBuilder builder = new ProcessBuilder(run.group(1).split(" "));
     builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
-    builder.environment().put("LIMPETDOOR_CONFIG", settings.toString());
+    builder.environment().put(Wire.SETTINGS_VARIABLE, settings.toString());
     builder.redirectErrorStream(true).redirectOutput(folder.resolve(name + ".log").toFile());
     Gateway gateway = new Gateway(start(builder), callers, readiness);
     await(gateway::ready, "the gateway");
--- a/review/support/Store.java
+++ b/review/support/Store.java
@@ -19,8 +19,8 @@
 import java.util.regex.Pattern;
 
 /**
- * Stand-in of the platform's store: keyed topics with one partition, and groups over {@code
- * keyed.status}. Operators and engines write with {@code /put}, which is the stand-in's own call.
+ * Stand-in of the platform's store: keyed topics with one partition, and groups over the topic
+ * of the duty. Operators and engines write with {@code /put}, which is the stand-in's own call.
  */
 public final class Store {
   /** Time without a heartbeat after which the entry of an engine is removed. */
@@ -64,25 +64,23 @@
     String path = target.split("\\?")[0];
     Map<String, String> query = query(target);
     String topic = query.get("topic");
-    switch (path) {
-      case "/put" -> {
-        put(topic, query.get("key"), body);
-        reply(out, 200, "{}");
-      }
-      case "/log-append" -> append(out, topic, body);
-      case "/log-read" ->
-          read(
-              out,
-              topic,
-              Long.parseLong(query.get("rangeStart")),
-              Long.parseLong(query.getOrDefault("waitTimeoutMs", "0")));
-      case "/log-newest" -> reply(out, 200, newest(topic));
-      case "/log-join" -> reply(out, 200, join(new String(body, StandardCharsets.UTF_8)));
-      case "/log-leave" -> {
-        leave(field(new String(body, StandardCharsets.UTF_8), "member"));
-        reply(out, 200, "{}");
-      }
-      default -> reply(out, 404, "{}");
+    if (path.equals("/put")) {
+      put(topic, query.get("key"), body);
+      reply(out, 200, "{}");
+    } else if (path.equals(Wire.APPEND)) {
+      append(out, topic, body);
+    } else if (path.equals(Wire.READ)) {
+      long waitMs = Long.parseLong(query.getOrDefault("waitTimeoutMs", "0"));
+      read(out, topic, Long.parseLong(query.get("rangeStart")), waitMs);
+    } else if (path.equals(Wire.NEWEST)) {
+      reply(out, 200, newest(topic));
+    } else if (path.equals(Wire.JOIN)) {
+      reply(out, 200, join(new String(body, StandardCharsets.UTF_8)));
+    } else if (path.equals(Wire.LEAVE)) {
+      leave(field(new String(body, StandardCharsets.UTF_8), "member"));
+      reply(out, 200, "{}");
+    } else {
+      reply(out, 404, "{}");
     }
   }
 
@@ -92,14 +90,14 @@
     content.write(key.getBytes(StandardCharsets.UTF_8));
     content.write(value);
     topics.computeIfAbsent(topic, name -> new ArrayList<>()).add(content.toByteArray());
-    if (topic.equals("keyed.servers")) {
+    if (topic.equals(Wire.ENGINE_TOPIC)) {
       beatAtMs.put(key, value.length == 0 ? Long.MAX_VALUE : nowMs());
     }
     notifyAll();
   }
 
   private synchronized void append(OutputStream out, String topic, byte[] body) throws IOException {
-    if (topic.equals("keyed.op") || topic.equals("keyed.servers")) {
+    if (topic.equals(Wire.OPERATOR_TOPIC) || topic.equals(Wire.ENGINE_TOPIC)) {
       reply(out, 403, "{}");
       return;
     }
@@ -162,7 +160,7 @@
       generation++;
       owner = owner.isEmpty() ? member : owner;
     }
-    String parts = owner.equals(member) ? "[\"keyed.status\",0,0]" : "";
+    String parts = owner.equals(member) ? "[\"" + Wire.DUTY_TOPIC + "\",0,0]" : "";
     return "{\"generation\":" + generation + ",\"ttlMs\":" + field(body, "ttlMs") + ",\"parts\":["
         + parts + "]}";
   }
@@ -188,7 +186,7 @@
           for (String engine : List.copyOf(beatAtMs.keySet())) {
             if (beatAtMs.get(engine) != Long.MAX_VALUE
                 && nowMs() - beatAtMs.get(engine) > ENTRY_TTL_MS) {
-              put("keyed.servers", engine, new byte[0]);
+              put(Wire.ENGINE_TOPIC, engine, new byte[0]);
             }
           }
         }
