--- a/review/support/DarkCrash.java
+++ b/review/support/DarkCrash.java
@@ -8,10 +8,10 @@
  * machine closes no channel: it is silent.
  */
 public final class DarkCrash {
-  private static final int ENGINES = 6;
+  private static final int ENGINES = 12;
   private static final long BACK_MS = 3_000;
-  private static final long RUN_MS = 35_000;
-  private static final long DEADLY_INTERVAL_MS = 2_600;
+  private static final long RUN_MS = 45_000;
+  private static final long DEADLY_INTERVAL_MS = 5_000;
   private static final long SOUND_INTERVAL_MS = 100;
   private static final int TIME_LIMIT_MS = 2_500;
 
--- a/review/support/Engine.java
+++ b/review/support/Engine.java
@@ -9,7 +9,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.zip.CRC32;
@@ -26,8 +25,11 @@
 
   private static final long WORK_MS = 40;
 
-  /** One of so many answers has no length, if the engine sends such answers. */
-  private static final int UNFRAMED_INTERVAL = 34;
+  /** One of so many answers has no length, while the engine sends such answers. */
+  private static final int UNFRAMED_INTERVAL = 20;
+
+  /** Time from its first answer on in which an engine sends such answers, in milliseconds. */
+  private static final long UNFRAMED_MS = 5_000;
 
   private static final int STREAM_EVENTS = 8;
   private static final String DEADLY_PART = "dead0001";
@@ -55,7 +57,8 @@
   private final List<String> models = new ArrayList<>();
   private final long bornMs = System.currentTimeMillis();
   private final Record record;
-  private final AtomicInteger answers = new AtomicInteger();
+  private int answers;
+  private long unframedUntilMs;
   private long ordersAccepted;
   private long highestFence;
   private boolean busy;
@@ -149,7 +152,7 @@
           return;
         } else if (mode == Mode.STREAM) {
           stream(out, head);
-        } else if (mode == Mode.UNFRAMED && answers.incrementAndGet() % UNFRAMED_INTERVAL == 0) {
+        } else if (mode == Mode.UNFRAMED && isUnframed()) {
           answerUnframed(out, head);
           socket.shutdownOutput();
           in.transferTo(OutputStream.nullOutputStream());
@@ -180,6 +183,12 @@
     record.line("has answered " + head.header("x-attempt-id") + " with " + body.length + "B");
   }
 
+  private synchronized boolean isUnframed() {
+    long nowMs = System.nanoTime() / 1_000_000;
+    unframedUntilMs = answers == 0 ? nowMs + UNFRAMED_MS : unframedUntilMs;
+    return ++answers % UNFRAMED_INTERVAL == 0 && nowMs < unframedUntilMs;
+  }
+
   private void answerUnframed(OutputStream out, Http.Head head)
       throws IOException, InterruptedException {
     String attempt = head.header("x-attempt-id");
--- a/review/support/UnframedAnswer.java
+++ b/review/support/UnframedAnswer.java
@@ -9,7 +9,7 @@
 /** Half of the engines send a few of their answers without a length; such an answer is whole. */
 public final class UnframedAnswer {
   private static final int CLIENTS = 8;
-  private static final long RUN_MS = 25_000;
+  private static final long RUN_MS = 10_000;
   private static final long PAUSE_MS = 60;
   private static final int ANSWER_BYTES = 100_000;
   private static final int TIME_LIMIT_MS = 2_500;
