Fail a response without a length whose reset is found by a write

Cause: a response without a length ends with its connection, and the decoder also ends it when the connection is lost. Only an error of a read marked that end as a reset. While the request is still being written, the reset is found by the write: Netty then closes the channel without exceptionCaught. A stream that is cut between two events took the same way.

The connection now keeps its output open after the engine's FIN, so that the FIN is an event of its own. Such a response is complete only after that event and once the engine has accepted the whole request; without the second part an engine whose kernel sends FIN and then resets looks the same. An engine that ends its response first and reads on is answered as before; before, its connection was closed while it read.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -53,6 +54,7 @@
 
   private final BackendId engine;
   private final Owner owner;
+  private final EndOfInput endOfInput;
   private Channel channel;
   private EngineAttempt attempt;
   private EngineExchange exchange;
@@ -64,12 +66,14 @@
   private boolean framed;
   private boolean reusable;
   private boolean connectionFailed;
+  private boolean awaitingRequestEnd;
   private long idleSinceNs;
   private long idleLimitMs = DEFAULT_IDLE_MS;
 
-  EngineChannel(BackendId engine, Owner owner) {
+  EngineChannel(BackendId engine, Owner owner, EndOfInput endOfInput) {
     this.engine = engine;
     this.owner = owner;
+    this.endOfInput = endOfInput;
   }
 
   BackendId engine() {
@@ -171,6 +175,14 @@
     }
   }
 
+  /** Closes the connection after the engine has, unless the request is still being written. */
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent && !awaitingRequestEnd) {
+      channel.close();
+    }
+  }
+
   /**
    * Closes the connection after an I/O error. A response that ends with the connection is then
    * incomplete.
@@ -232,13 +244,41 @@
       attempt.contentReceived(bytes);
     }
     if (last && attempt != null) {
-      EngineAttempt completed = attempt;
-      attempt = null;
-      completed.responseEnded(framed);
-      returnToPool();
+      endResponse();
     }
   }
 
+  /**
+   * Ends the attempt with its response. A response that states no length is complete only if the
+   * engine has ended the connection and accepted the whole request; an engine that has stopped
+   * resets the connection when it receives the rest.
+   */
+  private void endResponse() {
+    if (framed) {
+      completeAttempt();
+      return;
+    }
+    if (!endOfInput.isReached()) {
+      failAttempt(ForwardResult.CONNECTION_LOST);
+      return;
+    }
+    EngineAttempt answered = attempt;
+    awaitingRequestEnd = !requestWritten.isDone();
+    requestWritten.addListener(
+        written -> {
+          if (attempt == answered && written.isSuccess()) {
+            completeAttempt();
+          }
+        });
+  }
+
+  private void completeAttempt() {
+    EngineAttempt completed = attempt;
+    attempt = null;
+    completed.responseEnded(framed);
+    returnToPool();
+  }
+
   /** Returns the result for a malformed response, which may also have been cut. */
   private static ForwardResult resultOf(DecoderResult failure) {
     return failure.cause() instanceof PrematureChannelClosureException
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
@@ -62,8 +62,9 @@
       pooled.send(attempt, protocol);
       return;
     }
-    EngineChannel opened = new EngineChannel(attempt.forward().engine(), this);
-    ChannelFuture connecting = connect(attempt.forward().address(), opened);
+    EndOfInput endOfInput = new EndOfInput();
+    EngineChannel opened = new EngineChannel(attempt.forward().engine(), this, endOfInput);
+    ChannelFuture connecting = connect(attempt.forward().address(), endOfInput, opened);
     connecting.addListener(
         done -> {
           if (!attempt.hasEnded() && !done.isSuccess()) {
@@ -148,18 +149,20 @@
     idle.values().removeIf(Deque::isEmpty);
   }
 
-  private ChannelFuture connect(String address, EngineChannel handler) {
+  private ChannelFuture connect(String address, EndOfInput endOfInput, EngineChannel handler) {
     return new Bootstrap()
         .group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .handler(
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
                 channel
                     .pipeline()
+                    .addLast(endOfInput)
                     .addLast(new HttpRequestEncoder())
                     .addLast(new EngineResponseDecoder(handler))
                     .addLast(handler);
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/ControlledEngine.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/ControlledEngine.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -14,11 +15,16 @@
 final class ControlledEngine implements AutoCloseable {
   private static final int TIMEOUT_MS = 20_000;
 
+  /** Smaller than the requests that an engine leaves unread. */
+  private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
+
   private final ServerSocket server;
   private final List<Connection> connections = new ArrayList<>();
 
   ControlledEngine() throws IOException {
-    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    server = new ServerSocket();
+    server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
     server.setSoTimeout(TIMEOUT_MS);
   }
 
@@ -51,7 +57,7 @@
       socket.setTcpNoDelay(true);
     }
 
-    /** Waits for the next request, which has no body, and returns its head. */
+    /** Waits for the head of the next request and returns it; a body is left unread. */
     String readRequest() throws IOException {
       InputStream in = socket.getInputStream();
       ByteArrayOutputStream head = new ByteArrayOutputStream();
@@ -70,6 +76,11 @@
       socket.getOutputStream().flush();
     }
 
+    /** Reads a part of a request body. */
+    void readBody(int lengthBytes) throws IOException {
+      socket.getInputStream().skipNBytes(lengthBytes);
+    }
+
     /** Waits until the gateway closes the connection or sends a byte, which is returned. */
     int readByte() throws IOException {
       return socket.getInputStream().read();
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
@@ -25,6 +25,9 @@
 
 /** The traffic side of a gateway on loopback, whose effects the test submits. */
 final class GatewayFixture implements AutoCloseable {
+  /** Length of the body of a long call, in bytes. */
+  static final int LONG_BODY_BYTES = 4_000_000;
+
   private static final long TIMEOUT_S = 20;
   private static final long DEADLINE_IN_MS = 60_000;
   private static final long ENGINE_STARTED_AT_MS = 7;
@@ -55,6 +58,19 @@
     return send("GET /a HTTP/1.1\r\nHost: h\r\nCall: " + id + "\r\n\r\n");
   }
 
+  /** Sends a request with a body that is longer than the buffers between gateway and engine. */
+  Socket sendLongCall(String id) throws IOException {
+    Socket socket =
+        send(
+            "POST /a HTTP/1.1\r\nHost: h\r\nCall: "
+                + id
+                + "\r\nContent-Length: "
+                + LONG_BODY_BYTES
+                + "\r\n\r\n");
+    socket.getOutputStream().write(new byte[LONG_BODY_BYTES]);
+    return socket;
+  }
+
   Socket send(String request) throws IOException {
     InetSocketAddress address = (InetSocketAddress) callers.localAddress();
     Socket socket = new Socket(address.getAddress(), address.getPort());
