Ask for more evidence against a request that lost engines had not accepted

An engine that is lost before it has accepted the whole request may not have read what is suspected. Such an end is REQUEST_CUT; it may have run like CONNECTION_LOST, but makes the evidence doubtful, which asks for six losses as for contents that engines have answered lately. The platform allows three retries after the third crash, so a long request that does crash engines is still refused in time. The flag in the reports of peers is the same.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashEvents.java
@@ -27,10 +27,11 @@
       NodeState node, Call call, Attempt attempt, ForwardResult result) {
     CrashRecords records = node.gateway().crashRecords();
     return switch (result) {
-      case CONNECTION_LOST -> {
+      case CONNECTION_LOST, REQUEST_CUT -> {
+        boolean doubtful = result == ForwardResult.REQUEST_CUT;
         Collection<Long> contents = CallContents.suspected(call, attempt, records.answered());
         EngineLoss loss = CallContents.loss(call.spec(), attempt, node.nowMs());
-        yield changed(node, records.withLoss(contents, loss, node.nowMs()), contents)
+        yield changed(node, records.withLoss(contents, loss, doubtful, node.nowMs()), contents)
             .then(CrashEvents::scheduleReport);
       }
       case COMPLETED ->
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
@@ -49,12 +49,17 @@
     return suspicion != null && suspicion.isBanned(nowMs);
   }
 
-  /** Records that the connection to an engine was lost while it ran a call with some contents. */
-  CrashRecords withLoss(Collection<Long> contents, EngineLoss loss, long nowMs) {
+  /**
+   * Records that the connection to an engine was lost while it ran a call with some contents.
+   *
+   * @param doubtful whether the engine may not have read them
+   */
+  CrashRecords withLoss(Collection<Long> contents, EngineLoss loss, boolean doubtful, long nowMs) {
     PMap<Long, CrashSuspicion> next = suspicions;
     for (long content : contents) {
-      CrashSuspicion known = next.getOrDefault(content, CrashSuspicion.NONE);
-      next = next.plus(content, withOwnAnswers(content, known.withLoss(loss, nowMs), nowMs));
+      CrashSuspicion known = next.getOrDefault(content, CrashSuspicion.NONE).withLoss(loss, nowMs);
+      CrashSuspicion judged = doubtful ? known.withDoubt(nowMs) : known;
+      next = next.plus(content, withOwnAnswers(content, judged, nowMs));
     }
     return withSuspicions(next).bounded();
   }
@@ -99,16 +104,13 @@
 
   private CrashSuspicion withOwnAnswers(long content, CrashSuspicion suspicion, long nowMs) {
     boolean answeredHere = !suspicion.losses().isEmpty() && answered.contains(content);
-    return answeredHere ? suspicion.withAnsweredLately(nowMs) : suspicion;
+    return answeredHere ? suspicion.withDoubt(nowMs) : suspicion;
   }
 
-  /**
-   * Returns whether this instance knows of answers to a reported content of which its peer did not
-   * know.
-   */
+  /** Returns whether this instance doubts the evidence against a content that a peer reported. */
   boolean contradicts(CrashReport report) {
     CrashSuspicion known = suspicions.get(report.content());
-    return known != null && known.answeredLately() && !report.answeredLately();
+    return known != null && known.doubtful() && !report.doubtful();
   }
 
   /** Returns the evidence that has changed since a time, for a peer, the worst first. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashReport.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashReport.java
@@ -8,12 +8,12 @@
  *
  * @param content hash of the content: a prompt part or a whole request
  * @param losses losses of engines that began to run a call with the content, in order
- * @param answeredLately whether engines have answered calls with the content lately
+ * @param doubtful whether engines have answered calls with the content lately, or may not have read
+ *     it when they were lost
  * @param answeredAgeMs time since the last answer that cancelled losses, in milliseconds, or {@link
  *     #NOT_ANSWERED}
  */
-public record CrashReport(
-    long content, List<Loss> losses, boolean answeredLately, long answeredAgeMs) {
+public record CrashReport(long content, List<Loss> losses, boolean doubtful, long answeredAgeMs) {
   /** Stands for the age of an answer that the sender does not know of. */
   public static final long NOT_ANSWERED = -1;
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashSuspicion.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashSuspicion.java
@@ -11,18 +11,18 @@
  * reason, would otherwise look like several crashes by each content that they ran. An answer to a
  * call with the content cancels the losses before it.
  *
- * <p>A content that engines have answered lately needs more evidence: it may only have come
- * together with one that crashes them.
+ * <p>Doubtful evidence needs more losses: a content that engines have answered lately may only have
+ * come together with one that crashes them, and an engine that was lost before it had accepted the
+ * whole request may not have read what is suspected.
  *
  * @param losses losses in order, each of a call that was sent after the loss before it
- * @param answeredLately whether engines have answered calls with the content lately, as far as this
- *     instance or a peer knows
+ * @param doubtful whether the evidence is doubtful, as far as this instance or a peer knows
  * @param answeredAtMs time of the last known answer to a call with the content, in monotonic
  *     milliseconds, or {@link #NOT_ANSWERED_MS}
  * @param changedAtMs time of the last change, in monotonic milliseconds
  */
 record CrashSuspicion(
-    List<EngineLoss> losses, boolean answeredLately, long answeredAtMs, long changedAtMs) {
+    List<EngineLoss> losses, boolean doubtful, long answeredAtMs, long changedAtMs) {
   static final long NOT_ANSWERED_MS = Long.MIN_VALUE;
 
   static final CrashSuspicion NONE = new CrashSuspicion(List.of(), false, NOT_ANSWERED_MS, 0);
@@ -30,13 +30,16 @@
   /** Number of losses from which a content is banned; the platform allows three crashed engines. */
   private static final int MAX_LOSSES = 3;
 
-  /** Number of losses from which a content is banned that engines have answered lately. */
-  private static final int MAX_LOSSES_IF_ANSWERED = 2 * MAX_LOSSES;
+  /**
+   * Number of losses from which a content is banned if the evidence is doubtful; the platform
+   * allows three requests after the third crash.
+   */
+  private static final int MAX_LOSSES_IF_DOUBTFUL = 2 * MAX_LOSSES;
 
   /** Number of times that the ban doubles, once for each loss beyond those that cause it. */
   private static final int MAX_DOUBLINGS = 3;
 
-  private static final int MAX_KEPT_LOSSES = MAX_LOSSES_IF_ANSWERED + MAX_DOUBLINGS;
+  private static final int MAX_KEPT_LOSSES = MAX_LOSSES_IF_DOUBTFUL + MAX_DOUBLINGS;
 
   /**
    * Time for which a content is banned at first, in milliseconds. An innocent content that was near
@@ -72,7 +75,7 @@
   }
 
   private int maxLosses() {
-    return answeredLately ? MAX_LOSSES_IF_ANSWERED : MAX_LOSSES;
+    return doubtful ? MAX_LOSSES_IF_DOUBTFUL : MAX_LOSSES;
   }
 
   /** Returns whether the evidence no longer matters. A ban is remembered for twice its time. */
@@ -96,9 +99,9 @@
         : this;
   }
 
-  /** Returns the evidence about a content that engines have answered lately. */
-  CrashSuspicion withAnsweredLately(long nowMs) {
-    return answeredLately ? this : new CrashSuspicion(losses, true, answeredAtMs, nowMs);
+  /** Returns the evidence as doubtful. */
+  CrashSuspicion withDoubt(long nowMs) {
+    return doubtful ? this : new CrashSuspicion(losses, true, answeredAtMs, nowMs);
   }
 
   /** Returns the evidence together with that of a peer, or this object if nothing is new. */
@@ -110,7 +113,7 @@
                     new EngineLoss(loss.id(), nowMs - loss.sentAgeMs(), nowMs - loss.lostAgeMs()))
             .toList();
     CrashSuspicion known = withLosses(reported, nowMs);
-    CrashSuspicion merged = report.answeredLately() ? known.withAnsweredLately(nowMs) : known;
+    CrashSuspicion merged = report.doubtful() ? known.withDoubt(nowMs) : known;
     return report.answeredAgeMs() == CrashReport.NOT_ANSWERED
         ? merged
         : merged.withAnswer(nowMs - report.answeredAgeMs(), nowMs);
@@ -126,7 +129,7 @@
             .toList();
     long answeredAgeMs =
         answeredAtMs == NOT_ANSWERED_MS ? CrashReport.NOT_ANSWERED : nowMs - answeredAtMs;
-    return new CrashReport(content, reported, answeredLately, answeredAgeMs);
+    return new CrashReport(content, reported, doubtful, answeredAgeMs);
   }
 
   /**
@@ -141,7 +144,7 @@
     List<EngineLoss> merged = inSequence(all);
     return sameAttempts(merged, losses)
         ? this
-        : new CrashSuspicion(merged, answeredLately, answeredAtMs, nowMs);
+        : new CrashSuspicion(merged, doubtful, answeredAtMs, nowMs);
   }
 
   /**
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
@@ -24,6 +24,11 @@
   MISDIRECTED(false, EngineFailure.MISSING, true),
   /** The connection was lost after the call was sent and before the end of the response. */
   CONNECTION_LOST(true, EngineFailure.BROKEN, true),
+  /**
+   * The connection was lost while the request was still being written. The engine may have run the
+   * call, but had not accepted all of it.
+   */
+  REQUEST_CUT(true, EngineFailure.BROKEN, true),
   /** The engine's response is malformed, too large or unsigned. */
   INVALID_ANSWER(true, EngineFailure.ERROR, true),
   /** The engine was silent for too long, and the call is moved to another engine. */
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -351,6 +351,36 @@
     assertThat(fixture.take(ReplyToCall.class).get(0).reply()).isEqualTo(Reply.CRASH_SUSPECT);
   }
 
+  /** Guards against refusing a request for crashes of engines that had not read it. */
+  @Test
+  void servesARequestThatLostEnginesHadNotAccepted() {
+    setUpTwoPlainEngines();
+    for (int i = 0; i < 5; i++) {
+      long id = fixture.call("/once/x", Optional.empty(), 1_000);
+      fixture.endForward(id, 1, ForwardResult.REQUEST_CUT);
+    }
+    fixture.take(ForwardCall.class);
+
+    fixture.call("/once/x", Optional.empty(), 1_000);
+
+    assertThat(fixture.take(ForwardCall.class)).hasSize(1);
+  }
+
+  /** Guards against a long request that crashes engines without end before they have read it. */
+  @Test
+  void refusesARequestThatEnginesDidNotAcceptAfterSixLosses() {
+    setUpTwoPlainEngines();
+    for (int i = 0; i < 6; i++) {
+      long id = fixture.call("/once/x", Optional.empty(), 1_000);
+      fixture.endForward(id, 1, ForwardResult.REQUEST_CUT);
+    }
+    fixture.take(ReplyToCall.class);
+
+    fixture.call("/once/x", Optional.empty(), 1_000);
+
+    assertThat(fixture.take(ReplyToCall.class).get(0).reply()).isEqualTo(Reply.CRASH_SUSPECT);
+  }
+
   /**
    * Guards against refusing a common request because of connections lost for other reasons,
    * although engines also answer it.
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/CrashReportCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/CrashReportCodec.java
@@ -13,15 +13,15 @@
   static void pack(MessageBufferPacker packer, CrashReport report) throws IOException {
     packer.packLong(report.content());
     Values.packList(packer, report.losses(), CrashReportCodec::packLoss);
-    packer.packBoolean(report.answeredLately());
+    packer.packBoolean(report.doubtful());
     packer.packLong(report.answeredAgeMs());
   }
 
   static CrashReport unpack(MessageUnpacker unpacker) throws IOException {
     long content = unpacker.unpackLong();
     List<CrashReport.Loss> losses = Values.unpackList(unpacker, CrashReportCodec::unpackLoss);
-    boolean answeredLately = unpacker.unpackBoolean();
-    return new CrashReport(content, losses, answeredLately, unpacker.unpackLong());
+    boolean doubtful = unpacker.unpackBoolean();
+    return new CrashReport(content, losses, doubtful, unpacker.unpackLong());
   }
 
   private static void packLoss(MessageBufferPacker packer, CrashReport.Loss loss)
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
@@ -171,7 +171,7 @@
     if (attempt != null) {
       EngineAttempt lost = attempt;
       attempt = null;
-      lost.exchangeFailed(ForwardResult.CONNECTION_LOST);
+      lost.exchangeFailed(lostResult());
     }
   }
 
@@ -259,7 +259,7 @@
       return;
     }
     if (!endOfInput.isReached()) {
-      failAttempt(ForwardResult.CONNECTION_LOST);
+      failAttempt(lostResult());
       return;
     }
     EngineAttempt answered = attempt;
@@ -280,18 +280,22 @@
   }
 
   /** Returns the result for a malformed response, which may also have been cut. */
-  private static ForwardResult resultOf(DecoderResult failure) {
+  private ForwardResult resultOf(DecoderResult failure) {
     return failure.cause() instanceof PrematureChannelClosureException
-        ? ForwardResult.CONNECTION_LOST
+        ? lostResult()
         : ForwardResult.INVALID_ANSWER;
   }
 
+  private ForwardResult lostResult() {
+    return requestWritten.isSuccess() ? ForwardResult.CONNECTION_LOST : ForwardResult.REQUEST_CUT;
+  }
+
   private void failAttempt(ForwardResult result) {
     EngineAttempt failed = attempt;
     attempt = null;
     channel.close();
     if (failed != null) {
-      failed.exchangeFailed(connectionFailed ? ForwardResult.CONNECTION_LOST : result);
+      failed.exchangeFailed(connectionFailed ? lostResult() : result);
     }
   }
 
