Fail a control response without a length whose connection was lost

ControlHttpClient, which reads the store and the reports of engines, took a response without a length that was cut by a reset as whole: the same cause as in the connections that carry calls. It now accepts such a response only after the FIN of its sender.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ControlHttpClient.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ControlHttpClient.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -169,15 +170,18 @@
         .channel(NioSocketChannel.class)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .handler(
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel channel) {
+                EndOfInput endOfInput = new EndOfInput();
                 channel
                     .pipeline()
+                    .addLast(endOfInput)
                     .addLast(new HttpClientCodec())
                     .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
-                    .addLast(new ResponseHandler(address));
+                    .addLast(new ResponseHandler(address, endOfInput));
               }
             })
         .connect(socketAddress(address));
@@ -192,11 +196,13 @@
 
   private final class ResponseHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
     private final String address;
+    private final EndOfInput endOfInput;
     private CompletableFuture<Response> pendingResponse;
     private ScheduledFuture<?> timeout;
 
-    ResponseHandler(String address) {
+    ResponseHandler(String address, EndOfInput endOfInput) {
       this.address = address;
+      this.endOfInput = endOfInput;
     }
 
     void expect(CompletableFuture<Response> response, ScheduledFuture<?> deadline) {
@@ -206,7 +212,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse message) {
-      if (pendingResponse == null || message.decoderResult().isFailure()) {
+      if (pendingResponse == null || message.decoderResult().isFailure() || !isWhole(context)) {
         context.close();
         return;
       }
@@ -223,6 +229,21 @@
               message.status().code(), message.headers(), ByteBufUtil.getBytes(message.content())));
     }
 
+    /**
+     * Returns whether a response is whole. The decoder also ends one without a length when the
+     * connection is lost.
+     */
+    private boolean isWhole(ChannelHandlerContext context) {
+      return context.channel().isActive() || endOfInput.isReached();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (event instanceof ChannelInputShutdownEvent) {
+        context.close();
+      }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       Deque<Channel> channels = idle.get(address);
