Test early responses without a length in the product's own entry

The entry reports them as lost already: its HTTP client fails an exchange whose request cannot be written.

--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/ScriptedEngine.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/ScriptedEngine.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -20,18 +21,27 @@
   private static final Pattern LENGTH = Pattern.compile("(?i)content-length: *(\\d+)");
   private static final String CANCELLATION = "DELETE ";
 
+  /** Smaller than the requests that an engine leaves unread. */
+  private static final int RECEIVE_BUFFER_BYTES = 64 << 10;
+
+  /** Time in which the entry reads what an engine has written, in milliseconds. */
+  private static final long READ_MS = 300;
+
   private final ServerSocket server;
   private final ExecutorService executor = Executors.newCachedThreadPool();
   private final BlockingQueue<Script> scripts = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> calls = new LinkedBlockingQueue<>();
+  private volatile boolean answersEarly;
 
   /** Writes the answer to a call. */
   interface Script {
-    void answer(Call call) throws IOException;
+    void answer(Call call) throws IOException, InterruptedException;
   }
 
   ScriptedEngine() throws IOException {
-    server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    server = new ServerSocket();
+    server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+    server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
     executor.execute(this::acceptConnections);
   }
 
@@ -44,6 +54,12 @@
     return this;
   }
 
+  /** Leaves the bodies of requests to the scripts. */
+  ScriptedEngine answersEarly() {
+    answersEarly = true;
+    return this;
+  }
+
   /** Returns the heads of the calls so far. */
   BlockingQueue<String> calls() {
     return calls;
@@ -70,14 +86,16 @@
     try (socket) {
       InputStream in = socket.getInputStream();
       for (String head = readHead(in); !head.isEmpty(); head = readHead(in)) {
-        Matcher length = LENGTH.matcher(head);
-        in.readNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0);
+        Call call = new Call(socket, head);
+        if (!answersEarly) {
+          call.readBody();
+        }
         if (head.startsWith(CANCELLATION)) {
-          new Call(socket, head).write("HTTP/1.1 204 No Content\r\n\r\n");
+          call.write("HTTP/1.1 204 No Content\r\n\r\n");
           continue;
         }
         calls.add(head);
-        scripts.take().answer(new Call(socket, head));
+        scripts.take().answer(call);
       }
     } catch (IOException e) {
       // The connection has ended.
@@ -122,6 +140,17 @@
       return "";
     }
 
+    /** Reads the body of the request. */
+    void readBody() throws IOException {
+      Matcher length = LENGTH.matcher(head);
+      socket.getInputStream().skipNBytes(length.find() ? Integer.parseInt(length.group(1)) : 0);
+    }
+
+    /** Waits until the entry has read what was written. */
+    void awaitReader() throws InterruptedException {
+      Thread.sleep(READ_MS);
+    }
+
     void write(String text) {
       try {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/ScriptedEntry.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/ScriptedEntry.java
@@ -13,8 +13,7 @@
 final class ScriptedEntry implements AutoCloseable {
   static final String CHAT = "/v1/chat/completions";
   static final String SERVICE = "/services/orders/lots";
-  static final String STREAM =
-      "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}],\"stream\":true}";
+  static final String STREAM = streamOf("hi");
   static final String EVENT_STREAM = "Content-Type: text/event-stream\r\n";
   static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
   static final String LAST_CHUNK = "0\r\n\r\n";
@@ -51,6 +50,13 @@
     return http.send(request, BodyHandlers.ofString());
   }
 
+  /** Returns a streamed chat request with a message of the user. */
+  static String streamOf(String text) {
+    return "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":\""
+        + text
+        + "\"}],\"stream\":true}";
+  }
+
   static String refusal(String echo) {
     return "HTTP/1.1 503 Refused\r\nLimpetdoor-Not-Started: true\r\n"
         + echo
