Read the entry's log in time after it was silent

The same sum as in the platform's reader of topics: a read that a silent log did not answer ended after 7 s, and the next one followed after up to 2 s, while a configuration must be in force within 4 s. LogFollower now uses PollSchedule, and a read ends after 3.5 s.

--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/HttpLogService.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/HttpLogService.java
@@ -23,6 +23,10 @@
   private static final int CONNECT_TIMEOUT_MS = 2_000;
   // A slower append is retried with the same identifier, so that the fold ignores the duplicate.
   private static final int CALL_TIMEOUT_MS = 5_000;
+  // A silent log responds to no read that was sent before its return; the read must end, and the
+  // next
+  // one succeed, within the 4 s in which a published configuration must take effect.
+  private static final int READ_TIMEOUT_MS = 3_500;
   private static final int STATUS_OK_MIN = 200;
   private static final int STATUS_OK_MAX = 299;
   private static final int STATUS_TOO_MANY_REQUESTS = 429;
@@ -69,7 +73,7 @@
   public Page read(long from, int max, int waitMs) {
     String query = "?from=" + from + "&max=" + max + "&waitMs=" + waitMs;
     HttpRequest request = HttpRequest.newBuilder(URI.create(recordsUri + query)).GET().build();
-    JsonNode response = call(request, callTimeoutMs + (long) waitMs);
+    JsonNode response = call(request, Math.min(READ_TIMEOUT_MS, callTimeoutMs + (long) waitMs));
     List<RawRecord> records = new ArrayList<>();
     for (JsonNode node : response.path("records")) {
       records.add(new RawRecord(requireLong(node, "offset"), recordBody(node)));
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/LogFollower.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/LogFollower.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.limpetdoor.core.PollSchedule;
 import org.limpetdoor.core.agreed.StoredRecord;
 import org.limpetdoor.runtime.MonotonicClock;
 import org.limpetdoor.runtime.decision.LogLine;
@@ -23,11 +24,6 @@
    */
   private static final int LONG_POLL_TIMEOUT_MS = 2_000;
 
-  private static final long MIN_BACKOFF_MS = 100;
-
-  /** Half of the 4 s within which a published configuration must take effect on all instances. */
-  private static final long MAX_BACKOFF_MS = 2_000;
-
   private static final Logger LOG = System.getLogger(LogFollower.class.getName());
 
   private final LogService log;
@@ -36,7 +32,7 @@
   private final ScheduledExecutorService executor;
   private volatile boolean hasRead;
   private volatile long nextOffset;
-  private long backoffMs = MIN_BACKOFF_MS;
+  private PollSchedule schedule = PollSchedule.of(LONG_POLL_TIMEOUT_MS, 0);
 
   /**
    * Creates a follower that begins at offset 0. {@link #start()} starts its thread.
@@ -57,7 +53,7 @@
 
   /** Starts reading. */
   public void start() {
-    schedule(0);
+    scheduleRead(0);
   }
 
   /** Returns whether at least one read has succeeded. */
@@ -77,20 +73,21 @@
 
   /** Reads again after any failure, because nothing would report a follower that had stopped. */
   private void readAndReschedule() {
+    long requestedAtMs = clock.nowMs();
     try {
-      read();
-      backoffMs = MIN_BACKOFF_MS;
-      schedule(0);
+      read(requestedAtMs);
+      schedule = schedule.afterSuccess();
+      scheduleRead(schedule.nextDelayMs(0));
     } catch (RuntimeException e) {
-      logReadFailure(e);
-      schedule(backoffMs);
-      backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+      schedule = schedule.afterFailure();
+      long delayMs = schedule.nextDelayMs(clock.nowMs() - requestedAtMs);
+      logReadFailure(e, delayMs);
+      scheduleRead(delayMs);
     }
   }
 
-  private void read() {
-    long requestedAtMs = clock.nowMs();
-    LogService.Page page = log.read(nextOffset, MAX_RECORDS_PER_READ, LONG_POLL_TIMEOUT_MS);
+  private void read(long requestedAtMs) {
+    LogService.Page page = log.read(nextOffset, MAX_RECORDS_PER_READ, (int) schedule.nextWaitMs());
     if (page.firstOffset() > nextOffset) {
       logMissingRecords(page.firstOffset());
     }
@@ -101,7 +98,7 @@
     hasRead = true;
   }
 
-  private void schedule(long delayMs) {
+  private void scheduleRead(long delayMs) {
     try {
       executor.schedule(this::readAndReschedule, delayMs, TimeUnit.MILLISECONDS);
     } catch (RejectedExecutionException e) {
@@ -109,14 +106,14 @@
     }
   }
 
-  private void logReadFailure(RuntimeException e) {
+  private void logReadFailure(RuntimeException e, long retryAfterMs) {
     if (executor.isShutdown()) {
       return;
     }
     LogLine line =
         LogLine.event("log_read_failed")
             .with("next_offset", nextOffset)
-            .with("retry_after_ms", backoffMs)
+            .with("retry_after_ms", retryAfterMs)
             .with("reason", e.getMessage());
     LOG.log(Level.WARNING, line.toString());
   }
