Suspect a prompt part whose engines crash after their first event

Cause: the first event was taken as proof that the parts of the prompt are sound. It took the lost attempt out of the evidence against them and cancelled the losses before. The platform says that engines crash when they begin to write an answer, which does not exclude events that have left them. Class of fault: a sign of progress that is taken as success. The entry's mechanism (Quarantine) had the same cause.

An answer now shows that its parts are sound once it is complete or has gone on for 2 s. Answers in progress are looked at when a connection is lost, so calls cost nothing more. A continued answer that is lost early is evidence against its parts, not against the whole request, as before.

doesNotSuspectThePartsOfAnAnswerThatHadBegun asked that a part is not suspected from the first event on, which is the fault. It is replaced by doesNotSuspectThePartsOfAnAnswerThatHasGoneOn, which asks the same after 2 s, and by anAnswerThatGoesOnClearsItsParts.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/AnsweredPromptParts.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/AnsweredPromptParts.java
@@ -17,6 +17,12 @@
   public static final AnsweredPromptParts NONE =
       new AnsweredPromptParts(HashTreePSet.empty(), HashTreePSet.empty(), 0);
 
+  /**
+   * Time from the first event of an answer after which it shows that the parts of its prompt do not
+   * crash engines, in milliseconds. An engine that crashes on a part may have sent events before.
+   */
+  private static final long SOUND_AFTER_MS = 2_000;
+
   /** Age of a generation, in milliseconds. */
   private static final long GENERATION_MS = 60_000;
 
@@ -24,8 +30,18 @@
   private static final int MAX_PARTS = 4_096;
 
   /**
-   * Returns the prompt parts that are suspected if an engine crashes before it answers: those that
-   * no engine has answered lately, or else all of them. A part that crashes engines comes together
+   * Returns whether an answer that is in progress shows that the parts of its prompt do not crash
+   * engines.
+   *
+   * @param startedAtMs time of its first event, in monotonic milliseconds
+   */
+  public static boolean isSoundAnswer(long startedAtMs, long nowMs) {
+    return nowMs - startedAtMs >= SOUND_AFTER_MS;
+  }
+
+  /**
+   * Returns the prompt parts that are suspected if an engine crashes on the prompt: those that no
+   * engine has answered lately, or else all of them. A part that crashes engines comes together
    * with sound ones.
    */
   public List<Long> suspectedOf(List<Long> promptParts) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/CrashSuspects.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/CrashSuspects.java
@@ -9,7 +9,7 @@
 
 /**
  * Contents that were in flight on engines when the engines crashed: whole requests, by fingerprint,
- * and parts of prompts that the engines had not begun to answer.
+ * and parts of prompts that the engines had not answered for long.
  *
  * @param entries suspects by content
  * @param answered shared parts of prompts that engines have answered lately
@@ -67,7 +67,7 @@
 
   /**
    * Returns a copy that attributes a fraction of a crash to the parts of a prompt that an engine
-   * was about to answer.
+   * was about to answer or had begun to answer.
    *
    * @param promptParts shared parts of the prompt
    * @param fraction fraction of the crash that is attributed to the request, from 0 to 1
@@ -94,7 +94,7 @@
     return with(entries.plus(fingerprint, next)).bounded(nowMs);
   }
 
-  /** Returns a copy without the suspicion of parts that an engine has begun to answer. */
+  /** Returns a copy without the suspicion of parts that an engine has answered. */
   public CrashSuspects withAnsweredPrompt(List<Long> promptParts, long nowMs) {
     AnsweredPromptParts nextAnswered = answered;
     PMap<Long, CrashSuspect> next = entries;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
@@ -1,8 +1,10 @@
 package org.limpetdoor.core.gateway;
 
 import java.util.Optional;
+import org.limpetdoor.core.Timed;
 import org.limpetdoor.core.Timer;
 import org.limpetdoor.core.TimerKind;
+import org.limpetdoor.core.backend.AnsweredPromptParts;
 import org.limpetdoor.core.id.BackendId;
 import org.pcollections.PVector;
 import org.pcollections.TreePVector;
@@ -42,9 +44,23 @@
    * @param number number of the attempt, starting at 1
    * @param engine engine that the attempt was sent to
    * @param sentAtMs time at which it was sent, in monotonic milliseconds
-   * @param started whether the first event of the response has been received
+   * @param startedAtMs time of the first event of the response, in monotonic milliseconds, or
+   *     {@link Timed#NEVER_MS} before it
    */
-  record Attempt(int number, BackendId engine, long sentAtMs, boolean started) {}
+  record Attempt(int number, BackendId engine, long sentAtMs, long startedAtMs) {
+    boolean started() {
+      return startedAtMs != Timed.NEVER_MS;
+    }
+
+    /** Returns whether the response shows that the parts of the prompt do not crash engines. */
+    boolean showsSoundPrompt(long nowMs) {
+      return started() && AnsweredPromptParts.isSoundAnswer(startedAtMs, nowMs);
+    }
+
+    Attempt withStarted(long nowMs) {
+      return new Attempt(number, engine, sentAtMs, nowMs);
+    }
+  }
 
   static Call arrived(
       CallSpec spec,
@@ -82,7 +98,7 @@
   }
 
   Call withAttempt(BackendId engine, long nowMs) {
-    Attempt attempt = new Attempt(triedEngines.size() + 1, engine, nowMs, false);
+    Attempt attempt = new Attempt(triedEngines.size() + 1, engine, nowMs, Timed.NEVER_MS);
     return new Call(
         spec,
         route,
@@ -97,13 +113,9 @@
         delivered);
   }
 
-  Call withResponseStarted() {
+  Call withResponseStarted(long nowMs) {
     Attempt attempt = activeAttempt.orElseThrow();
-    return with(
-        ranAt,
-        retryDue,
-        Optional.of(new Attempt(attempt.number(), attempt.engine(), attempt.sentAtMs(), true)),
-        true);
+    return with(ranAt, retryDue, Optional.of(attempt.withStarted(nowMs)), true);
   }
 
   /**
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallContents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallContents.java
@@ -19,17 +19,19 @@
 
   /**
    * Returns the contents that may have crashed the engine of a lost attempt. A part crashes engines
-   * that begin to answer, so an attempt that had begun is evidence against the whole request only,
-   * and against nothing if it continued the response of an earlier one.
+   * that begin to answer, so it is not suspected once the answer has gone on for a while. The whole
+   * request is not suspected if the attempt had continued the response of an earlier one.
    */
-  static List<Long> suspected(Call call, Attempt attempt, AnsweredPromptParts answered) {
-    long request = call.spec().fingerprint();
-    if (attempt.started()) {
-      boolean continued = call.ranAt().size() > 1;
-      return continued ? List.of() : List.of(request);
+  static List<Long> suspected(
+      Call call, Attempt attempt, AnsweredPromptParts answered, long nowMs) {
+    List<Long> contents = new ArrayList<>();
+    if (!attempt.showsSoundPrompt(nowMs)) {
+      contents.addAll(answered.suspectedOf(call.spec().sharedPromptParts()));
+    }
+    boolean continued = attempt.started() && call.ranAt().size() > 1;
+    if (!continued) {
+      contents.add(call.spec().fingerprint());
     }
-    List<Long> contents = new ArrayList<>(answered.suspectedOf(call.spec().sharedPromptParts()));
-    contents.add(request);
     return contents;
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -83,14 +83,14 @@
     NodeState started =
         node.withGateway(
             state
-                .withCall(call.withResponseStarted())
+                .withCall(call.withResponseStarted(node.nowMs()))
                 .withEngines(
                     state
                         .engines()
                         .update(
                             attempt.engine(),
                             engine -> CallSteps.recordResponseStarted(engine, call, tookMs))));
-    return CrashEvents.answerStarted(started, call).then(CallEvents::serveWaiting);
+    return serveWaiting(started);
   }
 
   /**
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashEvents.java
@@ -25,32 +25,45 @@
   /** Records what the end of an attempt shows about the contents of its call. */
   static Transition<NodeState, Effect> attemptEnded(
       NodeState node, Call call, Attempt attempt, ForwardResult result) {
-    CrashRecords records = node.gateway().crashRecords();
     return switch (result) {
-      case CONNECTION_LOST, REQUEST_CUT -> {
-        boolean doubtful = result == ForwardResult.REQUEST_CUT;
-        Collection<Long> contents = CallContents.suspected(call, attempt, records.answered());
-        EngineLoss loss = CallContents.loss(call.spec(), attempt, node.nowMs());
-        yield changed(node, records.withLoss(contents, loss, doubtful, node.nowMs()), contents)
-            .then(CrashEvents::scheduleReport);
-      }
+      case CONNECTION_LOST, REQUEST_CUT ->
+          recordSoundAnswers(node).then(next -> recordLoss(next, call, attempt, result));
       case COMPLETED ->
           answered(
               node,
-              records
+              node.gateway()
+                  .crashRecords()
                   .withAnswer(call.spec().sharedPromptParts(), node.nowMs())
                   .withCompletion(call.spec().fingerprint(), node.nowMs()));
       default -> Transition.of(node);
     };
   }
 
+  private static Transition<NodeState, Effect> recordLoss(
+      NodeState node, Call call, Attempt attempt, ForwardResult result) {
+    CrashRecords records = node.gateway().crashRecords();
+    Collection<Long> contents =
+        CallContents.suspected(call, attempt, records.answered(), node.nowMs());
+    EngineLoss loss = CallContents.loss(call.spec(), attempt, node.nowMs());
+    boolean doubtful = result == ForwardResult.REQUEST_CUT;
+    return changed(node, records.withLoss(contents, loss, doubtful, node.nowMs()), contents)
+        .then(CrashEvents::scheduleReport);
+  }
+
   /**
-   * Records that an engine has begun to answer a call. Its prompt parts do not crash engines; the
-   * request as a whole may still do so.
+   * Records the answers in progress that have gone on for so long that the parts of their prompts
+   * do not crash engines. Only losses need this, and they are rare.
    */
-  static Transition<NodeState, Effect> answerStarted(NodeState node, Call call) {
+  private static Transition<NodeState, Effect> recordSoundAnswers(NodeState node) {
     CrashRecords records = node.gateway().crashRecords();
-    return answered(node, records.withAnswer(call.spec().sharedPromptParts(), node.nowMs()));
+    for (Call open : node.gateway().calls().values()) {
+      boolean sound =
+          open.activeAttempt().filter(active -> active.showsSoundPrompt(node.nowMs())).isPresent();
+      if (sound) {
+        records = records.withAnswer(open.spec().sharedPromptParts(), node.nowMs());
+      }
+    }
+    return answered(node, records);
   }
 
   private static Transition<NodeState, Effect> answered(NodeState node, CrashRecords next) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
@@ -64,7 +64,7 @@
     return withSuspicions(next).bounded();
   }
 
-  /** Records that an engine has begun to answer a prompt with some parts. */
+  /** Records that an engine has answered a prompt with some parts without a crash. */
   CrashRecords withAnswer(Collection<Long> promptParts, long nowMs) {
     AnsweredPromptParts next = answered;
     for (long part : promptParts) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/ActiveAttempt.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/ActiveAttempt.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.core.request;
 
+import org.limpetdoor.core.backend.AnsweredPromptParts;
 import org.limpetdoor.core.id.BackendId;
 
 /**
@@ -15,6 +16,11 @@
     return startedAtMs >= 0;
   }
 
+  /** Returns whether the response shows that the parts of the prompt do not crash engines. */
+  boolean showsSoundPrompt(long nowMs) {
+    return started() && AnsweredPromptParts.isSoundAnswer(startedAtMs, nowMs);
+  }
+
   ActiveAttempt withStarted(long nowMs) {
     return new ActiveAttempt(number, backend, sentAtMs, nowMs);
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Quarantine.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/Quarantine.java
@@ -41,7 +41,7 @@
 
   /**
    * Records a broken connection to an engine as a crash, attributed to the requests in flight on it
-   * and to the parts of the prompts that it had not begun to answer. Plain services are excluded,
+   * and to the parts of the prompts that it had not answered for long. Plain services are excluded,
    * because their connections also break after an idle period, and many of their calls share a
    * fingerprint.
    */
@@ -53,7 +53,7 @@
         || isSameCrash(state, backendState, attempt)) {
       return state;
     }
-    CrashSuspects suspects = state.backends().suspects();
+    CrashSuspects suspects = withSoundAnswers(state);
     InFlight attempts = backendState.attempts();
     CrashSuspects updatedSuspects =
         attempts.isolated()
@@ -69,14 +69,27 @@
     return state.withBackends(table.withSuspects(updatedSuspects));
   }
 
+  /** Returns the suspects without the parts that answers in progress show to be sound. */
+  private static CrashSuspects withSoundAnswers(NodeState state) {
+    CrashSuspects suspects = state.backends().suspects();
+    for (RequestState request : state.requests().byId().values()) {
+      boolean sound =
+          request.activeAttempts().stream().anyMatch(a -> a.showsSoundPrompt(state.nowMs()));
+      if (sound) {
+        suspects = suspects.withAnsweredPrompt(request.spec().sharedPromptParts(), state.nowMs());
+      }
+    }
+    return suspects;
+  }
+
   /**
-   * Returns the prompts that a crashed engine had not begun to answer. A part of a prompt crashes
+   * Returns the prompts that a crashed engine had not answered for long. A part of a prompt crashes
    * engines that begin to answer it, so those of the others are not suspected.
    */
   private static List<List<Long>> unansweredPrompts(
       NodeState state, RequestState failed, ActiveAttempt failedAttempt) {
     List<List<Long>> prompts = new ArrayList<>();
-    if (!failedAttempt.started()) {
+    if (!failedAttempt.showsSoundPrompt(state.nowMs())) {
       prompts.add(failed.spec().sharedPromptParts());
     }
     BackendState backendState = state.backends().get(failedAttempt.backend());
@@ -85,19 +98,17 @@
       Optional<RequestState> other =
           isFailedAttempt ? Optional.empty() : state.requests().find(id.request());
       other
-          .filter(found -> found.activeAttempt(id).filter(a -> !a.started()).isPresent())
+          .filter(
+              found ->
+                  found
+                      .activeAttempt(id)
+                      .filter(a -> !a.showsSoundPrompt(state.nowMs()))
+                      .isPresent())
           .ifPresent(found -> prompts.add(found.spec().sharedPromptParts()));
     }
     return prompts;
   }
 
-  /** Records that an engine has begun to answer a prompt, whose parts do not crash engines. */
-  static NodeState recordStarted(NodeState state, RequestState request) {
-    CrashSuspects suspects = state.backends().suspects();
-    return withSuspects(
-        state, suspects.withAnsweredPrompt(request.spec().sharedPromptParts(), state.nowMs()));
-  }
-
   /** Records that a request completed without a crash. */
   static NodeState recordCompletion(NodeState state, RequestState request) {
     CrashSuspects suspects = state.backends().suspects();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/request/RequestEvents.java
@@ -60,8 +60,7 @@
     NodeState withPace = Paces.recordFirstToken(state, found.get().request(), attempt);
     RequestState request = found.get().request().withStarted(attempt, state.nowMs());
     NodeState answered = BackendEvents.answered(withPace, attempt.backend(), attempt.sentAtMs());
-    NodeState cleared = Quarantine.recordStarted(answered, request);
-    NodeState next = cleared.withRequests(cleared.requests().with(request));
+    NodeState next = answered.withRequests(answered.requests().with(request));
     return Attempts.adapterLoadEnded(next, event.attempt());
   }
 
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CrashingPromptFleetTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CrashingPromptFleetTest.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.limpetdoor.core.id.InstanceId;
 
 /** Guards against a part of prompts that crashes engines through one instance after another. */
@@ -48,10 +50,14 @@
         .isAtMost(MAX_LATER_CRASHES);
   }
 
-  @Test
-  void instancesStopAPartThatCrashesEnginesForEachOther() {
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void instancesStopAPartThatCrashesEnginesForEachOther(boolean afterFirstEvent) {
     for (int size : List.of(1, 6, 40)) {
       FleetSimulation fleet = new FleetSimulation(size, 4, size);
+      if (afterFirstEvent) {
+        fleet.crashAfterFirstEvent();
+      }
       fleet.advance(SETTLE_MS);
       fleet.answerCallsWithout(CRASHING);
       soundCalls = 0;
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CrashingPromptPartTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CrashingPromptPartTest.java
@@ -9,6 +9,7 @@
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.effect.ReplyToCall;
 import org.limpetdoor.core.effect.SendToPeer;
+import org.limpetdoor.core.event.CallCancelled;
 import org.limpetdoor.core.event.ForwardEnded;
 import org.limpetdoor.core.event.ForwardStarted;
 import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
@@ -114,19 +115,69 @@
     assertThat(isSent(rare)).isTrue();
   }
 
+  /** Sends a prompt whose engine crashes some time after the first event of its answer. */
+  private void crashEngineAfterFirstEvent(long afterMs, Long... parts) {
+    long id = fixture.prompt(parts);
+    fixture.advance(20);
+    fixture.reduce(new ForwardStarted(fixture.nowMs(), id, 1));
+    fixture.advance(afterMs);
+    fixture.reduce(new ForwardEnded(fixture.nowMs(), id, 1, ForwardResult.CONNECTION_LOST, true));
+    fixture.reduce(new CallCancelled(fixture.nowMs(), id));
+    fixture.take(ForwardCall.class);
+  }
+
+  /**
+   * Guards against a part that is never banned since its engines send an event before they crash.
+   */
+  @Test
+  void refusesAPartThatCrashesEnginesAfterTheirFirstEvent() {
+    for (int i = 0; i < 3; i++) {
+      crashEngineAfterFirstEvent(20, COMMON, CRASHING);
+      answer(COMMON);
+    }
+
+    assertThat(isSent(COMMON, CRASHING)).isFalse();
+    assertThat(isSent(COMMON)).isTrue();
+  }
+
+  /** Guards against an answer that has only begun and clears a part that crashes engines. */
+  @Test
+  void anAnswerThatHasBegunDoesNotClearItsParts() {
+    for (int i = 0; i < 3; i++) {
+      crashEnginesWith(COMMON, CRASHING);
+      fixture.reduce(new ForwardStarted(fixture.nowMs(), fixture.prompt(COMMON, CRASHING), 1));
+      fixture.take(ForwardCall.class);
+    }
+
+    assertThat(isSent(COMMON, CRASHING)).isFalse();
+  }
+
   /** Guards against suspecting the parts of streams that were only near a crash. */
   @Test
-  void doesNotSuspectThePartsOfAnAnswerThatHadBegun() {
+  void doesNotSuspectThePartsOfAnAnswerThatHasGoneOn() {
     for (long part = 0x50; part < 0x53; part++) {
-      long id = fixture.prompt(part, 0x55L);
-      fixture.advance(20);
-      fixture.reduce(new ForwardStarted(fixture.nowMs(), id, 1));
-      fixture.reduce(new ForwardEnded(fixture.nowMs(), id, 1, ForwardResult.CONNECTION_LOST, true));
+      crashEngineAfterFirstEvent(2_000, part, 0x55L);
     }
 
     assertThat(isSent(0x55L)).isTrue();
   }
 
+  /** Guards against refusing a sound part for crashes beside a long answer to a prompt with it. */
+  @Test
+  void anAnswerThatGoesOnClearsItsParts() {
+    long rare = 0x44;
+    long longAnswer = fixture.prompt(rare);
+    fixture.advance(20);
+    fixture.reduce(new ForwardStarted(fixture.nowMs(), longAnswer, 1));
+    fixture.advance(2_000);
+    for (int i = 0; i < 3; i++) {
+      crashEngineAfterFirstEvent(20, rare, CRASHING);
+    }
+
+    assertThat(isSent(rare)).isTrue();
+    assertThat(isSent(CRASHING)).isFalse();
+  }
+
   /** Guards against an error of an engine that is taken as proof that a part is harmless. */
   @Test
   void anErrorAnswerDoesNotClearAPart() {
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
@@ -65,6 +65,7 @@
   private final Map<InstanceId, Integer> reportedCalls = new HashMap<>();
   private final List<Long> crashTimesMs = new ArrayList<>();
   private Optional<Long> crashingPart = Optional.empty();
+  private boolean crashesAfterFirstEvent;
   private int answeredCalls;
   private RouteTable routes;
   private long listOffset = 10;
@@ -254,6 +255,11 @@
     crashingPart = Optional.of(part);
   }
 
+  /** Lets engines send the first event of an answer before they crash. */
+  void crashAfterFirstEvent() {
+    crashesAfterFirstEvent = true;
+  }
+
   /** Returns the times at which engines crashed, in monotonic milliseconds. */
   List<Long> crashTimesMs() {
     return List.copyOf(crashTimesMs);
@@ -366,10 +372,13 @@
       crashTimesMs.add(nowMs);
     } else {
       answeredCalls++;
+    }
+    boolean started = !crashes || crashesAfterFirstEvent;
+    if (started) {
       reduce(instance, new ForwardStarted(nowMs, forward.call(), forward.attempt()));
     }
     ForwardResult result = crashes ? ForwardResult.CONNECTION_LOST : ForwardResult.COMPLETED;
-    reduce(instance, new ForwardEnded(nowMs, forward.call(), forward.attempt(), result, !crashes));
+    reduce(instance, new ForwardEnded(nowMs, forward.call(), forward.attempt(), result, started));
   }
 
   private void connect(Instance from, Instance to) {
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/FakeBackend.java
@@ -41,6 +41,7 @@
   private final EnumMap<BackendFault, Integer> faults = new EnumMap<>(BackendFault.class);
   private final Set<Long> fatalFingerprints = new HashSet<>();
   private final Set<Long> fatalPromptParts = new HashSet<>();
+  private final Set<Long> partsFatalAfterFirstToken = new HashSet<>();
   private final FakeAdapterStore adapterStore;
   private final LruSet<Long> prefixCache = new LruSet<>(PREFIX_CACHE_CAPACITY);
   private final LruSet<AdapterId> adapterCache = new LruSet<>(ADAPTER_CACHE_CAPACITY);
@@ -101,6 +102,11 @@
     fatalPromptParts.add(part);
   }
 
+  /** Makes every request whose prompt has this part crash the back end after its first token. */
+  public void crashOnPromptPartAfterFirstToken(long part) {
+    partsFatalAfterFirstToken.add(part);
+  }
+
   /** Stops sending on all open connections. Their jobs go on, and new connections work. */
   public void silenceOpenConnections() {
     jobs.values().forEach(job -> job.silent = true);
@@ -281,11 +287,21 @@
     if (!job.silent && !job.losesReply) {
       job.listener.started(job);
     }
+    if (job.spec.sharedPromptParts().stream().anyMatch(partsFatalAfterFirstToken::contains)) {
+      time.after(Math.round(job.tokenMs), () -> crashIfRunning(job));
+      return;
+    }
     int remainingTokens = Math.max(0, job.outputTokens - job.previousTokens);
     time.after(
         Math.round(remainingTokens * job.tokenMs), () -> produceLastToken(job, preemptionsAtStart));
   }
 
+  private void crashIfRunning(BackendJob job) {
+    if (!job.ended) {
+      crash();
+    }
+  }
+
   private void produceLastToken(BackendJob job, int preemptionsAtStart) {
     if (job.ended || job.preemptions != preemptionsAtStart) {
       return;
--- a/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/TrafficSteps.java
+++ b/limpetdoor-scenario/src/main/java/org/limpetdoor/scenario/steps/TrafficSteps.java
@@ -191,6 +191,11 @@
     simulation.backends().forEach(backend -> backend.crashOn(fingerprint));
   }
 
+  @Given("every back end crashes after its first token on prompt part {long}")
+  public void crashOnPromptPartAfterFirstToken(long part) {
+    simulation.backends().forEach(backend -> backend.crashOnPromptPartAfterFirstToken(part));
+  }
+
   @Given("every back end crashes on prompt part {long}")
   public void crashOnPromptPart(long part) {
     simulation.backends().forEach(backend -> backend.crashOnPromptPart(part));
--- a/limpetdoor-scenario/src/test/resources/features/crashes.feature
+++ b/limpetdoor-scenario/src/test/resources/features/crashes.feature
@@ -65,3 +65,16 @@
     Then all back ends together crashed at most 5 times
     And at most 0 requests of "farm" finish
     And at least 310 requests of "coop" finish
+
+  # Guards against a part that is never banned since its engines send a token before they crash.
+  Scenario: Prompts with a part that crashes every engine after its first token are refused
+    Given a customer "farm"
+    And 8 engines with 8 slots in zone "a" for model "m1"
+    And every back end crashes after its first token on prompt part 800002
+    When "coop" sends 40 requests per second to "m1" for 8000 ms with 10 tokens each and prompt parts "800001,800003"
+    And 1000 ms pass
+    And "farm" sends 4 requests per second to "m1" for 6000 ms with 10 tokens each and prompt parts "800001,800002,800004"
+    And 10000 ms pass
+    Then all back ends together crashed at most 5 times
+    And at most 0 requests of "farm" finish
+    And at least 310 requests of "coop" finish
