--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/ConnectionCloseReason.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/ConnectionCloseReason.java
@@ -10,6 +10,8 @@
   DRAIN,
   /** The process ends. */
   STOP,
+  /** There was no memory for the rest of a request; its caller got a reply. */
+  NO_MEMORY,
   /** Reading from or writing to the connection failed. */
   CONNECTION_ERROR;
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
@@ -31,6 +31,8 @@
   REQUEST_CUT(true, EngineFailure.BROKEN, true),
   /** The engine's response is malformed, too large or unsigned. */
   INVALID_ANSWER(true, EngineFailure.ERROR, true),
+  /** Too many long responses were being received, and there was no memory for the rest of it. */
+  NO_MEMORY(true, EngineFailure.NONE, true),
   /** The engine was silent for too long, and the call is moved to another engine. */
   SILENT(true, EngineFailure.UNREACHABLE, true);
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Reply.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Reply.java
@@ -22,6 +22,8 @@
   CRASH_SUSPECT(502, false),
   /** The deadline of the caller or of the route passed before the call was sent. */
   EXPIRED_UNSENT(503, true),
+  /** Too many long requests were being received, and there was no memory for the rest of it. */
+  NO_MEMORY(503, true),
   /** The engine failed, and it is unknown whether the call ran. */
   OUTCOME_UNKNOWN(502, false),
   /** The deadline of the caller or of the route passed after the call was sent to an engine. */
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/AttemptEffects.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/AttemptEffects.java
@@ -21,6 +21,7 @@
 import org.limpetdoor.core.effect.RefuseRequest;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.id.AttemptId;
+import org.limpetdoor.runtime.BodyMemory;
 import reactor.core.publisher.Mono;
 
 /** Executes the effects on requests and their attempts. */
@@ -31,6 +32,9 @@
   /** Maximum body size of a response that is relayed as a whole. */
   static final int MAX_RESPONSE_BYTES = 16 << 20;
 
+  /** Part of the heap for responses that are buffered; each is copied while it is relayed. */
+  private static final int HEAP_DIVISOR = 5;
+
   private final OpenRequests requests;
   private final StreamingHttpClient client;
   private final RawHttpClient rawClient;
@@ -52,7 +56,12 @@
     this.client = StreamingHttpClient.create(null, clientConfiguration());
     this.rawClient = RawHttpClient.create(null, clientConfiguration());
     this.resources =
-        new AttemptResources(client, rawClient, scheduler, event -> events.accept(event));
+        new AttemptResources(
+            client,
+            rawClient,
+            scheduler,
+            BodyMemory.ofHeap(HEAP_DIVISOR),
+            event -> events.accept(event));
   }
 
   void dispatchAttempt(DispatchAttempt effect) {
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BufferedResponseAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BufferedResponseAttempt.java
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import org.limpetdoor.core.effect.DispatchAttempt;
 import org.limpetdoor.core.request.AttemptFailure;
+import org.limpetdoor.runtime.BodyMemory;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -46,7 +47,7 @@
     CloseableByteBody body = BODIES.adapt(request().call().body().orElse(new byte[0]));
     subscription =
         Mono.from(resources().rawClient().exchange(outgoing, body, null))
-            .flatMap(BufferedResponseAttempt::bufferBody)
+            .flatMap(this::bufferBody)
             .subscribe(this::responseReceived, this::failed);
     if (hasEnded()) {
       close();
@@ -70,17 +71,24 @@
   void resumeReading() {}
 
   /** Reads the body for any status; the raw client does not fail on an error status. */
-  private static Mono<HttpResponse<byte[]>> bufferBody(HttpResponse<?> response) {
+  private Mono<HttpResponse<byte[]>> bufferBody(HttpResponse<?> response) {
     ByteBodyHttpResponse<?> raw = (ByteBodyHttpResponse<?>) response;
-    return Flux.from(raw.byteBody().toByteArrayPublisher())
-        .collect(ByteArrayOutputStream::new, BufferedResponseAttempt::appendBounded)
+    return Mono.using(
+            resources().responseMemory()::reserve,
+            reservation ->
+                Flux.from(raw.byteBody().toByteArrayPublisher())
+                    .collect(
+                        ByteArrayOutputStream::new,
+                        (bytes, part) -> appendBounded(bytes, part, reservation)),
+            BodyMemory.Reservation::close)
         .map(bytes -> copyOf(response, bytes.toByteArray()))
         .doFinally(signal -> raw.close());
   }
 
-  private static void appendBounded(ByteArrayOutputStream bytes, byte[] part) {
+  private static void appendBounded(
+      ByteArrayOutputStream bytes, byte[] part, BodyMemory.Reservation reservation) {
     long length = (long) bytes.size() + part.length;
-    if (length > AttemptEffects.MAX_RESPONSE_BYTES) {
+    if (length > AttemptEffects.MAX_RESPONSE_BYTES || !reservation.tryGrow(part.length)) {
       throw new ContentLengthExceededException(AttemptEffects.MAX_RESPONSE_BYTES, length);
     }
     bytes.writeBytes(part);
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/BufferedBody.java
@@ -0,0 +1,82 @@
+package org.limpetdoor.gateway;
+
+import io.netty.buffer.ByteBuf;
+import java.util.ArrayList;
+import java.util.List;
+import org.limpetdoor.runtime.BodyMemory;
+
+/**
+ * A message body in memory. Its length counts against the memory that all bodies of its kind share,
+ * until it is closed, which makes it ready for the next one. Confined to the traffic thread.
+ */
+final class BufferedBody implements AutoCloseable {
+  private static final int FIRST_BLOCK_BYTES = 1 << 10;
+  private static final int MAX_BLOCK_BYTES = 64 << 10;
+
+  private final BodyMemory.Reservation reservation;
+
+  /** Filled blocks and the current one; a body that grows is never copied as a whole. */
+  private final List<byte[]> blocks = new ArrayList<>();
+
+  private int lengthBytes;
+  private int freeBytes;
+
+  BufferedBody(BodyMemory memory) {
+    this.reservation = memory.reserve();
+  }
+
+  int lengthBytes() {
+    return lengthBytes;
+  }
+
+  /** Appends the readable bytes, and returns false if there is no memory for them. */
+  boolean append(ByteBuf bytes) {
+    if (!reservation.tryGrow(bytes.readableBytes())) {
+      return false;
+    }
+    int index = bytes.readerIndex();
+    int remaining = bytes.readableBytes();
+    while (remaining > 0) {
+      byte[] block = blockWithSpace();
+      int length = Math.min(remaining, freeBytes);
+      bytes.getBytes(index, block, block.length - freeBytes, length);
+      index += length;
+      remaining -= length;
+      freeBytes -= length;
+      lengthBytes += length;
+    }
+    return true;
+  }
+
+  byte[] toByteArray() {
+    byte[] result = new byte[lengthBytes];
+    int offset = 0;
+    for (byte[] block : blocks) {
+      int length = Math.min(block.length, lengthBytes - offset);
+      System.arraycopy(block, 0, result, offset, length);
+      offset += length;
+    }
+    return result;
+  }
+
+  /** Drops the content but not the reservation, which then stands for a copy of it. */
+  void dropContent() {
+    blocks.clear();
+    freeBytes = 0;
+  }
+
+  @Override
+  public void close() {
+    dropContent();
+    lengthBytes = 0;
+    reservation.close();
+  }
+
+  private byte[] blockWithSpace() {
+    if (freeBytes == 0) {
+      freeBytes = Math.min(MAX_BLOCK_BYTES, FIRST_BLOCK_BYTES << Math.min(6, blocks.size()));
+      blocks.add(new byte[freeBytes]);
+    }
+    return blocks.get(blocks.size() - 1);
+  }
+}
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
@@ -1,7 +1,6 @@
 package org.limpetdoor.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -24,7 +23,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.OptionalLong;
@@ -48,11 +46,14 @@
 
   private static final double MS_PER_S = 1_000;
 
+  /** Time after which callers return that there was no memory for, in milliseconds. */
+  private static final long RETRY_AFTER_NO_MEMORY_MS = 1_000;
+
   private final GatewayTraffic traffic;
   private final Deque<Object> pipelined = new ArrayDeque<>();
   private Channel channel;
   private HttpRequest head;
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final BufferedBody body;
   private OpenCall call;
   private ChannelFuture lastResponse;
   private CallerLimits idleLimits;
@@ -62,6 +63,7 @@
   CallerChannel(GatewayTraffic traffic) {
     this.traffic = traffic;
     this.idleLimits = traffic.callerLimits();
+    this.body = new BufferedBody(traffic.requestMemory());
   }
 
   /**
@@ -165,6 +167,7 @@
    */
   void abort() {
     call = null;
+    body.close();
     channel.close();
   }
 
@@ -190,6 +193,7 @@
     traffic.callerDisconnected(this);
     pipelined.forEach(ReferenceCountUtil::release);
     pipelined.clear();
+    body.close();
     if (call != null) {
       long id = call.spec().id();
       call.callerDisconnected();
@@ -255,14 +259,17 @@
     }
     lastUsedNs = System.nanoTime();
     ByteBuf bytes = content.content();
-    if (body.size() + bytes.readableBytes() > traffic.callerLimits().maxBodyBytes()) {
+    if (body.lengthBytes() + bytes.readableBytes() > traffic.callerLimits().maxBodyBytes()) {
       reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
       return;
     }
-    body.writeBytes(ByteBufUtil.getBytes(bytes));
+    if (!body.append(bytes)) {
+      rejectForMemory();
+      return;
+    }
     if (content instanceof LastHttpContent) {
       byte[] bodyBytes = body.toByteArray();
-      body.reset();
+      body.dropContent();
       HttpRequest requestHead = head;
       head = null;
       call = traffic.openCall(requestHead, bodyBytes, this);
@@ -270,10 +277,20 @@
   }
 
   private void reject(HttpResponseStatus status) {
+    beginReject();
+    write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status));
+  }
+
+  private void rejectForMemory() {
+    reportClose(ConnectionCloseReason.NO_MEMORY);
+    beginReject();
+    reply(Reply.NO_MEMORY, RETRY_AFTER_NO_MEMORY_MS);
+  }
+
+  /** Drops the request that is being received. The rest of it is skipped. */
+  private void beginReject() {
     head = null;
-    body.reset();
     keepAlive = false;
-    write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status));
   }
 
   private void write(FullHttpResponse response) {
@@ -294,6 +311,7 @@
       traffic.removeCall(call.spec().id());
     }
     call = null;
+    body.close();
     lastResponse = write;
     idleLimits = traffic.callerLimits();
     lastUsedNs = System.nanoTime();
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ControlHttpClient.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ControlHttpClient.java
@@ -43,15 +43,19 @@
    */
   private static final int CONNECT_TIMEOUT_MS = 1_000;
 
-  /** Maximum response size; a page of the store has at most 1 MB, and base64 makes it larger. */
-  private static final int MAX_RESPONSE_BYTES = 8 << 20;
-
   private final EventLoop loop;
+  private final int maxResponseBytes;
   private final Map<String, Deque<Channel>> idle = new HashMap<>();
 
-  /** Creates a client whose connections are handled by the given event loop. */
-  public ControlHttpClient(EventLoop loop) {
+  /**
+   * Creates a client.
+   *
+   * @param loop event loop that handles its connections
+   * @param maxResponseBytes longest response, in bytes; a longer one fails its request
+   */
+  public ControlHttpClient(EventLoop loop, int maxResponseBytes) {
     this.loop = loop;
+    this.maxResponseBytes = maxResponseBytes;
   }
 
   /**
@@ -180,7 +184,7 @@
                     .pipeline()
                     .addLast(endOfInput)
                     .addLast(new HttpClientCodec())
-                    .addLast(new HttpObjectAggregator(MAX_RESPONSE_BYTES))
+                    .addLast(new HttpObjectAggregator(maxResponseBytes))
                     .addLast(new ResponseHandler(address, endOfInput));
               }
             })
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
@@ -1,8 +1,6 @@
 package org.limpetdoor.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -17,6 +15,7 @@
 import org.limpetdoor.core.event.ForwardStarted;
 import org.limpetdoor.core.gateway.EventSequence;
 import org.limpetdoor.core.gateway.ForwardResult;
+import org.limpetdoor.runtime.BodyMemory;
 import org.limpetdoor.runtime.MonotonicClock;
 
 /**
@@ -33,12 +32,6 @@
    */
   private static final int MAX_RESPONSE_BYTES = 4 << 20;
 
-  /**
-   * Initial size of the response buffer, in bytes; most responses have about 1 kB. The buffer grows
-   * for longer ones; it is unpooled heap memory, which needs no release.
-   */
-  private static final int INITIAL_RESPONSE_BYTES = 1_024;
-
   private static final int MISDIRECTED_REQUEST = 421;
 
   /** Receives events from the traffic thread for the reducer. */
@@ -57,7 +50,7 @@
   private final EventSplitter splitter = new EventSplitter();
   private EngineChannel channel;
   private HttpResponse responseHead;
-  private final ByteBuf body = Unpooled.buffer(INITIAL_RESPONSE_BYTES);
+  private final BufferedBody body;
   private ScheduledFuture<?> silenceCheck;
   private long lastProgressNs;
   private boolean streaming;
@@ -72,7 +65,8 @@
       EventSink eventSink,
       EventLoop loop,
       PaceMeter paceMeter,
-      MonotonicClock clock) {
+      MonotonicClock clock,
+      BodyMemory responseMemory) {
     this.forward = forward;
     this.call = call;
     this.protocol = protocol;
@@ -80,6 +74,7 @@
     this.loop = loop;
     this.paceMeter = paceMeter;
     this.clock = clock;
+    this.body = new BufferedBody(responseMemory);
   }
 
   int number() {
@@ -100,7 +95,12 @@
 
   /** Returns the buffered body of a response that was not streamed. */
   byte[] responseBody() {
-    return ByteBufUtil.getBytes(body);
+    return body.toByteArray();
+  }
+
+  /** Drops the buffered body, which is not relayed any more. */
+  void releaseResponse() {
+    body.close();
   }
 
   boolean hasEnded() {
@@ -158,10 +158,10 @@
     }
     if (streaming) {
       relayContent(content);
-    } else if (body.readableBytes() + content.readableBytes() > MAX_RESPONSE_BYTES) {
+    } else if (body.lengthBytes() + content.readableBytes() > MAX_RESPONSE_BYTES) {
       failAndAbort(ForwardResult.INVALID_ANSWER);
-    } else {
-      body.writeBytes(content);
+    } else if (!body.append(content)) {
+      failAndAbort(ForwardResult.NO_MEMORY);
     }
   }
 
@@ -300,6 +300,9 @@
   private void close() {
     ended = true;
     splitter.release();
+    if (!call.keepsErrorResponse(this)) {
+      releaseResponse();
+    }
     if (silenceCheck != null) {
       silenceCheck.cancel(false);
     }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
@@ -50,6 +50,15 @@
   /** Time limit for the traffic thread to end, in milliseconds. */
   private static final long SHUTDOWN_TIMEOUT_MS = 150;
 
+  /** A page of the store has at most 1 MB, and base64 makes it larger. */
+  private static final int MAX_STORE_RESPONSE_BYTES = 8 << 20;
+
+  /**
+   * Longest response of an engine's control interface. Reports name some models and runs; an engine
+   * in trouble may send bytes without end, and all engines are asked together.
+   */
+  private static final int MAX_REPORT_BYTES = 256 << 10;
+
   private final GatewayOptions options;
   private final MonotonicClock clock = MonotonicClock.startingNow();
   private final PrometheusMeterRegistry metrics =
@@ -98,16 +107,18 @@
   private GatewayServer(GatewayOptions options, Platform platform) {
     this.options = options;
     EventLoop loop = (EventLoop) group.next();
-    ControlHttpClient httpClient = new ControlHttpClient(loop);
+    ControlHttpClient storeHttpClient = new ControlHttpClient(loop, MAX_STORE_RESPONSE_BYTES);
+    ControlHttpClient engineHttpClient = new ControlHttpClient(loop, MAX_REPORT_BYTES);
     this.traffic =
         new GatewayTraffic(
             loop,
             platform.callProtocol(),
-            platform.engineClient(httpClient),
-            platform.dutyClient(httpClient),
-            platform.storeFollower(httpClient, loop, new StoreSink()),
+            platform.engineClient(engineHttpClient),
+            platform.dutyClient(storeHttpClient),
+            platform.storeFollower(storeHttpClient, loop, new StoreSink()),
             clock,
             readTimes,
+            BodyMemories.ofHeap(),
             this::submit);
     this.peers = new PeerLinks(this::submit);
     this.control =
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -32,6 +32,7 @@
 import org.limpetdoor.core.gateway.EngineOrder;
 import org.limpetdoor.core.gateway.EngineOrderResult;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
+import org.limpetdoor.runtime.BodyMemory;
 import org.limpetdoor.runtime.MonotonicClock;
 
 /**
@@ -55,6 +56,7 @@
   private final EngineNotices notices;
   private final EngineConnectionPool pool;
   private final PaceMeter paceMeter;
+  private final BodyMemories memories;
   private final Map<Long, OpenCall> calls = new HashMap<>();
   private final Set<CallerChannel> callers = new LinkedHashSet<>();
   private CallerLimits callerLimits = CallerLimits.DEFAULT;
@@ -69,6 +71,7 @@
       StoreFollower storeFollower,
       MonotonicClock clock,
       ReadTimes readTimes,
+      BodyMemories memories,
       EngineAttempt.EventSink eventSink) {
     this.loop = loop;
     this.protocol = protocol;
@@ -77,6 +80,7 @@
     this.storeFollower = storeFollower;
     this.clock = clock;
     this.readTimes = readTimes;
+    this.memories = memories;
     this.eventSink = eventSink;
     this.notices = new EngineNotices(clock, this);
     this.pool = new EngineConnectionPool(loop, protocol, notices);
@@ -126,8 +130,14 @@
     return call;
   }
 
-  void removeCall(long id) {
-    calls.remove(id);
+  Optional<OpenCall> removeCall(long id) {
+    Optional<OpenCall> removed = Optional.ofNullable(calls.remove(id));
+    removed.ifPresent(OpenCall::close);
+    return removed;
+  }
+
+  BodyMemory requestMemory() {
+    return memories.requests();
   }
 
   void callerConnected(CallerChannel caller) {
@@ -153,7 +163,9 @@
     if (call == null) {
       return;
     }
-    EngineAttempt attempt = new EngineAttempt(effect, call, protocol, this, loop, paceMeter, clock);
+    EngineAttempt attempt =
+        new EngineAttempt(
+            effect, call, protocol, this, loop, paceMeter, clock, memories.responses());
     call.attemptStarted(attempt);
     pool.send(attempt);
   }
@@ -171,7 +183,7 @@
     }
     Optional<EngineAttempt> errorResponseAttempt = call.errorResponseAttempt(effect.attempt());
     if (call.headSent() || errorResponseAttempt.isEmpty()) {
-      calls.remove(effect.call());
+      removeCall(effect.call());
       call.caller().abort();
       return;
     }
@@ -196,10 +208,7 @@
 
   @Override
   public void abortCall(AbortCall effect) {
-    OpenCall call = calls.remove(effect.call());
-    if (call != null) {
-      call.caller().abort();
-    }
+    removeCall(effect.call()).ifPresent(call -> call.caller().abort());
   }
 
   @Override
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/OpenCall.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/OpenCall.java
@@ -14,7 +14,7 @@
  * reducer; the mutable fields only track what has been sent to the caller and by which attempt.
  * Confined to the traffic thread.
  */
-final class OpenCall {
+final class OpenCall implements AutoCloseable {
   private final CallSpec spec;
   private final HttpRequest head;
   private final byte[] body;
@@ -84,9 +84,23 @@
 
   /** Keeps an attempt whose error response may be relayed to the caller later. */
   void keepErrorResponse(EngineAttempt value) {
+    close();
     errorResponseAttempt = value;
   }
 
+  boolean keepsErrorResponse(EngineAttempt value) {
+    return errorResponseAttempt == value;
+  }
+
+  /** Drops the error response that is kept, if any. */
+  @Override
+  public void close() {
+    if (errorResponseAttempt != null) {
+      errorResponseAttempt.releaseResponse();
+      errorResponseAttempt = null;
+    }
+  }
+
   Optional<String> lastEventId() {
     return lastEventId;
   }
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/CallerChannelTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/CallerChannelTest.java
@@ -50,6 +50,7 @@
             null,
             clock,
             new ReadTimes(clock),
+            BodyMemories.ofHeap(),
             event -> {});
     CallerChannel caller = new CallerChannel(traffic);
     EmbeddedChannel channel = new EmbeddedChannel(new PendingWrites(), caller);
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/ControlHttpClientTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/ControlHttpClientTest.java
@@ -34,7 +34,7 @@
   @BeforeEach
   void open() throws IOException {
     server = new ControlledEngine();
-    client = new ControlHttpClient((EventLoop) group.next());
+    client = new ControlHttpClient((EventLoop) group.next(), 1 << 20);
   }
 
   @AfterEach
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
@@ -14,19 +14,21 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.limpetdoor.core.effect.ApplyCallerLimits;
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.effect.GatewayEffect;
 import org.limpetdoor.core.effect.RelayErrorResponse;
 import org.limpetdoor.core.event.CallArrived;
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.ForwardEnded;
+import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.runtime.MonotonicClock;
 
 /** The traffic side of a gateway on loopback, whose effects the test submits. */
 final class GatewayFixture implements AutoCloseable {
-  /** Length of the body of a long call, in bytes. */
-  static final int LONG_BODY_BYTES = 4_000_000;
+  /** Length of the body of a long call, in bytes; the buffers of sockets hold up to 4 MB. */
+  static final int LONG_BODY_BYTES = 16_000_000;
 
   private static final long TIMEOUT_S = 20;
   private static final long DEADLINE_IN_MS = 60_000;
@@ -40,6 +42,10 @@
   private final Channel callers;
 
   GatewayFixture() {
+    this(BodyMemories.ofHeap());
+  }
+
+  GatewayFixture(BodyMemories memories) {
     traffic =
         new GatewayTraffic(
             (EventLoop) group.next(),
@@ -49,6 +55,7 @@
             null,
             clock,
             new ReadTimes(clock),
+            memories,
             event -> events.add(event.apply(0L)));
     callers = Listeners.listenForCallers(group, new InetSocketAddress("127.0.0.1", 0), traffic);
   }
@@ -60,6 +67,14 @@
 
   /** Sends a request with a body that is longer than the buffers between gateway and engine. */
   Socket sendLongCall(String id) throws IOException {
+    CallerLimits limits = CallerLimits.DEFAULT;
+    traffic.apply(
+        new ApplyCallerLimits(
+            new CallerLimits(
+                limits.maxHeaderBytes(),
+                LONG_BODY_BYTES,
+                limits.headerTimeoutMs(),
+                limits.idleTimeoutMs())));
     Socket socket =
         send(
             "POST /a HTTP/1.1\r\nHost: h\r\nCall: "
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
@@ -88,6 +88,7 @@
             null,
             clock,
             new ReadTimes(clock),
+            BodyMemories.ofHeap(),
             event -> events.add(event.apply(0L)));
     callers = Listeners.listenForCallers(group, ANY_LOOPBACK_PORT, traffic);
     engine = startEngine();
