Relay a long response without a length after its connection has ended

Cause: the response was relayed while the closed connection of its engine left the event loop. The write made the caller's channel unwritable, which suspended reading from that connection; Netty fails that for a channel that has left, and the failure closed the caller's channel.

What is left of the cause is mended here: reading is suspended only on a connection that is still in the event loop.

--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/CloseDelimitedResponseTest.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/CloseDelimitedResponseTest.java
@@ -51,6 +51,24 @@
     assertThat(response.body()).isEqualTo("whole");
   }
 
+  /** Guards against a caller that is cut off by a response longer than its send buffer. */
+  @Test
+  void relaysALongResponseThatEndsWithItsConnection() throws Exception {
+    String body = "x".repeat(300_000);
+    entry
+        .first()
+        .then(
+            call -> {
+              call.write(HEAD + body);
+              call.finish();
+            });
+
+    HttpResponse<String> response = entry.post(SERVICE, "{}");
+
+    assertThat(response.statusCode()).isEqualTo(200);
+    assertThat(response.body()).hasLength(body.length());
+  }
+
   /** Guards against a response that is cut by a reset and relayed as whole. */
   @Test
   void doesNotRelayAResponseThatWasReset() throws Exception {
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
@@ -147,8 +147,11 @@
     channel.close();
   }
 
+  /** Suspends or resumes reading. The caller may become unwritable after the engine has closed. */
   void setAutoRead(boolean autoRead) {
-    channel.config().setAutoRead(autoRead);
+    if (channel.isRegistered()) {
+      channel.config().setAutoRead(autoRead);
+    }
   }
 
   @Override
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/CloseDelimitedResponseTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/CloseDelimitedResponseTest.java
@@ -52,6 +52,22 @@
     }
   }
 
+  /** Guards against a caller that is cut off by a response longer than its send buffer. */
+  @Test
+  void relaysALongResponseThatEndsWithItsConnection() throws Exception {
+    String body = "x".repeat(300_000);
+    try (Socket caller = gateway.sendCall("c1")) {
+      Connection connection = forward(false);
+      connection.write(HEAD + body);
+      connection.finish();
+
+      assertThat(gateway.nextEnd().result()).isEqualTo(ForwardResult.COMPLETED);
+      String head = GatewayFixture.readUntil(caller, "\r\n\r\n");
+      assertThat(head).startsWith("HTTP/1.1 200 OK");
+      assertThat(caller.getInputStream().readNBytes(body.length())).hasLength(body.length());
+    }
+  }
+
   /** Guards against a response that is cut by a reset and relayed as whole. */
   @Test
   void doesNotRelayAResponseThatWasReset() throws Exception {
