Suspect a request whose engines become silent and leave the list

Cause: only a lost connection was evidence. An engine whose machine is gone closes none, so its attempts end as silent, at the deadline or with their caller. Silence alone is no evidence, since slow engines are silent too.

Attempts without a response are now kept by engine. They are dropped when the engine responds, or leaves after it was draining, and are evidence when it leaves the list, or starts again, without notice.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -90,7 +90,7 @@
                         .update(
                             attempt.engine(),
                             engine -> CallSteps.recordResponseStarted(engine, call, tookMs))));
-    return serveWaiting(started);
+    return serveWaiting(CrashEvents.engineResponded(started, attempt.engine()));
   }
 
   /**
@@ -105,20 +105,21 @@
     }
     Attempt attempt = found.get().activeAttempt().orElseThrow();
     Call call = found.get().withAttemptEnded(ForwardResult.SILENT, false, node.nowMs());
-    if (retryObstacle(node, call).isPresent()) {
+    NodeState noted = CrashEvents.attemptSilent(node, found.get(), attempt);
+    if (retryObstacle(noted, call).isPresent()) {
       return Transition.of(
-          node, CallSteps.silenceRecord(node, call, attempt, SilenceOutcome.NO_RETRY));
+          noted, CallSteps.silenceRecord(node, call, attempt, SilenceOutcome.NO_RETRY));
     }
     NodeState recorded =
         CallSteps.recordResult(
-            CallSteps.releaseEngine(node, call, attempt), call, attempt, ForwardResult.SILENT);
+            CallSteps.releaseEngine(noted, call, attempt), call, attempt, ForwardResult.SILENT);
     Choice choice = EngineSelector.choose(recorded, call);
     if (choice.verdict() != Verdict.CHOSEN) {
       SilenceOutcome outcome =
           choice.verdict() == Verdict.RETRY_BUDGET_EMPTY
               ? SilenceOutcome.NO_RETRY
               : SilenceOutcome.NO_OTHER_ENGINE;
-      return Transition.of(node, CallSteps.silenceRecord(node, call, attempt, outcome));
+      return Transition.of(noted, CallSteps.silenceRecord(node, call, attempt, outcome));
     }
     return Transition.<NodeState, Effect>of(
             recorded, new CancelForward(event.call(), event.attempt()))
@@ -148,12 +149,16 @@
     NodeState recorded =
         CallSteps.recordResult(
             CallSteps.releaseEngine(node, before, attempt), call, attempt, event.result());
-    return CrashEvents.attemptEnded(recorded, call, attempt, event.result())
+    NodeState next =
+        event.result().responded()
+            ? CrashEvents.engineResponded(recorded, attempt.engine())
+            : recorded;
+    return CrashEvents.attemptEnded(next, call, attempt, event.result())
         .then(
-            next ->
+            after ->
                 event.result().failure()
-                    ? attemptFailed(next, call, attempt, event.result())
-                    : CallSteps.finish(next, call, CallDecision.Outcome.COMPLETED))
+                    ? attemptFailed(after, call, attempt, event.result())
+                    : CallSteps.finish(after, call, CallDecision.Outcome.COMPLETED))
         .then(CallEvents::serveWaiting);
   }
 
@@ -163,11 +168,18 @@
     if (call == null) {
       return Transition.of(node);
     }
-    return CallSteps.cancelAttempt(node, call)
+    return CallSteps.cancelAttempt(recordSilence(node, call), call)
         .then(next -> CallSteps.finish(next, call, CallDecision.Outcome.CALLER_LEFT))
         .then(CallEvents::serveWaiting);
   }
 
+  /** Records the attempt of a call that ends before its engine has responded completely. */
+  private static NodeState recordSilence(NodeState node, Call call) {
+    return call.activeAttempt()
+        .map(attempt -> CrashEvents.attemptSilent(node, call, attempt))
+        .orElse(node);
+  }
+
   /** Records that the connection of a caller was closed before its response was complete. */
   public static Transition<NodeState, Effect> connectionClosed(
       NodeState node, CallerConnectionClosed event) {
@@ -194,7 +206,7 @@
     }
     boolean mayHaveRun = call.mayHaveRun() || call.activeAttempt().isPresent();
     Reply reply = mayHaveRun ? Reply.TIMED_OUT : Reply.EXPIRED_UNSENT;
-    return CallSteps.cancelAttempt(node, call)
+    return CallSteps.cancelAttempt(recordSilence(node, call), call)
         .then(next -> CallSteps.fail(next, call, reply, 0, FailureCause.EXPIRED))
         .then(CallEvents::serveWaiting);
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashEvents.java
@@ -11,6 +11,8 @@
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.RecordDecision;
 import org.limpetdoor.core.gateway.Call.Attempt;
+import org.limpetdoor.core.gateway.SilentAttempts.SilentAttempt;
+import org.limpetdoor.core.id.BackendId;
 
 /** Records contents that crash engines, and shares the evidence with the peers. */
 public final class CrashEvents {
@@ -39,6 +41,54 @@
     };
   }
 
+  /**
+   * Records an attempt without a response for some time or to its end, for the case that its engine
+   * has crashed.
+   */
+  static NodeState attemptSilent(NodeState node, Call call, Attempt attempt) {
+    if (node.gateway().engines().find(attempt.engine()).isEmpty()) {
+      return node;
+    }
+    CrashRecords records = node.gateway().crashRecords();
+    Call ended = call.withAttemptEnded(ForwardResult.SILENT, false, node.nowMs());
+    List<Long> contents = CallContents.suspected(ended, attempt, records.answered(), node.nowMs());
+    SilentAttempt silent =
+        new SilentAttempt(contents, CallContents.loss(call.spec(), attempt, node.nowMs()));
+    return withRecords(
+        node, records.withSilentAttempts(records.silentAttempts().with(attempt.engine(), silent)));
+  }
+
+  /** Forgets the silent attempts at an engine that has responded, so that it has not crashed. */
+  static NodeState engineResponded(NodeState node, BackendId engine) {
+    CrashRecords records = node.gateway().crashRecords();
+    return withRecords(node, records.withSilentAttempts(records.silentAttempts().without(engine)));
+  }
+
+  /**
+   * Records the silent attempts at an engine that has left the list, or started again, without
+   * notice: it had crashed without closing its connections.
+   */
+  static Transition<NodeState, Effect> engineLost(NodeState node, EngineState engine) {
+    BackendId id = engine.entry().id();
+    List<SilentAttempt> attempts = node.gateway().crashRecords().silentAttempts().at(id);
+    Transition<NodeState, Effect> result = Transition.of(engineResponded(node, id));
+    if (!engine.usable()) {
+      return result;
+    }
+    for (SilentAttempt attempt : attempts) {
+      result =
+          result.then(
+              next ->
+                  changed(
+                      next,
+                      next.gateway()
+                          .crashRecords()
+                          .withLoss(attempt.contents(), attempt.loss(), false, next.nowMs()),
+                      attempt.contents()));
+    }
+    return attempts.isEmpty() ? result : result.then(CrashEvents::scheduleReport);
+  }
+
   private static Transition<NodeState, Effect> recordLoss(
       NodeState node, Call call, Attempt attempt, ForwardResult result) {
     CrashRecords records = node.gateway().crashRecords();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CrashRecords.java
@@ -17,13 +17,18 @@
  *
  * @param suspicions evidence by content, including that of peers
  * @param answered shared parts of prompts that engines have answered lately
+ * @param silentAttempts attempts that are evidence if their engines turn out to have crashed
  * @param reportDueAtMs time of the next report to the peers, in monotonic milliseconds, or {@link
  *     Timed#NEVER_MS} if the next digest is early enough
  */
 record CrashRecords(
-    PMap<Long, CrashSuspicion> suspicions, AnsweredPromptParts answered, long reportDueAtMs) {
+    PMap<Long, CrashSuspicion> suspicions,
+    AnsweredPromptParts answered,
+    SilentAttempts silentAttempts,
+    long reportDueAtMs) {
   static final CrashRecords EMPTY =
-      new CrashRecords(HashTreePMap.empty(), AnsweredPromptParts.NONE, Timed.NEVER_MS);
+      new CrashRecords(
+          HashTreePMap.empty(), AnsweredPromptParts.NONE, SilentAttempts.NONE, Timed.NEVER_MS);
 
   /** Bounds the memory; each call in flight on a lost engine adds one or two contents. */
   private static final int MAX_SUSPICIONS = 2_000;
@@ -71,7 +76,7 @@
       next = next.with(part, nowMs);
     }
     CrashRecords recorded =
-        next == answered ? this : new CrashRecords(suspicions, next, reportDueAtMs);
+        next == answered ? this : new CrashRecords(suspicions, next, silentAttempts, reportDueAtMs);
     return recorded.withLossesCancelled(promptParts, nowMs);
   }
 
@@ -131,12 +136,20 @@
     return withSuspicions(remaining);
   }
 
+  CrashRecords withSilentAttempts(SilentAttempts value) {
+    return value == silentAttempts
+        ? this
+        : new CrashRecords(suspicions, answered, value, reportDueAtMs);
+  }
+
   CrashRecords withReportDueAtMs(long value) {
-    return new CrashRecords(suspicions, answered, value);
+    return new CrashRecords(suspicions, answered, silentAttempts, value);
   }
 
   private CrashRecords withSuspicions(PMap<Long, CrashSuspicion> value) {
-    return value == suspicions ? this : new CrashRecords(value, answered, reportDueAtMs);
+    return value == suspicions
+        ? this
+        : new CrashRecords(value, answered, silentAttempts, reportDueAtMs);
   }
 
   /** Drops all but the worst suspicions. The sort runs only when too many engines are lost. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
@@ -75,6 +75,14 @@
     };
   }
 
+  /** Returns whether the engine has responded, so that it is up. */
+  public boolean responded() {
+    return switch (this) {
+      case COMPLETED, ERROR_ANSWER, BUSY, MISDIRECTED, INVALID_ANSWER, NO_MEMORY -> true;
+      default -> false;
+    };
+  }
+
   /** Returns the kind of engine failure that the result is evidence of. */
   public EngineFailure engineFailure() {
     return engineFailure;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
@@ -38,10 +38,8 @@
   public static Transition<NodeState, Effect> tick(NodeState node) {
     Timer next = new Timer(node.nowMs() + INTERVAL_MS, TimerKind.GATEWAY_TICK, "");
     NodeState timed = node.withTimers(node.timers().plus(next));
-    NodeState current =
-        PlacementPlanner.refillLoadTokens(
-            StoreEvents.dropUnlisted(dropLoadedModels(decayDemand(timed))));
-    return DutyEvents.tick(current)
+    return StoreEvents.dropUnlisted(dropLoadedModels(decayDemand(timed)))
+        .then(state -> DutyEvents.tick(PlacementPlanner.refillLoadTokens(state)))
         .then(FleetEvents::tick)
         .then(FactsEvents::tick)
         .then(Digests::send)
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
@@ -140,16 +140,24 @@
   }
 
   /** Removes engines that were not listed again in time after the store recovered. */
-  static NodeState dropUnlisted(NodeState node) {
-    GatewayState state = node.gateway();
-    EngineTable engines = state.engines();
-    for (EngineState engine : engines.byId().values()) {
+  static Transition<NodeState, Effect> dropUnlisted(NodeState node) {
+    Transition<NodeState, Effect> result = Transition.of(node);
+    for (EngineState engine : node.gateway().engines().byId().values()) {
       boolean unlisted = engine.unlistedAtMs() != Timed.NEVER_MS;
       if (unlisted && !mayBeListedAgain(node)) {
-        engines = engines.without(engine.entry().id());
+        BackendId id = engine.entry().id();
+        result =
+            result
+                .then(next -> CrashEvents.engineLost(next, engine))
+                .then(next -> Transition.of(without(next, id)));
       }
     }
-    return node.withGateway(state.withEngines(engines));
+    return result;
+  }
+
+  private static NodeState without(NodeState node, BackendId id) {
+    GatewayState state = node.gateway();
+    return node.withGateway(state.withEngines(state.engines().without(id)));
   }
 
   private static Transition<NodeState, Effect> entryRead(NodeState node, EngineEntry entry) {
@@ -172,7 +180,9 @@
                     .gateway()
                     .withPlacement(updated.gateway().placement().withoutSlot(entry.id())))
             : updated;
-    return Transition.of(cleared, new RecordDecision(GatewayDecision.engine(entry)));
+    Transition<NodeState, Effect> result =
+        Transition.of(cleared, new RecordDecision(GatewayDecision.engine(entry)));
+    return restarted ? result.then(next -> CrashEvents.engineLost(next, existing.get())) : result;
   }
 
   private static Transition<NodeState, Effect> removed(NodeState node, BackendId id) {
@@ -196,10 +206,19 @@
   }
 
   private static Transition<NodeState, Effect> drop(NodeState node, BackendId id) {
-    GatewayState state = node.gateway();
-    return Transition.of(
-        node.withGateway(state.withEngines(state.engines().without(id))),
-        new RecordDecision(GatewayDecision.engineGone(id)));
+    return engineLost(node, id)
+        .then(
+            next ->
+                Transition.of(
+                    without(next, id), new RecordDecision(GatewayDecision.engineGone(id))));
+  }
+
+  private static Transition<NodeState, Effect> engineLost(NodeState node, BackendId id) {
+    return node.gateway()
+        .engines()
+        .find(id)
+        .map(engine -> CrashEvents.engineLost(node, engine))
+        .orElse(Transition.of(node));
   }
 
   /**
