--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardResult.java
@@ -75,11 +75,11 @@
     };
   }
 
-  /** Returns whether the engine has responded, so that it is up. */
+  /** Returns whether the engine has responded or closed a connection, so that it is not silent. */
   public boolean responded() {
     return switch (this) {
-      case COMPLETED, ERROR_ANSWER, BUSY, MISDIRECTED, INVALID_ANSWER, NO_MEMORY -> true;
-      default -> false;
+      case CONNECT_FAILED, DEADLINE_PASSED, ENGINE_CLOSED, SILENT -> false;
+      default -> true;
     };
   }
 
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
@@ -129,12 +129,25 @@
   }
 
   long call(String path, Optional<ModelKey> model, int timeLeftMs) {
+    return call(path, model, timeLeftMs, 7);
+  }
+
+  long call(String path, Optional<ModelKey> model, int timeLeftMs, long fingerprint) {
     long id = nextCall++;
     reduce(
         new CallArrived(
             nowMs,
             new CallSpec(
-                id, "c" + id, HOST, path, Optional.of(timeLeftMs), model, 100, 0, List.of(), 7),
+                id,
+                "c" + id,
+                HOST,
+                path,
+                Optional.of(timeLeftMs),
+                model,
+                100,
+                0,
+                List.of(),
+                fingerprint),
             nowMs));
     return id;
   }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/SilentCrashTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/SilentCrashTest.java
@@ -82,13 +82,25 @@
   void anEngineThatRespondsLaterHasNotCrashed() {
     for (int i = 0; i < 4; i++) {
       BackendId slow = sendToSilentEngine();
-      respondAt(slow);
+      endOtherCallAt(slow, ForwardResult.ERROR_ANSWER);
       removeEntry(slow);
     }
 
     assertThat(isSent()).isTrue();
   }
 
+  /** Guards against counting slow calls at an engine that other requests crash. */
+  @Test
+  void anEngineThatClosesAConnectionWasNotSilent() {
+    for (int i = 0; i < 4; i++) {
+      BackendId crashed = sendToSilentEngine();
+      endOtherCallAt(crashed, ForwardResult.CONNECTION_LOST);
+      removeEntry(crashed);
+    }
+
+    assertThat(isSent()).isTrue();
+  }
+
   /** Guards against refusing a request because its engines left as planned. */
   @Test
   void anEngineThatWasDrainingHasNotCrashed() {
@@ -102,14 +114,14 @@
     assertThat(isSent()).isTrue();
   }
 
-  /** Sends other calls until the engine has responded to one with an error. */
-  private void respondAt(BackendId engine) {
+  /** Sends other requests until one is sent to the engine, and ends it. */
+  private void endOtherCallAt(BackendId engine, ForwardResult result) {
     for (int i = 0; i < 200; i++) {
       fixture.take(ForwardCall.class);
-      long id = fixture.call("/once/other" + i, Optional.empty(), TIME_LIMIT_MS);
+      long id = fixture.call("/once/y", Optional.empty(), TIME_LIMIT_MS, 1_000 + fixture.nowMs());
       List<ForwardCall> sent = fixture.take(ForwardCall.class);
       if (!sent.isEmpty() && sent.get(0).engine().equals(engine)) {
-        fixture.endForward(id, sent.get(0).attempt(), ForwardResult.ERROR_ANSWER);
+        fixture.endForward(id, sent.get(0).attempt(), result);
         return;
       }
       fixture.advance(20);
