Take an answer as proof of its prompt parts after half a second

The wait of 2 s was long against streams of 1 s to 3 s; an engine that crashes when it begins to write does so soon after its first event.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/AnsweredPromptParts.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/backend/AnsweredPromptParts.java
@@ -19,9 +19,10 @@
 
   /**
    * Time from the first event of an answer after which it shows that the parts of its prompt do not
-   * crash engines, in milliseconds. An engine that crashes on a part may have sent events before.
+   * crash engines, in milliseconds. An engine that crashes on a part may have sent events before; a
+   * longer time would let sound parts be suspected whose engines are crashed by others.
    */
-  private static final long SOUND_AFTER_MS = 2_000;
+  private static final long SOUND_AFTER_MS = 500;
 
   /** Age of a generation, in milliseconds. */
   private static final long GENERATION_MS = 60_000;
