Do not take a response without content as cut

A response whose status allows no content (204, 304) has neither a length nor chunks and ends with its head. Since the end of a response without a length needs the engine's FIN, such a response failed its attempt as lost. Found by reading the change; only a response that ends with its connection needs the FIN.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineChannel.java
@@ -252,12 +252,13 @@
   }
 
   /**
-   * Ends the attempt with its response. A response that states no length is complete only if the
-   * engine has ended the connection and accepted the whole request; an engine that has stopped
-   * resets the connection when it receives the rest.
+   * Ends the attempt with its response. A response that ends with the connection is complete only
+   * if the engine has ended it and accepted the whole request; an engine that has stopped resets
+   * the connection when it receives the rest.
    */
   private void endResponse() {
-    if (framed) {
+    boolean hasNoContent = channel.isActive() && !endOfInput.isReached();
+    if (framed || hasNoContent) {
       completeAttempt();
       return;
     }
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/CloseDelimitedResponseTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/CloseDelimitedResponseTest.java
@@ -68,6 +68,18 @@
     }
   }
 
+  /** Guards against a response whose status allows no content and that is taken as cut. */
+  @Test
+  void relaysAResponseWithoutContentThatStatesNoLength() throws Exception {
+    try (Socket caller = gateway.sendCall("c1")) {
+      Connection connection = forward(false);
+      connection.write("HTTP/1.1 204 No Content\r\nSigned: s\r\nCall: c1\r\n\r\n");
+
+      assertThat(gateway.nextEnd().result()).isEqualTo(ForwardResult.COMPLETED);
+      assertThat(GatewayFixture.readUntil(caller, "\r\n\r\n")).startsWith("HTTP/1.1 204");
+    }
+  }
+
   /** Guards against a response that is cut by a reset and relayed as whole. */
   @Test
   void doesNotRelayAResponseThatWasReset() throws Exception {
