--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/HttpLogService.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/HttpLogService.java
@@ -23,9 +23,8 @@
   private static final int CONNECT_TIMEOUT_MS = 2_000;
   // A slower append is retried with the same identifier, so that the fold ignores the duplicate.
   private static final int CALL_TIMEOUT_MS = 5_000;
-  // A silent log responds to no read that was sent before its return; the read must end, and the
-  // next
-  // one succeed, within the 4 s in which a published configuration must take effect.
+  // A silent log responds to no read that was sent before its return; such a read must end, and the
+  // next one succeed, within the 4 s in which a published configuration must take effect.
   private static final int READ_TIMEOUT_MS = 3_500;
   private static final int STATUS_OK_MIN = 200;
   private static final int STATUS_OK_MAX = 299;
