--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/BodyMemoryTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/BodyMemoryTest.java
@@ -84,10 +84,19 @@
 
     gateway.relayErrorResponse(ended.call(), 1);
     assertThat(GatewayFixture.readUntil(callers.get(0), "error")).startsWith("HTTP/1.1 500");
+    awaitTraffic();
 
     assertThat(memories.responses().usedBytes()).isEqualTo(0);
   }
 
+  /**
+   * Waits until the traffic thread has finished what it did when a caller could read a response.
+   */
+  private void awaitTraffic() throws Exception {
+    callers.add(gateway.sendCall("later"));
+    gateway.arrivedCall();
+  }
+
   /** Guards against long requests that together fill the memory and end the process. */
   @Test
   void refusesALongRequestWithoutMemoryAndServesAShortOne() throws Exception {
