Serve client accounts that the configuration defines

Callers identify themselves with the key of an account. A call without a known key is refused with 401 before it reaches an engine, unless its route allows anonymous access; engines receive the name of the account and never the key. The priority of an account takes precedence over that of the route. Without accounts in the configuration nothing changes.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/CallDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/CallDecision.java
@@ -52,9 +52,15 @@
    * @param service name of the service, or {@code none}
    * @param model model or adapter, or {@code none}
    * @param attempts number of attempts so far
+   * @param account name of the caller's account, if it is known
    */
   public record Subject(
-      String callerAttemptId, String route, String service, String model, int attempts) {}
+      String callerAttemptId,
+      String route,
+      String service,
+      String model,
+      int attempts,
+      Optional<String> account) {}
 
   /**
    * Failure or refusal of a call for which a route was found.
@@ -172,13 +178,14 @@
       Optional<Subject> call, ConnectionCloseReason reason, RequestProgress progress) {
     return new CallDecision(
         DecisionKind.CALLER_CLOSED,
-        call.orElse(new Subject("none", "none", "none", "none", 0)),
+        call.orElse(new Subject("none", "none", "none", "none", 0, Optional.empty())),
         List.of(Field.of("reason", reason.label()), Field.of("request", progress.label())));
   }
 
   /** Returns the decision that records the refusal of a call for which no route was selected. */
   public static CallDecision refused(CallSpec spec, long version, Reply reply) {
-    Subject subject = new Subject(spec.callerAttemptId(), "none", "none", "none", 0);
+    Subject subject =
+        new Subject(spec.callerAttemptId(), "none", "none", "none", 0, Optional.empty());
     return new CallDecision(
         DecisionKind.CALL_REFUSED,
         subject,
@@ -205,6 +212,7 @@
                 Field.of("service", call.service()),
                 Field.of("model", call.model()),
                 Field.of("attempts", call.attempts())));
+    call.account().ifPresent(account -> all.add(Field.of("account", account)));
     all.addAll(details);
     return all;
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/ForwardCall.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/ForwardCall.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.core.effect;
 
+import org.limpetdoor.core.gateway.account.Authentication;
 import org.limpetdoor.core.id.BackendId;
 
 /**
@@ -19,6 +20,7 @@
  *     closing
  * @param firstByteTimeoutMs longest silence before the response, in milliseconds; 0 means no limit
  * @param gapTimeoutMs longest silence within the response, in milliseconds; 0 means no limit
+ * @param caller authentication of the caller, from which engines learn the account
  */
 public record ForwardCall(
     long call,
@@ -32,7 +34,8 @@
     boolean streamed,
     boolean atMostOnce,
     long firstByteTimeoutMs,
-    long gapTimeoutMs)
+    long gapTimeoutMs,
+    Authentication caller)
     implements GatewayEffect {
   /** Returns a copy with the time that is left at a later time, in monotonic milliseconds. */
   public ForwardCall at(long nowMs) {
@@ -48,7 +51,8 @@
         streamed,
         atMostOnce,
         firstByteTimeoutMs,
-        gapTimeoutMs);
+        gapTimeoutMs,
+        caller);
   }
 
   @Override
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Call.java
@@ -1,10 +1,13 @@
 package org.limpetdoor.core.gateway;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.limpetdoor.core.Timed;
 import org.limpetdoor.core.Timer;
 import org.limpetdoor.core.TimerKind;
 import org.limpetdoor.core.backend.AnsweredPromptParts;
+import org.limpetdoor.core.gateway.account.Authentication;
+import org.limpetdoor.core.gateway.account.ClientAccount;
 import org.limpetdoor.core.id.BackendId;
 import org.pcollections.PVector;
 import org.pcollections.TreePVector;
@@ -14,6 +17,7 @@
  *
  * @param spec content of the call as the front end read it
  * @param route route that matched the call on arrival
+ * @param caller authentication of the caller on arrival
  * @param service service that the call is sent to
  * @param arrivedAtMs arrival time, in monotonic milliseconds
  * @param deadlineMs deadline of the caller or of the route, in monotonic milliseconds
@@ -28,6 +32,7 @@
 record Call(
     CallSpec spec,
     Route route,
+    Authentication caller,
     String service,
     long arrivedAtMs,
     long deadlineMs,
@@ -65,6 +70,7 @@
   static Call arrived(
       CallSpec spec,
       Route route,
+      Authentication caller,
       String service,
       long nowMs,
       long deadlineMs,
@@ -72,6 +78,7 @@
     return new Call(
         spec,
         route,
+        caller,
         service,
         nowMs,
         deadlineMs,
@@ -83,6 +90,19 @@
         false);
   }
 
+  /** Returns the account of the caller, if it is known. */
+  Optional<ClientAccount> account() {
+    return caller.account();
+  }
+
+  /** Returns the priority of the call; that of its account takes precedence over its route's. */
+  int priority() {
+    return account()
+        .map(ClientAccount::priority)
+        .orElse(OptionalInt.empty())
+        .orElse(route.priority());
+  }
+
   boolean mayHaveRun() {
     return !ranAt.isEmpty();
   }
@@ -102,6 +122,7 @@
     return new Call(
         spec,
         route,
+        caller,
         service,
         arrivedAtMs,
         deadlineMs,
@@ -140,6 +161,7 @@
     return new Call(
         spec,
         route,
+        caller,
         service,
         arrivedAtMs,
         deadlineMs,
@@ -178,6 +200,7 @@
     return new Call(
         spec,
         route,
+        caller,
         service,
         arrivedAtMs,
         deadlineMs,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -26,6 +26,7 @@
 import org.limpetdoor.core.gateway.Call.Attempt;
 import org.limpetdoor.core.gateway.EngineSelector.Choice;
 import org.limpetdoor.core.gateway.EngineSelector.Verdict;
+import org.limpetdoor.core.gateway.account.Authentication;
 import org.limpetdoor.core.request.Rendezvous;
 
 /** Reduces the events of calls that are forwarded by route. */
@@ -53,7 +54,12 @@
     if (found.isEmpty()) {
       return CallSteps.refuseOnArrival(node, spec, Reply.NO_ROUTE);
     }
-    Call call = createCall(spec, found.get(), Math.min(node.nowMs(), event.receivedAtMs()));
+    Authentication caller =
+        table.accounts().authenticate(spec.credential(), found.get().anonymousAccess());
+    if (caller.refused()) {
+      return CallSteps.refuseOnArrival(node, spec, Reply.UNAUTHENTICATED);
+    }
+    Call call = createCall(spec, found.get(), caller, Math.min(node.nowMs(), event.receivedAtMs()));
     if (node.nowMs() >= call.deadlineMs()) {
       return CallSteps.refuseOnArrival(node, spec, Reply.EXPIRED_UNSENT);
     }
@@ -272,7 +278,7 @@
             .sorted(
                 Comparator.comparing((Call call) -> !call.delivered())
                     .thenComparing(call -> call.isLate(node.nowMs()))
-                    .thenComparingInt(call -> call.route().priority()))
+                    .thenComparingInt(Call::priority))
             .toList();
     Map<Target, Choice> unavailable = new HashMap<>();
     for (Call call : ordered) {
@@ -305,7 +311,8 @@
    */
   private record Target(String service, Optional<ModelKey> model) {}
 
-  private static Call createCall(CallSpec spec, Route route, long receivedAtMs) {
+  private static Call createCall(
+      CallSpec spec, Route route, Authentication caller, long receivedAtMs) {
     long routeTimeoutMs = route.timeoutMs();
     long timeLeftMs =
         Math.min(routeTimeoutMs, spec.timeLeftMs().map(Long::valueOf).orElse(routeTimeoutMs));
@@ -314,6 +321,7 @@
     return Call.arrived(
         spec,
         route,
+        caller,
         route.serviceFor(hash),
         receivedAtMs,
         receivedAtMs + timeLeftMs,
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -17,6 +17,7 @@
 import org.limpetdoor.core.gateway.Call.Attempt;
 import org.limpetdoor.core.gateway.EngineSelector.Choice;
 import org.limpetdoor.core.gateway.EngineSelector.Verdict;
+import org.limpetdoor.core.gateway.account.ClientAccount;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.request.RetryBudget;
 
@@ -325,6 +326,7 @@
         call.route().name(),
         call.service(),
         call.spec().model().map(ModelKey::toString).orElse("none"),
-        call.triedEngines().size());
+        call.triedEngines().size(),
+        call.account().map(ClientAccount::name));
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardCallFactory.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/ForwardCallFactory.java
@@ -32,10 +32,11 @@
         engine.entry().address(),
         call.deadlineMs() - node.nowMs(),
         call.deadlineMs(),
-        route.priority(),
+        call.priority(),
         route.kind().streamed(),
         !route.mayRepeat(),
         lastAttempt ? 0 : silenceMs,
-        lastAttempt ? 0 : (long) GAP_FACTOR * route.maxGapMs());
+        lastAttempt ? 0 : (long) GAP_FACTOR * route.maxGapMs(),
+        call.caller());
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Reply.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Reply.java
@@ -6,6 +6,10 @@
 public enum Reply {
   /** No route matches. */
   NO_ROUTE(404, true),
+  /** The caller did not present the key of an account, and the route requires one. */
+  UNAUTHENTICATED(401, true),
+  /** The account of the caller has used up its allowance. */
+  ALLOWANCE_EXCEEDED(429, true),
   /** The instance has not received a configuration yet. */
   NO_CONFIGURATION(503, true),
   /** The instance is shutting down. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Route.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Route.java
@@ -15,6 +15,7 @@
  * @param priority priority of its calls; 0 is the most urgent
  * @param resumable whether a stream may be resumed at another engine
  * @param maxGapMs longest expected pause between events of a stream, in milliseconds
+ * @param anonymousAccess whether callers need no account where the deployment has accounts
  * @param services services with their weights; at least one
  */
 public record Route(
@@ -28,6 +29,7 @@
     int priority,
     boolean resumable,
     int maxGapMs,
+    boolean anonymousAccess,
     List<WeightedService> services) {
   /** Pause of a stream that every caller accepts, in milliseconds. */
   private static final long MIN_ACCEPTED_PAUSE_MS = 2_000;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/RouteTable.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/RouteTable.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import org.limpetdoor.core.gateway.account.AccountTable;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
 
@@ -15,12 +16,14 @@
  * @param routes routes by host, in descending order of prefix length
  * @param services services by name
  * @param limits limits on callers
+ * @param accounts client accounts
  */
 public record RouteTable(
     long version,
     PMap<String, List<Route>> routes,
     PMap<String, ServiceSpec> services,
-    CallerLimits limits) {
+    CallerLimits limits,
+    AccountTable accounts) {
 
   /**
    * Limits on callers.
@@ -36,12 +39,22 @@
     public static final CallerLimits DEFAULT = new CallerLimits(16_384, 4_194_304, 5_000, 15_000);
   }
 
-  /** Creates a table from routes and services in any order. */
+  /** Creates a table without client accounts from routes and services in any order. */
   public static RouteTable of(
       long version,
       Collection<Route> routes,
       Collection<ServiceSpec> services,
       CallerLimits limits) {
+    return of(version, routes, services, limits, AccountTable.NONE);
+  }
+
+  /** Creates a table from routes and services in any order. */
+  public static RouteTable of(
+      long version,
+      Collection<Route> routes,
+      Collection<ServiceSpec> services,
+      CallerLimits limits,
+      AccountTable accounts) {
     PMap<String, List<Route>> byHost = HashTreePMap.empty();
     for (Route route : routes) {
       List<Route> sorted = new ArrayList<>(byHost.getOrDefault(route.host(), List.of()));
@@ -53,7 +66,7 @@
     for (ServiceSpec service : services) {
       byName = byName.plus(service.name(), service);
     }
-    return new RouteTable(version, byHost, byName, limits);
+    return new RouteTable(version, byHost, byName, limits, accounts);
   }
 
   /** Returns the route of the host with the longest matching path prefix, if any. */
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -951,6 +951,7 @@
             chat.priority(),
             chat.resumable(),
             chat.maxGapMs(),
+            chat.anonymousAccess(),
             chat.services()));
     startStream();
     long id = 31;
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CrashingPromptPartTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CrashingPromptPartTest.java
@@ -346,6 +346,7 @@
         route.priority(),
         route.resumable(),
         route.maxGapMs(),
+        route.anonymousAccess(),
         route.services());
   }
 
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -35,6 +36,7 @@
 import org.limpetdoor.core.event.TimerFired;
 import org.limpetdoor.core.gateway.Route.WeightedService;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
+import org.limpetdoor.core.gateway.account.Credential;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
@@ -142,6 +144,7 @@
                 1,
                 false,
                 0,
+                false,
                 List.of(new WeightedService("plain", 1)))),
         List.of(new ServiceSpec("plain", 100, Optional.empty())),
         CallerLimits.DEFAULT);
@@ -291,9 +294,11 @@
             Optional.of(LONG_TIMEOUT_MS),
             model,
             0,
+            OptionalLong.empty(),
             0,
             sharedParts,
-            number);
+            number,
+            Credential.ABSENT);
     reduce(instances.get(id), new CallArrived(nowMs, spec, nowMs));
   }
 
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.limpetdoor.core.NodeReducer;
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.NodeState.Self;
@@ -23,6 +24,8 @@
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
 import org.limpetdoor.core.gateway.ServiceSpec.EngineSpec;
 import org.limpetdoor.core.gateway.ServiceSpec.ModelSpec;
+import org.limpetdoor.core.gateway.account.AccountTable;
+import org.limpetdoor.core.gateway.account.Credential;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
@@ -91,6 +94,10 @@
   }
 
   void routes(long version, Route... routes) {
+    routes(version, AccountTable.NONE, routes);
+  }
+
+  void routes(long version, AccountTable accounts, Route... routes) {
     PMap<String, ModelSpec> models = HashTreePMap.empty();
     for (String name : List.of("m1", "m2", "m3")) {
       models = models.plus(name, new ModelSpec(name, 40_000, 2_000, 400, 10));
@@ -106,7 +113,7 @@
     reduce(
         new RoutesRead(
             nowMs,
-            RouteTable.of(version, List.of(routes), services, CallerLimits.DEFAULT),
+            RouteTable.of(version, List.of(routes), services, CallerLimits.DEFAULT, accounts),
             RoutesRead.Source.STORE));
   }
 
@@ -145,9 +152,34 @@
                 Optional.of(timeLeftMs),
                 model,
                 100,
+                OptionalLong.empty(),
                 0,
                 List.of(),
-                fingerprint),
+                fingerprint,
+                Credential.ABSENT),
+            nowMs));
+    return id;
+  }
+
+  /** Delivers a call without a model that presents a credential. */
+  long callWith(Credential credential, String path) {
+    long id = nextCall++;
+    reduce(
+        new CallArrived(
+            nowMs,
+            new CallSpec(
+                id,
+                "c" + id,
+                HOST,
+                path,
+                Optional.of(1_000),
+                Optional.empty(),
+                100,
+                OptionalLong.empty(),
+                0,
+                List.of(),
+                id,
+                credential),
             nowMs));
     return id;
   }
@@ -166,9 +198,11 @@
                 Optional.of(10_000),
                 Optional.of(ModelKey.of("m1")),
                 100,
+                OptionalLong.empty(),
                 0,
                 List.of(sharedParts),
-                1_000 + id),
+                1_000 + id,
+                Credential.ABSENT),
             nowMs));
     return id;
   }
@@ -217,6 +251,7 @@
         1,
         kind == CallKind.STREAM,
         150,
+        false,
         List.of(new WeightedService("plain", 1)));
   }
 
@@ -232,6 +267,7 @@
         1,
         true,
         150,
+        false,
         List.of(new WeightedService("llm", 1)));
   }
 
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/RouteTableCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/RouteTableCodec.java
@@ -29,6 +29,7 @@
     packer.packInt(table.limits().maxBodyBytes());
     packer.packInt(table.limits().headerTimeoutMs());
     packer.packInt(table.limits().idleTimeoutMs());
+    AccountTableCodec.pack(packer, table.accounts());
   }
 
   static RouteTable unpack(MessageUnpacker unpacker) throws IOException {
@@ -38,7 +39,7 @@
     CallerLimits limits =
         new CallerLimits(
             unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt());
-    return RouteTable.of(version, routes, services, limits);
+    return RouteTable.of(version, routes, services, limits, AccountTableCodec.unpack(unpacker));
   }
 
   private static void packRoute(MessageBufferPacker packer, Route route) throws IOException {
@@ -52,6 +53,7 @@
     packer.packInt(route.priority());
     packer.packBoolean(route.resumable());
     packer.packInt(route.maxGapMs());
+    packer.packBoolean(route.anonymousAccess());
     Values.packList(
         packer,
         route.services(),
@@ -73,6 +75,7 @@
         unpacker.unpackInt(),
         unpacker.unpackBoolean(),
         unpacker.unpackInt(),
+        unpacker.unpackBoolean(),
         Values.unpackList(
             unpacker, reader -> new WeightedService(reader.unpackString(), reader.unpackInt())));
   }
--- a/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Test;
 import org.limpetdoor.core.gateway.CallKind;
 import org.limpetdoor.core.gateway.CrashReport;
@@ -19,8 +20,14 @@
 import org.limpetdoor.core.gateway.ServiceSpec;
 import org.limpetdoor.core.gateway.ServiceSpec.EngineSpec;
 import org.limpetdoor.core.gateway.ServiceSpec.ModelSpec;
+import org.limpetdoor.core.gateway.account.AccountTable;
+import org.limpetdoor.core.gateway.account.AccountTable.AccountKeys;
+import org.limpetdoor.core.gateway.account.Allowance;
+import org.limpetdoor.core.gateway.account.AllowanceUnit;
+import org.limpetdoor.core.gateway.account.ClientAccount;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.id.KeyDigest;
 import org.limpetdoor.core.id.ZoneId;
 import org.limpetdoor.core.membership.DigestScope;
 import org.limpetdoor.core.membership.ListedInstance;
@@ -100,6 +107,7 @@
             1,
             true,
             150,
+            true,
             List.of(new WeightedService("llm", 3)));
     EngineSpec engine =
         new EngineSpec(
@@ -110,7 +118,18 @@
         List.of(
             new ServiceSpec("llm", 100, Optional.of(engine)),
             new ServiceSpec("plain", 50, Optional.empty())),
-        new CallerLimits(1, 2, 3, 4));
+        new CallerLimits(1, 2, 3, 4),
+        AccountTable.of(
+            List.of(
+                new AccountKeys(
+                    new ClientAccount(
+                        "account-a",
+                        OptionalInt.of(3),
+                        new Allowance(100, 50, AllowanceUnit.TOKENS, 20)),
+                    List.of(new KeyDigest("a".repeat(64)), new KeyDigest("b".repeat(64)))),
+                new AccountKeys(
+                    new ClientAccount("account-b", OptionalInt.empty(), Allowance.UNLIMITED),
+                    List.of()))));
   }
 
   /** Guards against fields that are encoded and decoded in different orders. */
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/DecisionLogTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/DecisionLogTest.java
@@ -7,6 +7,7 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -17,7 +18,7 @@
 import org.limpetdoor.core.id.BackendId;
 
 class DecisionLogTest {
-  private static final Subject CALL = new Subject("c1", "r1", "llm", "m1", 1);
+  private static final Subject CALL = new Subject("c1", "r1", "llm", "m1", 1, Optional.empty());
 
   private final SimpleMeterRegistry metrics = new SimpleMeterRegistry();
 
@@ -90,7 +91,8 @@
   @Test
   void escapesCallerIdentifiers() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
-    Subject forged = new Subject("c1\nevent=call_ended call=c2", "r1", "llm", "m1", 1);
+    Subject forged =
+        new Subject("c1\nevent=call_ended call=c2", "r1", "llm", "m1", 1, Optional.empty());
     try (DecisionLog log =
         new DecisionLog(new PrintStream(out, true, StandardCharsets.UTF_8), metrics)) {
       log.record(failed(forged, Reply.TIMED_OUT));
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
@@ -22,6 +22,7 @@
 import org.limpetdoor.core.event.Event;
 import org.limpetdoor.core.event.ForwardEnded;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
+import org.limpetdoor.core.gateway.account.Authentication;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.runtime.MonotonicClock;
 
@@ -113,7 +114,8 @@
             streamed,
             false,
             0,
-            0));
+            0,
+            Authentication.NOT_IN_USE));
   }
 
   /** Ends a call with the error response of an attempt, as the reducer does without a retry. */
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
@@ -51,6 +51,7 @@
 import org.limpetdoor.core.gateway.ForwardResult;
 import org.limpetdoor.core.gateway.ModelKey;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
+import org.limpetdoor.core.gateway.account.Authentication;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.runtime.MonotonicClock;
 
@@ -219,7 +220,8 @@
             streamed,
             false,
             silenceTimeoutMs,
-            silenceTimeoutMs));
+            silenceTimeoutMs,
+            Authentication.NOT_IN_USE));
     return id;
   }
 
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/TestCallProtocol.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/TestCallProtocol.java
@@ -5,9 +5,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.gateway.CallSpec;
 import org.limpetdoor.core.gateway.EngineNotice;
+import org.limpetdoor.core.gateway.account.Credential;
 
 /**
  * Identifies calls by a header that engines echo; other headers mark responses as signed or not
@@ -25,9 +27,11 @@
         Optional.empty(),
         Optional.empty(),
         0,
+        OptionalLong.empty(),
         0,
         List.of(),
-        0);
+        0,
+        Credential.ABSENT);
   }
 
   @Override
