Do not send requests of callers that have already left

Netty read one buffer of each socket per pass, so the request was decided on and written to an engine before the end was seen in the next pass.

Sockets of callers are now read until they are empty, and an effect that forwards a call of a closed connection is dropped; the event that cancels the call follows. DepartedCallerTest fails without either.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
@@ -83,6 +83,11 @@
     close(ConnectionCloseReason.IDLE_TIMEOUT);
   }
 
+  /** Returns whether the caller can still receive a response. */
+  boolean isConnected() {
+    return channel.isActive();
+  }
+
   /** Returns whether no request is being received or served and all responses have been sent. */
   boolean isIdle() {
     return progress() == RequestProgress.NONE;
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -160,7 +160,8 @@
   @Override
   public void forwardCall(ForwardCall effect) {
     OpenCall call = calls.get(effect.call());
-    if (call == null) {
+    // The event that cancels the call of a closed connection may still wait in the queue.
+    if (call == null || !call.caller().isConnected()) {
       return;
     }
     EngineAttempt attempt =
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
@@ -1,10 +1,12 @@
 package org.limpetdoor.gateway;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -20,6 +22,17 @@
    */
   private static final int BACKLOG = 1_024;
 
+  /** Number of buffers that are read from a socket before the others have their turn. */
+  private static final int MAX_READS = 16;
+
+  /**
+   * Reads each socket until it has nothing left. A busy process finds a request and the end of its
+   * connection at the same time, and must not send the request to an engine before it has seen the
+   * end.
+   */
+  private static final RecvByteBufAllocator READ_UNTIL_EMPTY =
+      new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS);
+
   private static final int MAX_MONITORING_REQUEST_BYTES = 4_096;
 
   private Listeners() {}
@@ -73,6 +86,7 @@
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RCVBUF_ALLOCATOR, READ_UNTIL_EMPTY)
         .childHandler(child)
         .bind(address)
         .syncUninterruptibly()
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Function;
 import org.limpetdoor.core.effect.ApplyCallerLimits;
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.effect.GatewayEffect;
@@ -41,6 +43,7 @@
   private final MonotonicClock clock = MonotonicClock.startingNow();
   private final GatewayTraffic traffic;
   private final Channel callers;
+  private volatile Consumer<Event> eventListener = event -> {};
 
   GatewayFixture() {
     this(BodyMemories.ofHeap());
@@ -57,10 +60,26 @@
             clock,
             new ReadTimes(clock),
             memories,
-            event -> events.add(event.apply(0L)));
+            this::eventSubmitted);
     callers = Listeners.listenForCallers(group, new InetSocketAddress("127.0.0.1", 0), traffic);
   }
 
+  private void eventSubmitted(Function<Long, Event> create) {
+    Event event = create.apply(0L);
+    events.add(event);
+    eventListener.accept(event);
+  }
+
+  /** Calls a listener on the traffic thread with each event from now on. */
+  void listen(Consumer<Event> listener) {
+    eventListener = listener;
+  }
+
+  /** Runs a task on the traffic thread. */
+  void onTrafficThread(Runnable task) {
+    group.next().execute(task);
+  }
+
   /** Sends a request with an identifier and returns the socket of its caller. */
   Socket sendCall(String id) throws IOException {
     return send("GET /a HTTP/1.1\r\nHost: h\r\nCall: " + id + "\r\n\r\n");
