Reject invalid status lines on connections of the gateway

Cause: the response decoder of Netty takes any number as a status, so "000 OK", "099", "20", "1000" and "600" reached callers as 0, 99, 20, 1000 and 600, and the control client handed them to its callers. A 101 left the call waiting. The control client also took an interim response for the final one.

Change: StatusKind in core states which codes are interim, final or invalid. ResponseDecoder applies it to the text of the status line, so that "0200" and "+200" are found as well. Engine connections then end the attempt as INVALID_ANSWER and close; the control client closes, which fails the request as possibly sent. The control client skips interim responses.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ControlHttpClient.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ControlHttpClient.java
@@ -16,11 +16,12 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
@@ -183,7 +184,8 @@
                 channel
                     .pipeline()
                     .addLast(endOfInput)
-                    .addLast(new HttpClientCodec())
+                    .addLast(new HttpRequestEncoder())
+                    .addLast(new ResponseDecoder())
                     .addLast(new HttpObjectAggregator(maxResponseBytes))
                     .addLast(new ResponseHandler(address, endOfInput));
               }
@@ -220,6 +222,9 @@
         context.close();
         return;
       }
+      if (message.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        return;
+      }
       CompletableFuture<Response> response = pendingResponse;
       pendingResponse = null;
       timeout.cancel(false);
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineResponseDecoder.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineResponseDecoder.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.List;
@@ -12,7 +11,7 @@
  * are too few for the decoder to emit a message: the response to a later request would otherwise be
  * decoded as their continuation.
  */
-final class EngineResponseDecoder extends HttpResponseDecoder {
+final class EngineResponseDecoder extends ResponseDecoder {
   private final EngineChannel engineChannel;
 
   EngineResponseDecoder(EngineChannel engineChannel) {
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/ControlHttpClientTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/ControlHttpClientTest.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -17,6 +18,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.limpetdoor.gateway.ControlHttpClient.Request;
 import org.limpetdoor.gateway.ControlHttpClient.Response;
 import org.limpetdoor.gateway.ControlledEngine.Connection;
@@ -88,6 +91,36 @@
     assertFails(response);
   }
 
+  /** Guards against a status that HTTP does not define and that a caller takes for an answer. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"000 OK", "099", "20", "1000", "600", "2x0", "-200", "0200", "101 Upgrade"})
+  void failsAResponseWithAnInvalidStatus(String status) throws Exception {
+    for (String rest : List.of("Content-Length: 0\r\n\r\n", "\r\nwhole")) {
+      CompletableFuture<Response> response = send(new byte[0]);
+      Connection connection = server.accept();
+      connection.readRequest();
+      connection.write("HTTP/1.1 " + status + "\r\n" + rest);
+      connection.finish();
+
+      assertFails(response);
+    }
+  }
+
+  /** Guards against an interim response that is taken as the final one. */
+  @ParameterizedTest
+  @ValueSource(strings = {"100 Continue", "102 Processing", "103 Early Hints"})
+  void acceptsTheResponseAfterAnInterimOne(String status) throws Exception {
+    CompletableFuture<Response> response = send(new byte[0]);
+    Connection connection = server.accept();
+    connection.readRequest();
+    connection.write("HTTP/1.1 " + status + "\r\n\r\n");
+    connection.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole");
+
+    assertThat(await(response).status()).isEqualTo(200);
+    assertThat(new String(await(response).body(), StandardCharsets.UTF_8)).isEqualTo("whole");
+  }
+
   private static void assertFails(CompletableFuture<Response> response) {
     ExecutionException failure = assertThrows(ExecutionException.class, () -> await(response));
     assertThat(failure).hasCauseThat().isInstanceOf(ControlRequestFailedException.class);
