Treat an invalid status of the log service as a lost answer

Cause: a status of 600 or more counted as "unavailable", although such bytes are no response of the log service.

Change: an invalid status is ANSWER_LOST: an append may have taken effect and may be repeated.

Tests: the cases of 600 and 999 of HttpLogServiceTest failed before.

--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/HttpLogService.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/log/HttpLogService.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.limpetdoor.core.request.StatusKind;
 
 /** Client of the log service over HTTP. */
 public final class HttpLogService implements LogService {
@@ -143,7 +144,11 @@
     return new LogServiceException(failure, address, message, cause);
   }
 
+  /** An invalid status shows that the bytes are no response; the log service may have appended. */
   private static LogFailure failureOfStatus(int status) {
+    if (StatusKind.of(status) == StatusKind.INVALID) {
+      return LogFailure.ANSWER_LOST;
+    }
     boolean unavailable = status == STATUS_TOO_MANY_REQUESTS || status >= STATUS_SERVER_ERROR_MIN;
     return unavailable ? LogFailure.UNAVAILABLE : LogFailure.REFUSED;
   }
--- a/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/log/HttpLogServiceTest.java
+++ b/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/log/HttpLogServiceTest.java
@@ -65,7 +65,14 @@
 
   /** Guards against a failure that is wrongly retried or wrongly reported as having no effect. */
   @ParameterizedTest
-  @CsvSource({"503,UNAVAILABLE", "429,UNAVAILABLE", "400,REFUSED", "0,ANSWER_LOST"})
+  @CsvSource({
+    "503,UNAVAILABLE",
+    "429,UNAVAILABLE",
+    "400,REFUSED",
+    "0,ANSWER_LOST",
+    "600,ANSWER_LOST",
+    "999,ANSWER_LOST"
+  })
   void failuresAreClassified(int code, LogFailure expected) {
     status = code;
     assertThat(failure()).isEqualTo(expected);
