Poll the sockets of callers before an old decision is executed

A forward that is executed more than 100 ms after the work since the last poll began is now put behind the next poll. DepartedCallerTest fails without it.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -45,6 +45,12 @@
   /** Time for which the pace of an engine without streams is retained, in milliseconds. */
   private static final long PACE_RETENTION_MS = 10_000;
 
+  /**
+   * Time since the last poll from which the ends of connections may have gone unseen for too long,
+   * in milliseconds. Requests must not reach engines half a second after their callers have left.
+   */
+  private static final long MAX_UNPOLLED_MS = 100;
+
   private final EventLoop loop;
   private final CallProtocol protocol;
   private final EngineClient engineClient;
@@ -157,8 +163,21 @@
     eventSink.submit(event);
   }
 
+  /**
+   * Sends a call to an engine. A busy thread polls its sockets first, since the caller may have
+   * disconnected meanwhile.
+   */
   @Override
   public void forwardCall(ForwardCall effect) {
+    if (readTimes.workingForMs() > MAX_UNPOLLED_MS) {
+      // A scheduled task runs after the next poll, unlike one that is only executed.
+      loop.schedule(() -> sendIfConnected(effect), 0, TimeUnit.MILLISECONDS);
+      return;
+    }
+    sendIfConnected(effect);
+  }
+
+  private void sendIfConnected(ForwardCall effect) {
     OpenCall call = calls.get(effect.call());
     // The event that cancels the call of a closed connection may still wait in the queue.
     if (call == null || !call.caller().isConnected()) {
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ReadTimes.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ReadTimes.java
@@ -33,6 +33,12 @@
     }
   }
 
+  /** Returns the time since the work began that preceded this call and follows the last poll. */
+  long workingForMs() {
+    recordWork();
+    return clock.nowMs() - workBeganMs;
+  }
+
   /**
    * Returns the earliest time at which bytes that are read now may have arrived, in monotonic
    * milliseconds.
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
@@ -75,9 +75,15 @@
     eventListener = listener;
   }
 
-  /** Runs a task on the traffic thread. */
+  /** Runs a task on the traffic thread, like the work for a message. */
   void onTrafficThread(Runnable task) {
-    group.next().execute(task);
+    group
+        .next()
+        .execute(
+            () -> {
+              traffic.recordRead();
+              task.run();
+            });
   }
 
   /** Sends a request with an identifier and returns the socket of its caller. */
