Bound what callers that nobody controls may hold of a gateway

Cause: a connection was read on while nobody read its responses, so that each request that was sent ahead left a response in memory; 64 kB of requests were decoded at once; a header line of four bytes takes more than a hundred bytes as objects; and the number of connections had no bound but the descriptors.

PacedHttpCodec decodes the next request of a connection only when the socket has taken the response before, on the listeners of callers, readiness and metrics. HeadMemory bounds the lines of a head (431) and counts heads in the memory of request bodies (503). AcceptLimit bounds the connections of one address and in total on all listeners, peers included; beyond it the oldest connection that serves no request gives way, so that an ordinary caller gets in. A connection to readiness or metrics is closed after 60 s without a byte. OverloadLog counts each case and logs one line a second.

--- /dev/null
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/limits/ConnectionThreshold.java
@@ -0,0 +1,32 @@
+package org.limpetdoor.core.limits;
+
+/**
+ * Decides how many connections one address may have to a listener: eight times as many as are free.
+ * An address that is alone gets eight ninths of all, as all callers may come through one balancer.
+ *
+ * <p>It answers the load at which one address opens connections without end: descriptors and memory
+ * for connections of other addresses remain. Beyond the threshold the address keeps its number; a
+ * new connection takes the place of an older one that serves no request.
+ *
+ * @param capacity connections that the listener may have at once
+ */
+public record ConnectionThreshold(int capacity) {
+  private static final int FREE_FACTOR = 8;
+
+  /** Checks the number. */
+  public ConnectionThreshold {
+    if (capacity < 1) {
+      throw new IllegalArgumentException("capacity is below 1: " + capacity);
+    }
+  }
+
+  /**
+   * Returns whether an address may have one more connection without giving up another one.
+   *
+   * @param ofAddress its connections afterwards
+   * @param open connections of all addresses afterwards
+   */
+  public boolean allows(int ofAddress, int open) {
+    return ofAddress <= (long) FREE_FACTOR * (capacity - open);
+  }
+}
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
@@ -23,8 +23,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.limpetdoor.core.decision.ConnectionCloseReason;
@@ -33,24 +31,19 @@
 import org.limpetdoor.core.event.CallerConnectionClosed;
 import org.limpetdoor.core.gateway.Reply;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
+import org.limpetdoor.gateway.HeadMemory.NoHeadMemoryException;
 
 /**
  * A connection from a caller, which has at most one open call at a time. Confined to the traffic
  * thread.
  */
 final class CallerChannel extends ChannelInboundHandlerAdapter {
-  /**
-   * Number of HTTP messages of pipelined requests that are buffered before reading is suspended.
-   */
-  private static final int MAX_PIPELINED_MESSAGES = 16;
-
   private static final double MS_PER_S = 1_000;
 
   /** Time after which callers return that there was no memory for, in milliseconds. */
   private static final long RETRY_AFTER_NO_MEMORY_MS = 1_000;
 
   private final GatewayTraffic traffic;
-  private final Deque<Object> pipelined = new ArrayDeque<>();
   private Channel channel;
   private HttpRequest head;
   private final BufferedBody body;
@@ -88,6 +81,12 @@
     return progress() == RequestProgress.NONE;
   }
 
+  /** Returns whether a call is open or its response has not been sent completely. */
+  boolean servesCall() {
+    RequestProgress progress = progress();
+    return progress == RequestProgress.OPEN || progress == RequestProgress.RESPONDING;
+  }
+
   /** Closes the connection; a request on it gets no complete response. */
   void close(ConnectionCloseReason reason) {
     reportClose(reason);
@@ -180,19 +179,12 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     traffic.recordRead();
-    if (call != null) {
-      pipelined.addLast(message);
-      channel.config().setAutoRead(pipelined.size() < MAX_PIPELINED_MESSAGES);
-      return;
-    }
     read(message);
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     traffic.callerDisconnected(this);
-    pipelined.forEach(ReferenceCountUtil::release);
-    pipelined.clear();
     body.close();
     if (call != null) {
       long id = call.spec().id();
@@ -232,6 +224,10 @@
 
   private void readHead(HttpRequest request) {
     lastUsedNs = System.nanoTime();
+    if (request.decoderResult().cause() instanceof NoHeadMemoryException) {
+      rejectForMemory();
+      return;
+    }
     if (request.decoderResult().isFailure()) {
       boolean tooLong = request.decoderResult().cause() instanceof TooLongHttpHeaderException;
       reject(
@@ -253,6 +249,10 @@
   }
 
   private void readContent(HttpContent content) {
+    if (content.decoderResult().cause() instanceof NoHeadMemoryException) {
+      rejectForMemory();
+      return;
+    }
     if (content.decoderResult().isFailure()) {
       reject(HttpResponseStatus.BAD_REQUEST);
       return;
@@ -318,11 +318,6 @@
     write.addListener(sent -> lastUsedNs = System.nanoTime());
     if (!keepAlive) {
       write.addListener(ChannelFutureListener.CLOSE);
-      return;
-    }
-    channel.config().setAutoRead(true);
-    while (call == null && !pipelined.isEmpty()) {
-      read(pipelined.pollFirst());
     }
   }
 }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
@@ -119,6 +119,7 @@
             clock,
             readTimes,
             BodyMemories.ofHeap(),
+            new OverloadLog(metrics, log::write, System::nanoTime),
             this::submit);
     this.peers = new PeerLinks(this::submit);
     this.control =
@@ -215,10 +216,11 @@
     StateGauges.register(metrics, control::state);
     submit(atMs -> new GatewayStarted(atMs, options.gatewaySettings()));
     callers = Listeners.listenForCallers(group, options.callers(), traffic);
-    Listeners.listenForMonitoring(group, options.readiness(), this::readinessResponse);
+    Listeners.listenForMonitoring(group, options.readiness(), traffic, this::readinessResponse);
     Listeners.listenForMonitoring(
         group,
         options.metrics(),
+        traffic,
         path -> new MonitoringHandler.Response(STATUS_OK, metrics.scrape()));
     PeerIdentity identity =
         new PeerIdentity(options.self().id(), options.self().incarnation(), options.self().zone());
@@ -226,7 +228,8 @@
         PeerTransport.start(
             PeerTransportSettings.of(identity, options.peers(), options.peerSecret()),
             peers,
-            group));
+            group,
+            traffic.overloads()));
     log(
         LogLine.event("instance_started")
             .with("instance", options.self().id())
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -57,6 +57,7 @@
   private final EngineConnectionPool pool;
   private final PaceMeter paceMeter;
   private final BodyMemories memories;
+  private final OverloadLog overloads;
   private final Map<Long, OpenCall> calls = new HashMap<>();
   private final Set<CallerChannel> callers = new LinkedHashSet<>();
   private CallerLimits callerLimits = CallerLimits.DEFAULT;
@@ -72,6 +73,7 @@
       MonotonicClock clock,
       ReadTimes readTimes,
       BodyMemories memories,
+      OverloadLog overloads,
       EngineAttempt.EventSink eventSink) {
     this.loop = loop;
     this.protocol = protocol;
@@ -81,6 +83,7 @@
     this.clock = clock;
     this.readTimes = readTimes;
     this.memories = memories;
+    this.overloads = overloads;
     this.eventSink = eventSink;
     this.notices = new EngineNotices(clock, this);
     this.pool = new EngineConnectionPool(loop, protocol, notices);
@@ -136,6 +139,15 @@
     return removed;
   }
 
+  OverloadLog overloads() {
+    return overloads;
+  }
+
+  /** Returns the memory of the request heads of one more connection. */
+  HeadMemory headMemory() {
+    return new HeadMemory(memories.requests(), overloads);
+  }
+
   BodyMemory requestMemory() {
     return memories.requests();
   }
@@ -295,6 +307,7 @@
   private void cleanUp() {
     paceMeter.removeOlderThan(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(PACE_RETENTION_MS));
     notices.removeEnded();
+    overloads.flush();
     closeStalledCallers();
   }
 
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
@@ -1,6 +1,7 @@
 package org.limpetdoor.gateway;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -9,9 +10,9 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.function.Function;
+import org.limpetdoor.runtime.AcceptLimit;
 
 /** Binds the listening sockets of a gateway. */
 final class Listeners {
@@ -22,6 +23,15 @@
 
   private static final int MAX_MONITORING_REQUEST_BYTES = 4_096;
 
+  private static final int MIN_READ_BYTES = 512;
+  private static final int FIRST_READ_BYTES = 1 << 10;
+
+  /**
+   * Longest read from a connection. A connection may hold this many bytes that are not decoded, and
+   * with Netty's 64 kB a thousand connections would hold 64 MB outside of the heap.
+   */
+  private static final int MAX_READ_BYTES = 8 << 10;
+
   private Listeners() {}
 
   /** Listens for callers. */
@@ -30,6 +40,7 @@
     return open(
         group,
         address,
+        new AcceptLimit(ConnectionCapacity.ofCallers(), Listeners::servesCall, traffic.overloads()),
         new ChannelInitializer<>() {
           @Override
           protected void initChannel(SocketChannel channel) {
@@ -39,7 +50,7 @@
                     .setMaxHeaderSize(traffic.callerLimits().maxHeaderBytes());
             channel
                 .pipeline()
-                .addLast(new HttpServerCodec(config))
+                .addLast(new PacedHttpCodec(config, traffic.headMemory()))
                 .addLast(new CallerChannel(traffic));
           }
         });
@@ -49,30 +60,45 @@
   static Channel listenForMonitoring(
       EventLoopGroup group,
       InetSocketAddress address,
+      GatewayTraffic traffic,
       Function<String, MonitoringHandler.Response> responder) {
     return open(
         group,
         address,
+        new AcceptLimit(ConnectionCapacity.ofMonitoring(), channel -> false, traffic.overloads()),
         new ChannelInitializer<>() {
           @Override
           protected void initChannel(SocketChannel channel) {
             channel
                 .pipeline()
-                .addLast(new HttpServerCodec())
+                .addLast(MonitoringHandler.idleTimeout())
+                .addLast(new PacedHttpCodec(new HttpDecoderConfig(), traffic.headMemory()))
                 .addLast(new HttpObjectAggregator(MAX_MONITORING_REQUEST_BYTES))
                 .addLast(new MonitoringHandler(responder));
           }
         });
   }
 
+  private static boolean servesCall(Channel channel) {
+    CallerChannel caller = channel.pipeline().get(CallerChannel.class);
+    return caller != null && caller.servesCall();
+  }
+
   private static Channel open(
-      EventLoopGroup group, InetSocketAddress address, ChannelInitializer<SocketChannel> child) {
+      EventLoopGroup group,
+      InetSocketAddress address,
+      AcceptLimit limit,
+      ChannelInitializer<SocketChannel> child) {
     return new ServerBootstrap()
         .group(group)
         .channel(NioServerSocketChannel.class)
+        .handler(limit)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(
+            ChannelOption.RECVBUF_ALLOCATOR,
+            new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
         .childHandler(child)
         .bind(address)
         .syncUninterruptibly()
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/MonitoringHandler.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/MonitoringHandler.java
@@ -12,7 +12,10 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 /** Responds to readiness checks of the load balancer and to metrics scrapes. */
@@ -25,6 +28,12 @@
    */
   record Response(int status, String text) {}
 
+  /**
+   * Time after which a connection is closed that neither sends nor takes a byte, in seconds. Checks
+   * and scrapes on the same connection are a few seconds apart.
+   */
+  private static final long IDLE_TIMEOUT_S = 60;
+
   private final Function<String, Response> responder;
 
   /** Creates a handler that maps the path of a request to its response. */
@@ -32,8 +41,28 @@
     this.responder = responder;
   }
 
+  /** Returns the handler that notices connections without progress. */
+  static IdleStateHandler idleTimeout() {
+    return new IdleStateHandler(true, 0, 0, IDLE_TIMEOUT_S, TimeUnit.SECONDS);
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof IdleStateEvent) {
+      context.close();
+    }
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+    if (request.decoderResult().isFailure()) {
+      // The rest of what the peer sends is skipped, so that no other request can follow.
+      context
+          .writeAndFlush(
+              new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_REQUEST))
+          .addListener(ChannelFutureListener.CLOSE);
+      return;
+    }
     Response response = responder.apply(request.uri());
     FullHttpResponse message =
         new DefaultFullHttpResponse(
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/CallerChannelTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/CallerChannelTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
@@ -51,6 +52,7 @@
             clock,
             new ReadTimes(clock),
             BodyMemories.ofHeap(),
+            new OverloadLog(new SimpleMeterRegistry(), line -> {}, System::nanoTime),
             event -> {});
     CallerChannel caller = new CallerChannel(traffic);
     EmbeddedChannel channel = new EmbeddedChannel(new PendingWrites(), caller);
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.gateway;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -57,6 +58,7 @@
             clock,
             new ReadTimes(clock),
             memories,
+            new OverloadLog(new SimpleMeterRegistry(), line -> {}, System::nanoTime),
             event -> events.add(event.apply(0L)));
     callers = Listeners.listenForCallers(group, new InetSocketAddress("127.0.0.1", 0), traffic);
   }
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -90,6 +91,7 @@
             clock,
             new ReadTimes(clock),
             BodyMemories.ofHeap(),
+            new OverloadLog(new SimpleMeterRegistry(), line -> {}, System::nanoTime),
             event -> events.add(event.apply(0L)));
     callers = Listeners.listenForCallers(group, ANY_LOOPBACK_PORT, traffic);
     engine = startEngine();
--- /dev/null
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/PacedHttpCodecTest.java
@@ -0,0 +1,143 @@
+package org.limpetdoor.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.decision.OverloadReason;
+import org.limpetdoor.gateway.HeadMemory.NoHeadMemoryException;
+import org.limpetdoor.runtime.BodyMemory;
+
+/** Tests how far the requests of a connection are decoded, and what their heads may take. */
+class PacedHttpCodecTest {
+  private static final int HEAD_BYTES = 16_384;
+  private static final String REQUEST = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+  private final BodyMemory memory = BodyMemory.ofBytes(1_000_000);
+  private final List<OverloadReason> overloads = new ArrayList<>();
+  private final Queue<ChannelPromise> writes = new ArrayDeque<>();
+  private final EmbeddedChannel channel = open();
+
+  /** Keeps all writes pending, like a socket whose peer does not read. */
+  private final class PendingWrites extends ChannelOutboundHandlerAdapter {
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+      ReferenceCountUtil.release(message);
+      writes.add(promise);
+    }
+  }
+
+  private EmbeddedChannel open() {
+    HttpDecoderConfig config =
+        new HttpDecoderConfig().setMaxInitialLineLength(HEAD_BYTES).setMaxHeaderSize(HEAD_BYTES);
+    return new EmbeddedChannel(
+        new PendingWrites(), new PacedHttpCodec(config, new HeadMemory(memory, overloads::add)));
+  }
+
+  private void send(String text) {
+    channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+  }
+
+  private HttpRequest nextRequest() {
+    Object message = channel.readInbound();
+    while (message instanceof LastHttpContent && !(message instanceof HttpRequest)) {
+      message = channel.readInbound();
+    }
+    return (HttpRequest) message;
+  }
+
+  private void respond() {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.NOT_FOUND);
+    channel.writeAndFlush(response);
+  }
+
+  /** Guards against a response in memory for each request that a caller sends ahead. */
+  @Test
+  void decodesNoFurtherRequestUntilTheSocketHasTakenTheResponse() {
+    send(REQUEST.repeat(3));
+    assertThat(nextRequest()).isNotNull();
+    assertThat(nextRequest()).isNull();
+    assertThat(channel.config().isAutoRead()).isFalse();
+    respond();
+    assertThat(nextRequest()).isNull();
+
+    writes.forEach(ChannelPromise::setSuccess);
+    channel.runPendingTasks();
+
+    assertThat(nextRequest()).isNotNull();
+    assertThat(nextRequest()).isNull();
+  }
+
+  /** Guards against a connection that is not read from any more after its responses were taken. */
+  @Test
+  void servesAHundredRequestsSentAhead() {
+    send(REQUEST.repeat(100));
+    int served = 0;
+    while (nextRequest() != null) {
+      served++;
+      respond();
+      writes.forEach(ChannelPromise::trySuccess);
+      writes.clear();
+      channel.runPendingTasks();
+    }
+    assertThat(served).isEqualTo(100);
+    assertThat(channel.config().isAutoRead()).isTrue();
+    assertThat(memory.usedBytes()).isEqualTo(0);
+  }
+
+  /** Guards against refusing a head that is as long as the configuration allows. */
+  @Test
+  void takesAHeadOf16KiloBytesInLinesOf16Bytes() {
+    send("GET /a HTTP/1.1\r\n" + "abcdefgh: ijkl\r\n".repeat(1_020) + "\r\n");
+    assertThat(nextRequest().decoderResult().isSuccess()).isTrue();
+    assertThat(overloads).isEmpty();
+  }
+
+  /** Guards against heads that take many times their length as objects. */
+  @Test
+  void refusesAHeadOfTooManyLines() {
+    send("GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(HeadMemory.MAX_LINES + 1) + "\r\n");
+    assertThat(nextRequest().decoderResult().cause())
+        .isInstanceOf(TooLongHttpHeaderException.class);
+    assertThat(overloads).containsExactly(OverloadReason.HEADER_LINES);
+  }
+
+  /** Guards against heads of many connections that together fill the memory. */
+  @Test
+  void refusesAHeadWithoutMemoryAndReleasesItWithTheConnection() {
+    EmbeddedChannel other = open();
+    other.writeInbound(
+        Unpooled.copiedBuffer(
+            "GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(1_000), StandardCharsets.ISO_8859_1));
+    EmbeddedChannel third = open();
+    third.writeInbound(
+        Unpooled.copiedBuffer(
+            "GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(1_000), StandardCharsets.ISO_8859_1));
+    send("GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(1_000) + "\r\n");
+    assertThat(nextRequest().decoderResult().cause()).isInstanceOf(NoHeadMemoryException.class);
+
+    other.close();
+    third.close();
+    channel.close();
+    assertThat(memory.usedBytes()).isEqualTo(0);
+  }
+}
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/PeerTransport.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/PeerTransport.java
@@ -20,8 +20,12 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.limpetdoor.core.decision.OverloadReason;
 import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.limits.ConnectionThreshold;
 import org.limpetdoor.format.peer.HandshakeFrame.Nonce;
+import org.limpetdoor.runtime.AcceptLimit;
 
 /**
  * Links to other instances over TCP. The transport accepts links, dials peers and sends messages;
@@ -39,6 +43,12 @@
    */
   private static final int MAX_QUEUED_FRAMES = 2;
 
+  /**
+   * Accepted connections of peers. A fleet has fewer than a hundred instances, each with one link;
+   * the rest is for links that are replaced. A link that is established is never closed for others.
+   */
+  private static final int MAX_ACCEPTED = 256;
+
   private final PeerTransportSettings settings;
   private final PeerListener listener;
   private final EventLoopGroup group;
@@ -51,7 +61,8 @@
       PeerTransportSettings settings,
       PeerListener listener,
       EventLoopGroup group,
-      boolean ownsGroup) {
+      boolean ownsGroup,
+      Consumer<OverloadReason> overload) {
     this.settings = settings;
     this.listener = listener;
     this.group = group;
@@ -60,6 +71,9 @@
         new ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel.class)
+            .handler(
+                new AcceptLimit(
+                    new ConnectionThreshold(MAX_ACCEPTED), links::containsValue, overload))
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, queueBounds())
             .childHandler(initializer(LinkRole.ACCEPTOR, "accepted"))
             .bind(settings.address())
@@ -70,13 +84,20 @@
   /** Starts a transport that runs on a thread of its own. */
   public static PeerTransport start(PeerTransportSettings settings, PeerListener listener) {
     EventLoopGroup own = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    return new PeerTransport(settings, listener, own, true);
+    return new PeerTransport(settings, listener, own, true, overload -> {});
   }
 
-  /** Starts a transport that runs on existing traffic threads, which it does not shut down. */
+  /**
+   * Starts a transport that runs on an existing traffic thread, which it does not shut down.
+   *
+   * @param overload is told of connections that are closed because there are too many
+   */
   public static PeerTransport start(
-      PeerTransportSettings settings, PeerListener listener, EventLoopGroup group) {
-    return new PeerTransport(settings, listener, group, false);
+      PeerTransportSettings settings,
+      PeerListener listener,
+      EventLoopGroup group,
+      Consumer<OverloadReason> overload) {
+    return new PeerTransport(settings, listener, group, false, overload);
   }
 
   /** Returns the address on which links are accepted. */
