--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/LinkHandler.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/LinkHandler.java
@@ -37,6 +37,11 @@
     this.label = label;
   }
 
+  /** Returns whether the other side has proved that it is a peer. */
+  boolean isEstablished() {
+    return state.session().isPresent();
+  }
+
   @Override
   public void channelActive(ChannelHandlerContext context) {
     process(context, new ConnectionOpened());
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/PeerTransport.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/PeerTransport.java
@@ -12,7 +12,6 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import java.net.InetSocketAddress;
@@ -157,14 +156,13 @@
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel channel) {
+        LinkHandler link = new LinkHandler(initialState(role), listener, links, label);
         channel
             .pipeline()
             .addLast(new ReadTimeoutHandler(settings.silenceTimeoutMs(), TimeUnit.MILLISECONDS))
-            .addLast(
-                new LengthFieldBasedFrameDecoder(
-                    settings.maxFrameBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+            .addLast(new FrameDecoder(settings.maxFrameBytes(), LENGTH_BYTES, link::isEstablished))
             .addLast(new LengthFieldPrepender(LENGTH_BYTES))
-            .addLast(new LinkHandler(initialState(role), listener, links, label));
+            .addLast(link);
       }
     };
   }
--- a/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/peer/PeerTransportTest.java
+++ b/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/peer/PeerTransportTest.java
@@ -2,7 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.io.DataOutputStream;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -51,6 +53,19 @@
     }
   }
 
+  /** Guards against memory for long frames of a process that has not proved that it is a peer. */
+  @Test
+  void longFrameOfAStrangerClosesItsConnection() throws Exception {
+    RecordingListener listener = new RecordingListener();
+    int longFrameBytes = 1 << 20;
+    try (PeerTransport transport = start("a", SECRET, longFrameBytes, listener);
+        Socket stranger =
+            new Socket(transport.address().getAddress(), transport.address().getPort())) {
+      new DataOutputStream(stranger.getOutputStream()).writeInt(longFrameBytes / 2);
+      assertThat(listener.nextEvent()).isEqualTo("failed FRAME_TOO_LARGE");
+    }
+  }
+
   /** Guards against buffering or delivering a frame that exceeds the maximum length. */
   @Test
   void oversizedFrameClosesLink() throws InterruptedException {
