--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
@@ -23,37 +23,32 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.limpetdoor.core.decision.ConnectionCloseReason;
+import org.limpetdoor.core.decision.OverloadReason;
 import org.limpetdoor.core.decision.RequestProgress;
 import org.limpetdoor.core.event.CallCancelled;
 import org.limpetdoor.core.event.CallerConnectionClosed;
 import org.limpetdoor.core.gateway.Reply;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
+import org.limpetdoor.gateway.HeadMemory.NoHeadMemoryException;
 
 /**
  * A connection from a caller, which has at most one open call at a time. Confined to the traffic
  * thread.
  */
 final class CallerChannel extends ChannelInboundHandlerAdapter {
-  /**
-   * Number of HTTP messages of pipelined requests that are buffered before reading is suspended.
-   */
-  private static final int MAX_PIPELINED_MESSAGES = 16;
-
   private static final double MS_PER_S = 1_000;
 
   /** Time after which callers return that there was no memory for, in milliseconds. */
   private static final long RETRY_AFTER_NO_MEMORY_MS = 1_000;
 
   private final GatewayTraffic traffic;
-  private final Deque<Object> pipelined = new ArrayDeque<>();
   private Channel channel;
   private HttpRequest head;
   private final BufferedBody body;
+  private final UnsentResponses unsent;
   private OpenCall call;
   private ChannelFuture lastResponse;
   private CallerLimits idleLimits;
@@ -64,6 +59,7 @@
     this.traffic = traffic;
     this.idleLimits = traffic.callerLimits();
     this.body = new BufferedBody(traffic.requestMemory());
+    this.unsent = new UnsentResponses(traffic.responseMemory());
   }
 
   /**
@@ -71,6 +67,11 @@
    * middle of a request gets a response.
    */
   void closeIfStalled() {
+    if (unsent.isStalled(channel, idleTimeoutMs())) {
+      traffic.overloads().accept(OverloadReason.SLOW_READER);
+      close(ConnectionCloseReason.SLOW_READER);
+      return;
+    }
     RequestProgress progress = progress();
     long quietMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastUsedNs);
     if (quietMs <= progress.maxQuietMs(idleLimits, traffic.callerLimits())) {
@@ -88,11 +89,21 @@
     return channel.isActive();
   }
 
+  private int idleTimeoutMs() {
+    return Math.max(idleLimits.idleTimeoutMs(), traffic.callerLimits().idleTimeoutMs());
+  }
+
   /** Returns whether no request is being received or served and all responses have been sent. */
   boolean isIdle() {
     return progress() == RequestProgress.NONE;
   }
 
+  /** Returns whether a call is open or its response has not been sent completely. */
+  boolean servesCall() {
+    RequestProgress progress = progress();
+    return progress == RequestProgress.OPEN || progress == RequestProgress.RESPONDING;
+  }
+
   /** Closes the connection; a request on it gets no complete response. */
   void close(ConnectionCloseReason reason) {
     reportClose(reason);
@@ -130,12 +141,23 @@
 
   /** Writes complete events of a streamed response. */
   void writeStreamContent(ByteBuf events) {
-    channel.writeAndFlush(new DefaultHttpContent(events));
+    int lengthBytes = events.readableBytes();
+    ChannelFuture write = channel.writeAndFlush(new DefaultHttpContent(events));
+    if (!unsent.add(write, lengthBytes) || !channel.isWritable()) {
+      traffic.callerWritabilityChanged(call, false);
+      write.addListener(taken -> resumeStream());
+    }
+  }
+
+  private void resumeStream() {
+    if (call != null && unsent.isEmpty()) {
+      traffic.callerWritabilityChanged(call, channel.isWritable());
+    }
   }
 
   /** Completes a streamed response. */
   void endStream() {
-    responseWritten(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+    responseWritten(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), 0);
   }
 
   /** Writes a complete response of an engine. */
@@ -185,19 +207,12 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     traffic.recordRead();
-    if (call != null) {
-      pipelined.addLast(message);
-      channel.config().setAutoRead(pipelined.size() < MAX_PIPELINED_MESSAGES);
-      return;
-    }
     read(message);
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     traffic.callerDisconnected(this);
-    pipelined.forEach(ReferenceCountUtil::release);
-    pipelined.clear();
     body.close();
     if (call != null) {
       long id = call.spec().id();
@@ -237,6 +252,10 @@
 
   private void readHead(HttpRequest request) {
     lastUsedNs = System.nanoTime();
+    if (request.decoderResult().cause() instanceof NoHeadMemoryException) {
+      rejectForMemory();
+      return;
+    }
     if (request.decoderResult().isFailure()) {
       boolean tooLong = request.decoderResult().cause() instanceof TooLongHttpHeaderException;
       reject(
@@ -258,6 +277,10 @@
   }
 
   private void readContent(HttpContent content) {
+    if (content.decoderResult().cause() instanceof NoHeadMemoryException) {
+      rejectForMemory();
+      return;
+    }
     if (content.decoderResult().isFailure()) {
       reject(HttpResponseStatus.BAD_REQUEST);
       return;
@@ -301,7 +324,8 @@
   private void write(FullHttpResponse response) {
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
     setConnectionHeader(response.headers());
-    responseWritten(channel.writeAndFlush(response));
+    int lengthBytes = response.content().readableBytes();
+    responseWritten(channel.writeAndFlush(response), lengthBytes);
   }
 
   private void setConnectionHeader(HttpHeaders headers) {
@@ -311,7 +335,8 @@
     }
   }
 
-  private void responseWritten(ChannelFuture write) {
+  private void responseWritten(ChannelFuture write, int lengthBytes) {
+    unsent.add(write, lengthBytes);
     if (call != null) {
       traffic.removeCall(call.spec().id());
     }
@@ -323,11 +348,6 @@
     write.addListener(sent -> lastUsedNs = System.nanoTime());
     if (!keepAlive) {
       write.addListener(ChannelFutureListener.CLOSE);
-      return;
-    }
-    channel.config().setAutoRead(true);
-    while (call == null && !pipelined.isEmpty()) {
-      read(pipelined.pollFirst());
     }
   }
 }
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
@@ -1,5 +1,6 @@
 package org.limpetdoor.gateway;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -60,6 +61,7 @@
             clock,
             new ReadTimes(clock),
             memories,
+            new OverloadLog(new SimpleMeterRegistry(), line -> {}, System::nanoTime),
             this::eventSubmitted);
     callers = Listeners.listenForCallers(group, new InetSocketAddress("127.0.0.1", 0), traffic);
   }
