--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/EventKind.java
@@ -40,12 +40,14 @@
 import org.limpetdoor.core.event.RequestArrived;
 import org.limpetdoor.core.event.RoutesRead;
 import org.limpetdoor.core.event.StoreContactChanged;
+import org.limpetdoor.core.event.StoreEraObserved;
 import org.limpetdoor.core.event.SuspensionSuspected;
 import org.limpetdoor.core.event.TimerFired;
 import org.limpetdoor.core.gateway.CallEvents;
 import org.limpetdoor.core.gateway.DutyEvents;
 import org.limpetdoor.core.gateway.EngineNoticeEvents;
 import org.limpetdoor.core.gateway.EngineOrders;
+import org.limpetdoor.core.gateway.EraEvents;
 import org.limpetdoor.core.gateway.FactsEvents;
 import org.limpetdoor.core.gateway.GatewayTick;
 import org.limpetdoor.core.gateway.StoreEvents;
@@ -120,6 +122,8 @@
   ENGINES_READ(EnginesRead.class, StoreEvents::enginesRead),
   /** {@link StoreContactChanged}. */
   STORE_CONTACT_CHANGED(StoreContactChanged.class, StoreEvents::contactChanged),
+  /** {@link StoreEraObserved}. */
+  STORE_ERA_OBSERVED(StoreEraObserved.class, EraEvents::observed),
   /** {@link SuspensionSuspected}. */
   SUSPENSION_SUSPECTED(SuspensionSuspected.class, DutyEvents::suspensionSuspected),
   /** {@link DutyAnswered}. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/DecisionKind.java
@@ -32,6 +32,8 @@
   ROUTES("routes", "version"),
   /** A dependency of the instance became unreachable or reachable. */
   DEPENDENCY("dependency", "name"),
+  /** The store was restored from a copy, or its era was seen for the first time. */
+  STORE_ERA("store_era", "era"),
   /** An engine was added, restarted, is leaving or was removed. */
   ENGINE("engine", "engine"),
   /** The placement duty was granted to this instance or ended. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/GatewayDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/GatewayDecision.java
@@ -40,6 +40,20 @@
     return new GatewayDecision(DecisionKind.DEPENDENCY, "store", List.of(Field.of("state", state)));
   }
 
+  /**
+   * Returns the decision that records a later era of the store.
+   *
+   * @param replaced era that was known before; 0 also if none was
+   */
+  public static GatewayDecision storeEra(long replaced, long era, RoutesRead.Source source) {
+    return new GatewayDecision(
+        DecisionKind.STORE_ERA,
+        Long.toString(era),
+        List.of(
+            Field.of("replaced", replaced),
+            Field.of("source", source.name().toLowerCase(Locale.ROOT))));
+  }
+
   /** Returns the decision that records that an engine was added, restarted or is leaving. */
   public static GatewayDecision engine(EngineEntry entry) {
     return new GatewayDecision(
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/GatewayEffect.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/GatewayEffect.java
@@ -12,6 +12,7 @@
         ReleaseDuty,
         RelayErrorResponse,
         ReplyToCall,
+        AdoptStoreEra,
         ApplyCallerLimits {
   @Override
   default void applyTo(EffectHandler handler) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/GatewayEffectHandler.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/effect/GatewayEffectHandler.java
@@ -40,4 +40,7 @@
 
   /** Starts or stops following the topics of the store. */
   void followStore(FollowStore effect);
+
+  /** Ignores what the store stated in earlier eras, and writes the instance's entry again. */
+  void adoptStoreEra(AdoptStoreEra effect);
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/DutyAnswered.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/DutyAnswered.java
@@ -7,10 +7,11 @@
  *
  * @param atMs time of the event, in monotonic milliseconds
  * @param requestedAtMs time at which the request was sent, in monotonic milliseconds
+ * @param era era of the store that answered
  * @param generation the store's number of the group, which rises with each change of the holders
  * @param held whether this instance holds the duty
  */
-public record DutyAnswered(long atMs, long requestedAtMs, long generation, boolean held)
+public record DutyAnswered(long atMs, long requestedAtMs, long era, long generation, boolean held)
     implements Event {
   @Override
   public EventKind kind() {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/event/Event.java
@@ -38,6 +38,7 @@
         RecordsRead,
         RequestArrived,
         RoutesRead,
+        StoreEraObserved,
         StoreContactChanged,
         SuspensionSuspected,
         TimerFired {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DigestWriter.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DigestWriter.java
@@ -110,7 +110,7 @@
   private StoreFacts facts(GatewayState state) {
     return new StoreFacts(
         state.version(),
-        state.store().changedOffset(),
+        state.store().changedPosition(),
         state.store().reachable() && state.store().followed(),
         state.factsAgeMs(node.nowMs()));
   }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -148,6 +148,11 @@
    */
   private static Transition<NodeState, Effect> digestReceived(
       NodeState node, InstanceId peer, LoadDigest digest) {
+    return EraEvents.digestReceived(node, digest).then(next -> digestRecorded(next, peer, digest));
+  }
+
+  private static Transition<NodeState, Effect> digestRecorded(
+      NodeState node, InstanceId peer, LoadDigest digest) {
     GatewayState state = node.gateway();
     boolean isHub = state.fleet().isHub();
     boolean ofSpoke = digest.scope() == DigestScope.INSTANCE;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Duty.java
@@ -9,7 +9,7 @@
  * a time. The store grants it. While the store is unreachable, a holder that shuts down hands it
  * over to a peer.
  *
- * @param generation generation of the group that the store last reported
+ * @param term era and generation of the group that the store last reported
  * @param handovers number of handovers since the store granted the duty in that generation
  * @param held whether the duty was granted or handed over to this instance
  * @param heldSinceMs time at which this instance got the duty, in monotonic milliseconds
@@ -21,7 +21,7 @@
  * @param otherHolder last other instance that reported holding the duty
  */
 record Duty(
-    long generation,
+    DutyTerm term,
     int handovers,
     boolean held,
     long heldSinceMs,
@@ -30,7 +30,7 @@
     long nextRequestAtMs,
     OtherHolder otherHolder) {
   /** State before the first response from the store. */
-  static final Duty NONE = new Duty(0, 0, false, 0, 0, 0, 0, OtherHolder.NONE);
+  static final Duty NONE = new Duty(DutyTerm.NONE, 0, false, 0, 0, 0, 0, OtherHolder.NONE);
 
   /**
    * Time without a request after which the store grants the duty to another instance, in
@@ -53,9 +53,6 @@
    */
   private static final long MAX_GENERATIONS_MISSED = 4;
 
-  /** Fencing numbers of one generation: one for its first holder, and one for each handover. */
-  private static final int NUMBERS_PER_GENERATION = 64;
-
   /** The monotonic clock of a process starts at zero. */
   private static final long PROCESS_START_MS = 0;
 
@@ -96,26 +93,27 @@
   }
 
   /**
-   * Applies a response from the store, unless its generation is older than the known one. The duty
-   * is granted anew only with a new fencing number: the generation rises with each change of the
+   * Applies a response from the store, unless its term is older than the known one. The duty is
+   * granted anew only with a new fencing number: the generation rises with each change of the
    * holder, so a late answer in the same generation renews it.
    */
   Duty withStoreResponse(
       DutyAnswered response, long nowMs, GatewaySettings settings, boolean otherHolderSilent) {
     boolean askedBeforeSuspension = !held && response.requestedAtMs() < heldSinceMs;
-    if (response.generation() < generation || askedBeforeSuspension) {
+    DutyTerm reported = new DutyTerm(response.era(), response.generation());
+    if (reported.compareTo(term) < 0 || askedBeforeSuspension) {
       return this;
     }
-    int handoversAfter = handoversAfter(response);
-    boolean renewed = held && response.generation() == generation && handoversAfter == handovers;
+    int handoversAfter = handoversAfter(response.held(), reported);
+    boolean renewed = held && reported.equals(term) && handoversAfter == handovers;
     boolean granted = response.held() && !renewed;
     return new Duty(
-        response.generation(),
+        reported,
         handoversAfter,
         response.held(),
         granted ? nowMs : heldSinceMs,
         response.held() ? response.requestedAtMs() + TTL_MS - MARGIN_MS : 0,
-        granted ? firstOrderMs(response, nowMs, settings, otherHolderSilent) : ordersFromMs,
+        granted ? firstOrderMs(reported, nowMs, settings, otherHolderSilent) : ordersFromMs,
         nextRequestAtMs,
         otherHolder);
   }
@@ -125,12 +123,11 @@
    * handed over while the store was unreachable, and the store then grants it to the same member
    * again, the generation is the old one, but engines have seen a higher fencing number.
    */
-  private int handoversAfter(DutyAnswered response) {
-    int own = response.generation() == generation ? handovers : 0;
-    boolean handedOver =
-        otherHolder.fencingNumber() / NUMBERS_PER_GENERATION == response.generation();
-    int reported = handedOver ? (int) (otherHolder.fencingNumber() % NUMBERS_PER_GENERATION) : -1;
-    return response.held() && reported >= own ? reported + 1 : own;
+  private int handoversAfter(boolean granted, DutyTerm reported) {
+    int own = reported.equals(term) ? handovers : 0;
+    boolean handedOver = DutyTerm.of(otherHolder.fencingNumber()).equals(reported);
+    int others = handedOver ? DutyTerm.handovers(otherHolder.fencingNumber()) : -1;
+    return granted && others >= own ? others + 1 : own;
   }
 
   /**
@@ -142,21 +139,40 @@
    * fencing numbers, because they refuse the orders of the previous holder.
    */
   private long firstOrderMs(
-      DutyAnswered response, long nowMs, GatewaySettings settings, boolean otherHolderSilent) {
+      DutyTerm reported, long nowMs, GatewaySettings settings, boolean otherHolderSilent) {
     long waitMs = settings.leaseMs() + MARGIN_MS;
     if (otherHolder.fencingNumber() == 0) {
-      return settings.fencingEnforced() ? nowMs : PROCESS_START_MS + waitMs;
+      return settings.fencingEnforced() ? nowMs : Math.max(PROCESS_START_MS + waitMs, ordersFromMs);
     }
-    if (response.generation()
-        > otherHolder.fencingNumber() / NUMBERS_PER_GENERATION + MAX_GENERATIONS_MISSED) {
+    if (reported.isFarAfter(DutyTerm.of(otherHolder.fencingNumber()), MAX_GENERATIONS_MISSED)) {
       return nowMs + waitMs;
     }
     return otherHolderSilent ? nowMs : otherHolder.lastReceivedAtMs() + waitMs;
   }
 
+  /**
+   * Returns the state in a later era, in which nothing was granted yet. A grant of the earlier era
+   * does not hold: the restored store may not know it, and grant the duty to another instance
+   * without waiting for its end. Engines that do not check fencing numbers may still get orders of
+   * a holder that learns of the era later, so the next holder waits for its lease.
+   */
+  Duty inEra(long era, long nowMs, GatewaySettings settings) {
+    long leaseEndMs =
+        settings.fencingEnforced() ? ordersFromMs : nowMs + settings.leaseMs() + MARGIN_MS;
+    return new Duty(
+        new DutyTerm(era, 0),
+        0,
+        false,
+        heldSinceMs,
+        0,
+        Math.max(ordersFromMs, leaseEndMs),
+        nowMs,
+        otherHolder);
+  }
+
   Duty withRequestSent(long nowMs) {
     return new Duty(
-        generation,
+        term,
         handovers,
         held,
         heldSinceMs,
@@ -168,19 +184,19 @@
 
   /** Returns the fencing number of orders; it rises with each change of the holder. */
   long fencingNumber() {
-    return generation * NUMBERS_PER_GENERATION + handovers;
+    return term.fencingNumber(handovers);
   }
 
   /** Returns whether the generation has a fencing number left for a handover to a peer. */
   boolean mayBeHandedOver() {
-    return handovers + 1 < NUMBERS_PER_GENERATION;
+    return handovers + 1 < DutyTerm.NUMBERS_PER_GENERATION;
   }
 
   /** Applies a handover from a holder that shuts down while the store is unreachable. */
   Duty withHandover(long fencingNumber, long nowMs) {
     return new Duty(
-        fencingNumber / NUMBERS_PER_GENERATION,
-        (int) (fencingNumber % NUMBERS_PER_GENERATION),
+        DutyTerm.of(fencingNumber),
+        DutyTerm.handovers(fencingNumber),
         true,
         nowMs,
         nowMs,
@@ -195,7 +211,7 @@
    */
   Duty released() {
     return new Duty(
-        generation, handovers, false, heldSinceMs, 0, ordersFromMs, nextRequestAtMs, otherHolder);
+        term, handovers, false, heldSinceMs, 0, ordersFromMs, nextRequestAtMs, otherHolder);
   }
 
   /**
@@ -203,7 +219,7 @@
    * which it was granted may have passed unnoticed.
    */
   Duty afterSuspension(long nowMs) {
-    return new Duty(generation, handovers, false, nowMs, 0, ordersFromMs, nowMs, otherHolder);
+    return new Duty(term, handovers, false, nowMs, 0, ordersFromMs, nowMs, otherHolder);
   }
 
   /**
@@ -226,7 +242,7 @@
         new OtherHolder(otherHolder.peer(), fencingNumber, STOPPED_HOLDER_RECEIVED_AT_MS);
     long firstOrderMs = Math.min(ordersFromMs, nowMs);
     return new Duty(
-        generation,
+        term,
         handovers,
         held,
         heldSinceMs,
@@ -257,13 +273,6 @@
 
   private Duty withOtherHolder(OtherHolder value) {
     return new Duty(
-        generation,
-        handovers,
-        held,
-        heldSinceMs,
-        validUntilMs,
-        ordersFromMs,
-        nextRequestAtMs,
-        value);
+        term, handovers, held, heldSinceMs, validUntilMs, ordersFromMs, nextRequestAtMs, value);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
@@ -10,6 +10,7 @@
 import org.limpetdoor.core.effect.RequestDuty;
 import org.limpetdoor.core.effect.SendToPeer;
 import org.limpetdoor.core.event.DutyAnswered;
+import org.limpetdoor.core.event.RoutesRead.Source;
 import org.limpetdoor.core.event.SuspensionSuspected;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.membership.PeerMessage.DutyHandedOver;
@@ -129,9 +130,16 @@
    * too and the fencing number is higher than all known ones.
    */
   static Transition<NodeState, Effect> handoverReceived(NodeState node, DutyHandedOver message) {
+    return EraEvents.learned(node, DutyTerm.of(message.fencingNumber()).era(), Source.PEER)
+        .then(next -> handedOver(next, message));
+  }
+
+  private static Transition<NodeState, Effect> handedOver(NodeState node, DutyHandedOver message) {
     GatewayState state = node.gateway();
     boolean newest =
-        message.fencingNumber() > state.duty().fencingNumber()
+        EraOrder.of(DutyTerm.of(message.fencingNumber()).era(), state.store().era())
+                != EraOrder.EARLIER
+            && message.fencingNumber() > state.duty().fencingNumber()
             && message.fencingNumber() > state.duty().otherHolder().fencingNumber();
     if (node.draining() || !newest || !storeUnreachable(node)) {
       return Transition.of(node);
@@ -167,7 +175,7 @@
     }
     return Transition.of(
         node.withGateway(state.withDuty(state.duty().withRequestSent(node.nowMs()))),
-        new RequestDuty(state.duty().generation(), Duty.TTL_MS));
+        new RequestDuty(state.duty().term().generation(), Duty.TTL_MS));
   }
 
   /**
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineListing.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineListing.java
@@ -7,6 +7,7 @@
  * Changes of the list of engines in a range of the store's log, or the complete list. Ranges are
  * applied in order, so that an instance that receives them from several others never goes back.
  *
+ * @param era era of the store in which the range was read
  * @param fromOffset offset at which the range starts; 0 for the complete list
  * @param toOffset offset at which the range ends (exclusive)
  * @param entries new or changed entries
@@ -14,6 +15,7 @@
  * @param complete whether the entries are the complete list, so that all other engines are removed
  */
 public record EngineListing(
+    long era,
     long fromOffset,
     long toOffset,
     List<EngineEntry> entries,
@@ -25,14 +27,22 @@
     removed = List.copyOf(removed);
   }
 
-  /** Returns whether these changes are already contained in a list that ends at the offset. */
-  boolean isContainedIn(long listOffset) {
-    return toOffset <= listOffset && !(complete && toOffset == listOffset);
+  /** Returns the position at which the range ends. */
+  StorePosition end() {
+    return new StorePosition(era, toOffset);
   }
 
-  /** Returns whether changes are missing between a list that ends at the offset and these. */
-  boolean leavesGapAfter(long listOffset) {
-    return !complete && fromOffset > listOffset;
+  /** Returns whether these changes are already contained in a list that ends at the position. */
+  boolean isContainedIn(StorePosition listPosition) {
+    return !end().isAfter(listPosition) && !(complete && end().equals(listPosition));
+  }
+
+  /**
+   * Returns whether changes are missing between a list that ends at the position and these. Changes
+   * of an era do not continue a list of an earlier one.
+   */
+  boolean leavesGapAfter(StorePosition listPosition) {
+    return !complete && (era > listPosition.era() || fromOffset > listPosition.offset());
   }
 
   boolean isEmpty() {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
@@ -54,16 +54,24 @@
       case CONFLICT, REFUSED, UNKNOWN ->
           recorded.then(
               next -> Transition.of(withSlot(next, order.engine(), slot.unverified(next.nowMs()))));
-      case FENCED -> recorded.then(EngineOrders::fenced);
+      case FENCED -> recorded.then(next -> fenced(next, order));
     };
   }
 
   /**
    * Releases the duty after an engine has seen a higher fencing number. The store then raises the
-   * generation of the group, so that the next holder has a fencing number that engines accept.
+   * generation of the group, so that the next holder has a fencing number that engines accept. An
+   * order of an earlier era is expected to be refused and says nothing about the present term.
    */
-  private static Transition<NodeState, Effect> fenced(NodeState node) {
+  private static Transition<NodeState, Effect> fenced(NodeState node, EngineOrder order) {
     GatewayState state = node.gateway();
+    if (DutyTerm.of(order.fencingNumber()).era() < state.store().era()) {
+      return Transition.of(
+          withSlot(
+              node,
+              order.engine(),
+              state.placement().slot(order.engine()).unverified(node.nowMs())));
+    }
     return Transition.of(
         node.withGateway(
             state.withDuty(state.duty().released()).withPlacement(state.placement().unverified())),
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/FactsEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/FactsEvents.java
@@ -1,8 +1,10 @@
 package org.limpetdoor.core.gateway;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import org.limpetdoor.core.NodeState;
+import org.limpetdoor.core.Timed;
 import org.limpetdoor.core.Transition;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.FollowStore;
@@ -10,6 +12,7 @@
 import org.limpetdoor.core.event.InstancesListed;
 import org.limpetdoor.core.event.RoutesRead;
 import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.membership.ListedInstance;
 import org.limpetdoor.core.membership.Membership.Member;
 import org.limpetdoor.core.membership.MembershipEvents;
 import org.limpetdoor.core.membership.PeerMessage;
@@ -67,18 +70,20 @@
 
   /**
    * Returns the time as of which this instance has the facts of a digest's sender, or 0 if it lacks
-   * some of them. The digest was sent after the receiver's time that it echoes.
+   * some of them or they are of an earlier era. The digest was sent after the receiver's time that
+   * it echoes.
    */
   private static long asOfMs(NodeState node, LoadDigest digest) {
     DigestTimes times = digest.times();
-    boolean known = times.echoedAtMs() > 0 && !isBehind(node, digest.facts());
+    boolean outdated = digest.facts().listPosition().era() < node.gateway().store().era();
+    boolean known = times.echoedAtMs() > 0 && !outdated && !isBehind(node, digest.facts());
     return known ? times.echoedAtMs() - digest.facts().ageMs() : 0;
   }
 
   private static boolean isBehind(NodeState node, StoreFacts facts) {
     GatewayState state = node.gateway();
     return facts.configurationVersion() > state.version()
-        || facts.listOffset() > state.store().listOffset();
+        || facts.listPosition().isAfter(state.store().listPosition());
   }
 
   /** Requests facts of a peer, unless a request is still being answered. */
@@ -91,7 +96,8 @@
     return Transition.of(
         node.withGateway(state.withStore(state.store().withRequestedAtMs(node.nowMs()))),
         new SendToPeer(
-            peer, new FactsRequested(state.version(), state.store().listOffset(), withInstances)));
+            peer,
+            new FactsRequested(state.version(), state.store().listPosition(), withInstances)));
   }
 
   /** Answers a request with what the sender lacks. */
@@ -102,8 +108,8 @@
     if (state.version() > request.configurationVersion()) {
       result = result.with(new SendToPeer(peer, new RoutesPassedOn(state.table().orElseThrow())));
     }
-    if (state.store().listOffset() > request.listOffset()) {
-      result = result.with(new SendToPeer(peer, new EnginesPassedOn(completeList(state))));
+    if (state.store().listPosition().isAfter(request.listPosition())) {
+      result = result.with(new SendToPeer(peer, new EnginesPassedOn(completeList(node))));
     }
     if (request.withInstances()) {
       result = result.with(new SendToPeer(peer, instances(node)));
@@ -119,12 +125,12 @@
           node, new RoutesRead(node.nowMs(), routes.table(), RoutesRead.Source.PEER));
     }
     if (message instanceof EnginesPassedOn engines) {
-      return engines.list().leavesGapAfter(node.gateway().store().listOffset())
+      return engines.list().leavesGapAfter(node.gateway().store().listPosition())
           ? request(node, peer, false)
           : StoreEvents.applyList(node, engines.list(), RoutesRead.Source.PEER);
     }
     InstancesPassedOn passedOn = (InstancesPassedOn) message;
-    return MembershipEvents.listed(node, new InstancesListed(node.nowMs(), passedOn.instances()));
+    return listed(node, passedOn.instances());
   }
 
   /** Passes the routes in force on to the spokes. */
@@ -140,7 +146,13 @@
   /** Applies a list of instances and passes it on to the spokes. */
   public static Transition<NodeState, Effect> instancesListed(
       NodeState node, InstancesListed event) {
-    return MembershipEvents.listed(node, event).then(next -> toSpokes(next, instances(next)));
+    return listed(node, event.instances()).then(next -> toSpokes(next, instances(next)));
+  }
+
+  private static Transition<NodeState, Effect> listed(
+      NodeState node, List<ListedInstance> instances) {
+    return MembershipEvents.listed(
+        node, new InstancesListed(node.nowMs(), EraEvents.withUnlistedMembers(node, instances)));
   }
 
   private static Transition<NodeState, Effect> toSpokes(NodeState node, PeerMessage message) {
@@ -157,12 +169,23 @@
         node.membership().members().values().stream().map(Member::entry).toList());
   }
 
-  private static EngineListing completeList(GatewayState state) {
+  /**
+   * Returns the complete list. After a restoration of the store, engines that are missing in it are
+   * also named as removed, so that the receiver decides how long to keep them.
+   */
+  private static EngineListing completeList(NodeState node) {
+    GatewayState state = node.gateway();
+    Collection<EngineState> engines = state.engines().byId().values();
+    boolean relisting = state.store().isRelisting(node.nowMs(), state.settings().relistMs());
     return new EngineListing(
+        state.store().listPosition().era(),
         0,
-        state.store().listOffset(),
-        state.engines().byId().values().stream().map(EngineState::entry).toList(),
-        List.of(),
+        state.store().listPosition().offset(),
+        engines.stream().map(EngineState::entry).toList(),
+        engines.stream()
+            .filter(engine -> relisting && engine.unlistedAtMs() != Timed.NEVER_MS)
+            .map(engine -> engine.entry().id())
+            .toList(),
         true);
   }
 
@@ -191,7 +214,7 @@
     GatewayState state = node.gateway();
     Optional<ReceivedDigest> last = state.fleet().hub().map(hub -> state.peers().byPeer().get(hub));
     return state.version() >= 0
-        && state.store().listOffset() >= 0
+        && state.store().listPosition().isKnown()
         && last.filter(
                 digest ->
                     node.nowMs() - asOfMs(node, digest.digest()) < state.settings().factsMaxAgeMs())
@@ -210,7 +233,7 @@
         state.factsAgeMs(node.nowMs()) > state.settings().factsMaxAgeMs() / REQUEST_AGE_DIVISOR;
     for (var entry : state.peers().byPeer().entrySet()) {
       StoreFacts facts = entry.getValue().digest().facts();
-      boolean laterList = outdated && facts.listOffset() > state.store().listOffset();
+      boolean laterList = outdated && facts.listPosition().isAfter(state.store().listPosition());
       if (facts.configurationVersion() > state.version() || laterList) {
         return request(node, entry.getKey(), false);
       }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayState.java
@@ -89,6 +89,11 @@
     return store.reachable();
   }
 
+  /** Returns the latest known era of the store. */
+  public long storeEra() {
+    return store.era();
+  }
+
   /** Returns whether other instances exchange messages through this one. */
   public boolean isHub() {
     return fleet.isHub();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
@@ -53,7 +53,7 @@
    * Hands over or releases the duty at a graceful shutdown, and reports the shutdown to the peers.
    */
   public static Transition<NodeState, Effect> leave(NodeState node) {
-    if (node.gateway().duty().generation() == 0) {
+    if (node.gateway().duty().term().equals(DutyTerm.NONE)) {
       return Transition.of(node);
     }
     Transition<NodeState, Effect> result =
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
@@ -37,6 +37,9 @@
 
   /** Applies entries and removals of the list of engines that this instance read itself. */
   public static Transition<NodeState, Effect> enginesRead(NodeState node, EnginesRead event) {
+    if (isOfEarlierEra(node, event.list())) {
+      return Transition.of(node);
+    }
     StoreView store = node.gateway().store().withFactsAsOfMs(node.nowMs());
     return applyList(
         node.withGateway(node.gateway().withStore(store)), event.list(), RoutesRead.Source.STORE);
@@ -47,16 +50,27 @@
    * changed. Entries that only confirm that an engine is live are not passed on.
    *
    * <p>A complete list of a peer still names the engines whose entries the store may have lost, so
-   * others are gone, whether or not the store answers this instance.
+   * others are gone, whether or not the store answers this instance. Only after a change of era may
+   * any list lack live engines.
    */
   static Transition<NodeState, Effect> applyList(
       NodeState node, EngineListing list, RoutesRead.Source source) {
+    return EraEvents.learned(node, list.era(), source)
+        .then(next -> applyKnownEra(next, list, source));
+  }
+
+  private static boolean isOfEarlierEra(NodeState node, EngineListing list) {
+    return EraOrder.of(list.era(), node.gateway().store().era()) == EraOrder.EARLIER;
+  }
+
+  private static Transition<NodeState, Effect> applyKnownEra(
+      NodeState node, EngineListing list, RoutesRead.Source source) {
     StoreView store = node.gateway().store();
-    if (list.isContainedIn(store.listOffset())) {
+    if (isOfEarlierEra(node, list) || list.isContainedIn(store.listPosition())) {
       return Transition.of(node);
     }
     EngineListing changes = changes(node, list);
-    StoreView next = store.withListOffset(list.toOffset());
+    StoreView next = store.withListPosition(list.end());
     if (list.isEmpty()) {
       return Transition.of(node.withGateway(node.gateway().withStore(next)));
     }
@@ -70,7 +84,7 @@
             applied ->
                 Transition.of(
                     applied.withGateway(
-                        applied.gateway().withStore(next.withChangedOffset(list.toOffset())))))
+                        applied.gateway().withStore(next.withChangedPosition(list.end())))))
         .then(applied -> FactsEvents.passOnEngines(applied, changes))
         .then(applied -> CallEvents.serveWaiting(EngineOrders.completeListedChanges(applied)));
   }
@@ -95,7 +109,8 @@
                             .isEmpty())
             .toList();
     return new EngineListing(
-        list.complete() ? 0 : node.gateway().store().changedOffset(),
+        list.era(),
+        list.complete() ? 0 : node.gateway().store().changedPosition().offset(),
         list.toOffset(),
         changed,
         list.removed(),
@@ -115,7 +130,7 @@
     }
     if (list.complete()) {
       for (BackendId id : node.gateway().engines().byId().keySet()) {
-        boolean gone = source == RoutesRead.Source.PEER;
+        boolean gone = source == RoutesRead.Source.PEER && !isRelisting(node);
         result =
             listed.contains(id)
                 ? result
@@ -223,12 +238,19 @@
 
   /**
    * Returns whether an engine with a removed entry may still be live: the store may drop entries of
-   * live engines during an outage, and they need time to be listed again.
+   * live engines during an outage or a restoration, and they need time to be listed again.
    */
   private static boolean mayBeListedAgain(NodeState node) {
     GatewayState state = node.gateway();
     long sinceMs = node.nowMs() - state.store().recoveredAtMs();
     boolean hadOutage = state.store().recoveredAtMs() > 0;
-    return !state.storeReachable() || (hadOutage && sinceMs < state.settings().relistMs());
+    return !state.storeReachable()
+        || isRelisting(node)
+        || (hadOutage && sinceMs < state.settings().relistMs());
+  }
+
+  private static boolean isRelisting(NodeState node) {
+    GatewayState state = node.gateway();
+    return state.store().isRelisting(node.nowMs(), state.settings().relistMs());
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreView.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreView.java
@@ -7,8 +7,11 @@
  *
  * @param reachable whether the store answers this instance, or the hub that reads it
  * @param recoveredAtMs time at which the store last started answering, in monotonic milliseconds
- * @param listOffset end offset of the list of engines, or -1 before the first one
- * @param changedOffset end offset of the last range in which the list of engines changed, or -1
+ * @param era latest known era of the store
+ * @param eraSinceMs time at which this instance learned of the era, in monotonic milliseconds; 0 in
+ *     era 0
+ * @param listPosition end of the list of engines that was read
+ * @param changedPosition end of the last range in which the list of engines changed
  * @param factsAsOfMs time as of which routes and engines are known, in monotonic milliseconds
  * @param intervalMs interval at which this instance reads the list of engines, in milliseconds, or
  *     {@link FollowStore#STOPPED}
@@ -17,13 +20,17 @@
 record StoreView(
     boolean reachable,
     long recoveredAtMs,
-    long listOffset,
-    long changedOffset,
+    long era,
+    long eraSinceMs,
+    StorePosition listPosition,
+    StorePosition changedPosition,
     long factsAsOfMs,
     long intervalMs,
     long requestedAtMs) {
   /** View of an instance that has just started. */
-  static final StoreView INITIAL = new StoreView(false, 0, -1, -1, 0, FollowStore.STOPPED, 0);
+  static final StoreView INITIAL =
+      new StoreView(
+          false, 0, 0, 0, StorePosition.NONE, StorePosition.NONE, 0, FollowStore.STOPPED, 0);
 
   /** Interval of requests for facts to a peer, in milliseconds. */
   private static final long REQUEST_INTERVAL_MS = 500;
@@ -36,20 +43,62 @@
     return requestedAtMs == 0 || nowMs - requestedAtMs >= REQUEST_INTERVAL_MS;
   }
 
+  /** Returns whether the store was restored so recently that entries may still be missing. */
+  boolean isRelisting(long nowMs, long relistMs) {
+    return era > 0 && nowMs - eraSinceMs < relistMs;
+  }
+
   StoreView withContact(boolean nowReachable, long nowMs) {
     long recovered = nowReachable && !reachable ? nowMs : recoveredAtMs;
     return new StoreView(
-        nowReachable, recovered, listOffset, changedOffset, factsAsOfMs, intervalMs, requestedAtMs);
+        nowReachable,
+        recovered,
+        era,
+        eraSinceMs,
+        listPosition,
+        changedPosition,
+        factsAsOfMs,
+        intervalMs,
+        requestedAtMs);
   }
 
-  StoreView withListOffset(long value) {
+  StoreView withEra(long value, long nowMs) {
     return new StoreView(
-        reachable, recoveredAtMs, value, changedOffset, factsAsOfMs, intervalMs, requestedAtMs);
+        reachable,
+        recoveredAtMs,
+        value,
+        nowMs,
+        listPosition,
+        changedPosition,
+        factsAsOfMs,
+        intervalMs,
+        requestedAtMs);
   }
 
-  StoreView withChangedOffset(long value) {
+  StoreView withListPosition(StorePosition value) {
     return new StoreView(
-        reachable, recoveredAtMs, listOffset, value, factsAsOfMs, intervalMs, requestedAtMs);
+        reachable,
+        recoveredAtMs,
+        era,
+        eraSinceMs,
+        value,
+        changedPosition,
+        factsAsOfMs,
+        intervalMs,
+        requestedAtMs);
+  }
+
+  StoreView withChangedPosition(StorePosition value) {
+    return new StoreView(
+        reachable,
+        recoveredAtMs,
+        era,
+        eraSinceMs,
+        listPosition,
+        value,
+        factsAsOfMs,
+        intervalMs,
+        requestedAtMs);
   }
 
   /** Records that routes and engines are known as of a time, unless a later time is known. */
@@ -57,8 +106,10 @@
     return new StoreView(
         reachable,
         recoveredAtMs,
-        listOffset,
-        changedOffset,
+        era,
+        eraSinceMs,
+        listPosition,
+        changedPosition,
         Math.max(factsAsOfMs, value),
         intervalMs,
         requestedAtMs);
@@ -66,11 +117,27 @@
 
   StoreView withIntervalMs(long value) {
     return new StoreView(
-        reachable, recoveredAtMs, listOffset, changedOffset, factsAsOfMs, value, requestedAtMs);
+        reachable,
+        recoveredAtMs,
+        era,
+        eraSinceMs,
+        listPosition,
+        changedPosition,
+        factsAsOfMs,
+        value,
+        requestedAtMs);
   }
 
   StoreView withRequestedAtMs(long value) {
     return new StoreView(
-        reachable, recoveredAtMs, listOffset, changedOffset, factsAsOfMs, intervalMs, value);
+        reachable,
+        recoveredAtMs,
+        era,
+        eraSinceMs,
+        listPosition,
+        changedPosition,
+        factsAsOfMs,
+        intervalMs,
+        value);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
@@ -6,6 +6,7 @@
 import org.limpetdoor.core.gateway.EngineListing;
 import org.limpetdoor.core.gateway.ModelKey;
 import org.limpetdoor.core.gateway.RouteTable;
+import org.limpetdoor.core.gateway.StorePosition;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.CustomerId;
 import org.pcollections.PMap;
@@ -114,7 +115,7 @@
           && scope == other.scope
           && fencingNumber == other.fencingNumber
           && facts.configurationVersion() == other.facts.configurationVersion()
-          && facts.listOffset() == other.facts.listOffset()
+          && facts.listPosition().equals(other.facts.listPosition())
           && facts.storeReachable() == other.facts.storeReachable()
           && inFlight.equals(other.inFlight)
           && gapsMs.equals(other.gapsMs)
@@ -136,21 +137,22 @@
    * What an instance knows of the store's contents.
    *
    * @param configurationVersion version of the routes in force, or -1
-   * @param listOffset end offset of the list of engines that was read, or -1
+   * @param listPosition end of the list of engines that was read
    * @param storeReachable whether the store answers the instance
    * @param ageMs age of these facts, in milliseconds
    */
   record StoreFacts(
-      long configurationVersion, long listOffset, boolean storeReachable, long ageMs) {}
+      long configurationVersion, StorePosition listPosition, boolean storeReachable, long ageMs) {}
 
   /**
    * The sender requests the routes and the list of engines, if the receiver has later ones.
    *
    * @param configurationVersion version of the routes in force at the sender, or -1
-   * @param listOffset end offset of the list of engines at the sender, or -1
+   * @param listPosition end of the list of engines at the sender
    * @param withInstances whether the sender also needs the list of instances
    */
-  record FactsRequested(long configurationVersion, long listOffset, boolean withInstances)
+  record FactsRequested(
+      long configurationVersion, StorePosition listPosition, boolean withInstances)
       implements PeerMessage {}
 
   /**
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/CallEventsTest.java
@@ -908,7 +908,7 @@
             new LoadDigest(
                 DigestScope.GROUP,
                 new DigestTimes(fixture.nowMs(), 0),
-                new StoreFacts(1, 0, true, 0),
+                new StoreFacts(1, new StorePosition(0, 0), true, 0),
                 0,
                 HashTreePMap.singleton(new BackendId(engine), inFlight),
                 HashTreePMap.empty(),
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/ClosedEngineTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/ClosedEngineTest.java
@@ -352,7 +352,7 @@
 
   private void holdDuty(int times) {
     for (int i = 0; i < times; i++) {
-      fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+      fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
       fixture.advance(500);
     }
   }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/DutyTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/DutyTest.java
@@ -26,12 +26,12 @@
   @Test
   void waitsForALeaseAfterItsStartIfThePreviousHolderIsUnknown() {
     Duty duty =
-        Duty.NONE.withStoreResponse(new DutyAnswered(100, 90, 5, true), 100, UNFENCED, false);
+        Duty.NONE.withStoreResponse(new DutyAnswered(100, 90, 0, 5, true), 100, UNFENCED, false);
     Duty renewed = duty;
     for (long atMs = 700; atMs <= 3_350; atMs += 600) {
       renewed =
           renewed.withStoreResponse(
-              new DutyAnswered(atMs, atMs - 10, 5, true), atMs, UNFENCED, false);
+              new DutyAnswered(atMs, atMs - 10, 0, 5, true), atMs, UNFENCED, false);
     }
 
     assertThat(duty.maySendOrders(200)).isFalse();
@@ -42,7 +42,8 @@
   /** Guards against seconds without placement after all instances have failed at once. */
   @Test
   void sendsOrdersAtOnceAfterARestartIfEnginesCheckFencingNumbers() {
-    Duty duty = Duty.NONE.withStoreResponse(new DutyAnswered(100, 90, 5, true), 100, FENCED, false);
+    Duty duty =
+        Duty.NONE.withStoreResponse(new DutyAnswered(100, 90, 0, 5, true), 100, FENCED, false);
 
     assertThat(duty.maySendOrders(110)).isTrue();
   }
@@ -52,7 +53,7 @@
   void sendsOrdersAtOnceIfNoHolderReportedForALease() {
     Duty duty =
         Duty.NONE.withStoreResponse(
-            new DutyAnswered(9_000, 8_990, 5, true), 9_000, UNFENCED, false);
+            new DutyAnswered(9_000, 8_990, 0, 5, true), 9_000, UNFENCED, false);
 
     assertThat(duty.maySendOrders(9_010)).isTrue();
   }
@@ -66,9 +67,9 @@
     Duty duty =
         Duty.NONE
             .withHolderReport(PEER, FIRST_FENCING_NUMBER, 10_000)
-            .withStoreResponse(new DutyAnswered(12_500, 12_490, 5, true), 12_500, FENCED, false);
+            .withStoreResponse(new DutyAnswered(12_500, 12_490, 0, 5, true), 12_500, FENCED, false);
     Duty renewed =
-        duty.withStoreResponse(new DutyAnswered(13_250, 13_240, 5, true), 13_250, FENCED, false);
+        duty.withStoreResponse(new DutyAnswered(13_250, 13_240, 0, 5, true), 13_250, FENCED, false);
 
     assertThat(renewed.maySendOrders(13_290)).isFalse();
     assertThat(renewed.maySendOrders(13_310)).isTrue();
@@ -80,7 +81,7 @@
     Duty duty =
         Duty.NONE
             .withHolderReport(PEER, FIRST_FENCING_NUMBER, 1_000)
-            .withStoreResponse(new DutyAnswered(10_000, 9_990, 9, true), 10_000, FENCED, false);
+            .withStoreResponse(new DutyAnswered(10_000, 9_990, 0, 9, true), 10_000, FENCED, false);
 
     assertThat(duty.maySendOrders(10_100)).isFalse();
   }
@@ -92,7 +93,7 @@
         Duty.NONE
             .withHolderReport(PEER, FIRST_FENCING_NUMBER, 10_000)
             .withOtherHolderStopped(FIRST_FENCING_NUMBER, 10_050)
-            .withStoreResponse(new DutyAnswered(10_100, 10_090, 5, true), 10_100, FENCED, false);
+            .withStoreResponse(new DutyAnswered(10_100, 10_090, 0, 5, true), 10_100, FENCED, false);
 
     assertThat(duty.maySendOrders(10_100)).isTrue();
   }
@@ -103,7 +104,7 @@
     Duty duty =
         Duty.NONE
             .withHolderReport(PEER, FIRST_FENCING_NUMBER, 10_000)
-            .withStoreResponse(new DutyAnswered(12_500, 12_490, 5, true), 12_500, FENCED, true);
+            .withStoreResponse(new DutyAnswered(12_500, 12_490, 0, 5, true), 12_500, FENCED, true);
 
     assertThat(duty.maySendOrders(12_510)).isTrue();
   }
@@ -113,7 +114,7 @@
   void stopsOrdersBeforeTheStoreMayGrantTheDutyAgain() {
     Duty duty =
         Duty.NONE.withStoreResponse(
-            new DutyAnswered(10_000, 9_990, 5, true), 10_000, FENCED, false);
+            new DutyAnswered(10_000, 9_990, 0, 5, true), 10_000, FENCED, false);
 
     assertThat(duty.maySendOrders(9_990 + Duty.TTL_MS)).isFalse();
   }
@@ -123,11 +124,11 @@
   void ignoresAnOlderGeneration() {
     Duty duty =
         Duty.NONE.withStoreResponse(
-            new DutyAnswered(10_000, 9_990, 5, false), 10_000, FENCED, false);
+            new DutyAnswered(10_000, 9_990, 0, 5, false), 10_000, FENCED, false);
 
     assertThat(
             duty.withStoreResponse(
-                new DutyAnswered(10_100, 10_090, 4, true), 10_100, FENCED, false))
+                new DutyAnswered(10_100, 10_090, 0, 4, true), 10_100, FENCED, false))
         .isEqualTo(duty);
   }
 
@@ -141,9 +142,9 @@
     Duty duty =
         Duty.NONE
             .withHolderReport(PEER, FIRST_FENCING_NUMBER + 2, 10_000)
-            .withStoreResponse(new DutyAnswered(12_500, 12_490, 4, true), 12_500, FENCED, true);
+            .withStoreResponse(new DutyAnswered(12_500, 12_490, 0, 4, true), 12_500, FENCED, true);
     Duty renewed =
-        duty.withStoreResponse(new DutyAnswered(12_900, 12_890, 4, true), 12_900, FENCED, true);
+        duty.withStoreResponse(new DutyAnswered(12_900, 12_890, 0, 4, true), 12_900, FENCED, true);
 
     assertThat(duty.fencingNumber()).isEqualTo(FIRST_FENCING_NUMBER + 3);
     assertThat(renewed.fencingNumber()).isEqualTo(FIRST_FENCING_NUMBER + 3);
@@ -158,7 +159,7 @@
     Duty waiting =
         Duty.NONE
             .withHolderReport(PEER, FIRST_FENCING_NUMBER, 10_000)
-            .withStoreResponse(new DutyAnswered(10_600, 10_590, 5, true), 10_600, FENCED, false);
+            .withStoreResponse(new DutyAnswered(10_600, 10_590, 0, 5, true), 10_600, FENCED, false);
 
     assertThat(waiting.maySendOrders(10_900)).isFalse();
     assertThat(waiting.withPeerNotHolding(PEER, 10_900).maySendOrders(10_910)).isTrue();
@@ -169,7 +170,7 @@
   void sendsNoOrdersBesideAHolderWithAHigherFencingNumber() {
     Duty duty =
         Duty.NONE
-            .withStoreResponse(new DutyAnswered(10_000, 9_990, 4, true), 10_000, FENCED, false)
+            .withStoreResponse(new DutyAnswered(10_000, 9_990, 0, 4, true), 10_000, FENCED, false)
             .withHolderReport(PEER, FIRST_FENCING_NUMBER + 64, 10_500);
 
     assertThat(duty.maySendOrders(10_600)).isFalse();
@@ -183,12 +184,13 @@
   @Test
   void aLateAnswerInTheSameGenerationRenewsTheDuty() {
     Duty held =
-        Duty.NONE.withStoreResponse(new DutyAnswered(5_000, 4_990, 5, true), 5_000, FENCED, false);
+        Duty.NONE.withStoreResponse(
+            new DutyAnswered(5_000, 4_990, 0, 5, true), 5_000, FENCED, false);
 
     Duty renewed =
-        held.withStoreResponse(new DutyAnswered(6_900, 6_400, 5, true), 6_900, FENCED, false);
+        held.withStoreResponse(new DutyAnswered(6_900, 6_400, 0, 5, true), 6_900, FENCED, false);
     Duty granted =
-        held.withStoreResponse(new DutyAnswered(6_900, 6_400, 6, true), 6_900, FENCED, false);
+        held.withStoreResponse(new DutyAnswered(6_900, 6_400, 0, 6, true), 6_900, FENCED, false);
 
     assertThat(held.maySendOrders(6_800)).isFalse();
     assertThat(renewed.heldSinceMs()).isEqualTo(held.heldSinceMs());
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FactsEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FactsEventsTest.java
@@ -72,7 +72,7 @@
   }
 
   private StoreFacts factsOfAge(long ageMs) {
-    return new StoreFacts(1, fixture.gateway().store().listOffset(), true, ageMs);
+    return new StoreFacts(1, fixture.gateway().store().listPosition(), true, ageMs);
   }
 
   private void receiveFromHub(InstanceId hub, long ageMs) {
@@ -136,12 +136,12 @@
     InstanceId hub = becomeSpoke();
     fixture.advance(1_000);
     fixture.take(SendToPeer.class);
-    long offset = fixture.gateway().store().listOffset();
+    long offset = fixture.gateway().store().listPosition().offset();
 
     receive(
         hub,
         new EnginesPassedOn(
-            new EngineListing(offset + 1, offset + 2, List.of(), List.of(ENGINE), false)));
+            new EngineListing(0, offset + 1, offset + 2, List.of(), List.of(ENGINE), false)));
 
     assertThat(sent(FactsRequested.class)).hasSize(1);
     assertThat(fixture.gateway().engines().find(ENGINE)).isPresent();
@@ -153,10 +153,11 @@
     InstanceId hub = becomeSpoke();
     // Until then a removed entry may only have been lost in an outage of the store.
     fixture.advance(GatewayFixture.SETTINGS.relistMs());
-    long offset = fixture.gateway().store().listOffset();
+    long offset = fixture.gateway().store().listPosition().offset();
 
     receive(
-        hub, new EnginesPassedOn(new EngineListing(0, offset, List.of(), List.of(ENGINE), false)));
+        hub,
+        new EnginesPassedOn(new EngineListing(0, 0, offset, List.of(), List.of(ENGINE), false)));
 
     assertThat(fixture.gateway().engines().find(ENGINE)).isPresent();
   }
@@ -169,7 +170,11 @@
     fixture.reduce(new PeerLinkUp(fixture.nowMs(), spoke));
     receive(
         spoke,
-        digest(DigestScope.INSTANCE, new DigestTimes(1, 0), new StoreFacts(1, 1, false, 0), 2));
+        digest(
+            DigestScope.INSTANCE,
+            new DigestTimes(1, 0),
+            new StoreFacts(1, new StorePosition(0, 1), false, 0),
+            2));
     fixture.take(SendToPeer.class);
 
     fixture.engines(GatewayFixture.plain("e1").withDraining());
@@ -185,7 +190,11 @@
     fixture.reduce(new PeerLinkUp(fixture.nowMs(), spoke));
     receive(
         spoke,
-        digest(DigestScope.INSTANCE, new DigestTimes(1, 0), new StoreFacts(1, 1, false, 0), 2));
+        digest(
+            DigestScope.INSTANCE,
+            new DigestTimes(1, 0),
+            new StoreFacts(1, new StorePosition(0, 1), false, 0),
+            2));
     assertThat(fixture.gateway().peers().inFlight(ENGINE)).isEqualTo(2);
 
     fixture.advance(2_000);
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
@@ -466,7 +466,7 @@
       reduce(
           instance,
           new EnginesRead(
-              nowMs, new EngineListing(fromOffset, listOffset, engines, removed, complete)));
+              nowMs, new EngineListing(0, fromOffset, listOffset, engines, removed, complete)));
     }
   }
 }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
@@ -132,7 +132,7 @@
     listOffset++;
     reduce(
         new EnginesRead(
-            nowMs, new EngineListing(fromOffset, listOffset, entries, removed, complete)));
+            nowMs, new EngineListing(0, fromOffset, listOffset, entries, removed, complete)));
   }
 
   long call(String path, Optional<ModelKey> model, int timeLeftMs) {
@@ -224,7 +224,7 @@
         new LoadDigest(
             DigestScope.GROUP,
             new DigestTimes(nowMs, 0),
-            new StoreFacts(1, 0, storeReachable, 0),
+            new StoreFacts(1, new StorePosition(0, 0), storeReachable, 0),
             fencingNumber,
             HashTreePMap.empty(),
             HashTreePMap.empty(),
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/LeavingEngineTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/LeavingEngineTest.java
@@ -115,6 +115,7 @@
             new InstanceId("node-2"),
             new EnginesPassedOn(
                 new EngineListing(
+                    0,
                     0,
                     99,
                     List.of(GatewayFixture.plain("e1"), GatewayFixture.plain("e2")),
@@ -252,7 +253,7 @@
         GatewayFixture.entry("g1", "llm", 1, 0, M1, M2),
         GatewayFixture.entry("g2", "llm", 1, 0, M2, M3));
     for (int i = 0; i < 9; i++) {
-      fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+      fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
       fixture.advance(500);
     }
     reportInventory("g1", M1, M2);
@@ -260,7 +261,7 @@
     fixture.take(SendEngineOrder.class);
     stateLeaving("g1", 1);
 
-    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
     fixture.call("/m/x", Optional.of(M1), 10_000);
     fixture.advance(300);
 
@@ -296,11 +297,11 @@
     fixture.routes(2, GatewayFixture.modelRoute("/m/"));
     fixture.engines(GatewayFixture.entry("g1", "llm", 1, 0, M2, M3));
     for (int i = 0; i < 9; i++) {
-      fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+      fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
       fixture.advance(500);
     }
     reportInventory("g1", M2, M3);
-    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
     fixture.call("/m/x", Optional.of(M1), 10_000);
     fixture.advance(300);
     EngineOrder order = fixture.take(SendEngineOrder.class).get(0).order();
@@ -315,7 +316,7 @@
     ModelKey kept = unload.target().equals(M2) ? M3 : M2;
     // The list of engines shows the change even if the engine is no longer inspected.
     fixture.engines(GatewayFixture.entry("g1", "llm", 1, 1, kept));
-    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
     fixture.advance(500);
   }
 
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/PlacementTest.java
@@ -43,10 +43,10 @@
   /** Makes the instance the holder of the placement duty and advances the time beyond the lease. */
   private void becomeHolder() {
     for (int i = 0; i < 8; i++) {
-      fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+      fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
       fixture.advance(500);
     }
-    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
   }
 
   private void reportInventory(String engine, long orders, boolean busy, ModelKey... held) {
@@ -206,7 +206,7 @@
     reportInventory("g1", 0, false, M1, M2);
     reportInventory("g2", 0, false, M1, M2);
     fixture.advance(1_000);
-    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
     fixture.call("/m/x", Optional.of(M3), 10_000);
     fixture.advance(600);
 
@@ -230,7 +230,7 @@
       reportInventory(engine, 0, false, M1, M2, GatewayFixture.SMALL);
     }
     fixture.advance(1_000);
-    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
     fixture.call("/m/x", Optional.of(M3), 10_000);
 
     EngineOrder order = answerOrder(EngineOrderResult.ACCEPTED);
@@ -246,7 +246,7 @@
     fixture.engines(GatewayFixture.entry("g2", "llm", 1, 0, M1, M2));
     reportInventory("g2", 0, false, M1, M2);
     fixture.advance(1_000);
-    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
     fixture.call("/m/x", Optional.of(M3), 10_000);
     EngineOrder refused = answerOrder(EngineOrderResult.CONFLICT);
     fixture.advance(300);
@@ -389,12 +389,12 @@
     setUpOneEngine(M1);
     fixture.peerDigest("node-2", true, 0);
     fixture.advance(1_000);
-    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
     fixture.call("/m/x", Optional.of(M2), 10_000);
     EngineOrder order = answerOrder(EngineOrderResult.ACCEPTED);
     for (int i = 0; i < 5; i++) {
       fixture.advance(500);
-      fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+      fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
     }
     assertThat(fixture.take(InspectEngine.class)).isNotEmpty();
 
@@ -545,11 +545,11 @@
     fixture.reduce(new SuspensionSuspected(fixture.nowMs() + 1, 5_000));
     fixture.advance(10);
 
-    fixture.reduce(new DutyAnswered(fixture.nowMs(), askedAtMs, 5, true));
+    fixture.reduce(new DutyAnswered(fixture.nowMs(), askedAtMs, 0, 5, true));
     assertThat(fixture.gateway().holdsDuty()).isFalse();
     assertThat(fixture.take(SendEngineOrder.class)).isEmpty();
 
-    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+    fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
     assertThat(fixture.gateway().holdsDuty()).isTrue();
   }
 
@@ -623,7 +623,7 @@
   private void renewDuty(long ms) {
     for (long renewedMs = 0; renewedMs < ms; renewedMs += 500) {
       fixture.advance(500);
-      fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 5, true));
+      fixture.reduce(new DutyAnswered(fixture.nowMs(), fixture.nowMs(), 0, 5, true));
     }
   }
 
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/ListingCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/ListingCodec.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.limpetdoor.core.gateway.EngineEntry;
 import org.limpetdoor.core.gateway.EngineListing;
+import org.limpetdoor.core.gateway.StorePosition;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
@@ -11,11 +12,12 @@
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessageUnpacker;
 
-/** Encodes and decodes the lists of engines and of instances. */
+/** Encodes and decodes the lists of engines and of instances, and positions in the store. */
 final class ListingCodec {
   private ListingCodec() {}
 
   static void packEngines(MessageBufferPacker packer, EngineListing list) throws IOException {
+    packer.packLong(list.era());
     packer.packLong(list.fromOffset());
     packer.packLong(list.toOffset());
     packer.packBoolean(list.complete());
@@ -24,13 +26,23 @@
   }
 
   static EngineListing unpackEngines(MessageUnpacker unpacker) throws IOException {
+    long era = unpacker.unpackLong();
     long fromOffset = unpacker.unpackLong();
     long toOffset = unpacker.unpackLong();
     boolean complete = unpacker.unpackBoolean();
     List<EngineEntry> entries = Values.unpackList(unpacker, ListingCodec::unpackEngine);
     List<BackendId> removed =
         Values.unpackList(unpacker, reader -> new BackendId(reader.unpackString()));
-    return new EngineListing(fromOffset, toOffset, entries, removed, complete);
+    return new EngineListing(era, fromOffset, toOffset, entries, removed, complete);
+  }
+
+  static void packPosition(MessageBufferPacker packer, StorePosition position) throws IOException {
+    packer.packLong(position.era());
+    packer.packLong(position.offset());
+  }
+
+  static StorePosition unpackPosition(MessageUnpacker unpacker) throws IOException {
+    return new StorePosition(unpacker.unpackLong(), unpacker.unpackLong());
   }
 
   static void packInstances(MessageBufferPacker packer, List<ListedInstance> instances)
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
@@ -109,7 +109,7 @@
         packer.packLong(digest.times().sentAtMs());
         packer.packLong(digest.times().echoedAtMs());
         packer.packLong(digest.facts().configurationVersion());
-        packer.packLong(digest.facts().listOffset());
+        ListingCodec.packPosition(packer, digest.facts().listPosition());
         packer.packBoolean(digest.facts().storeReachable());
         packer.packLong(digest.facts().ageMs());
         packer.packLong(digest.fencingNumber());
@@ -131,7 +131,7 @@
         StoreFacts facts =
             new StoreFacts(
                 unpacker.unpackLong(),
-                unpacker.unpackLong(),
+                ListingCodec.unpackPosition(unpacker),
                 unpacker.unpackBoolean(),
                 unpacker.unpackLong());
         long fencingNumber = unpacker.unpackLong();
@@ -214,14 +214,14 @@
       void pack(MessageBufferPacker packer, PeerMessage message) throws IOException {
         FactsRequested request = (FactsRequested) message;
         packer.packLong(request.configurationVersion());
-        packer.packLong(request.listOffset());
+        ListingCodec.packPosition(packer, request.listPosition());
         packer.packBoolean(request.withInstances());
       }
 
       @Override
       PeerMessage unpack(MessageUnpacker unpacker) throws IOException {
         return new FactsRequested(
-            unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackBoolean());
+            unpacker.unpackLong(), ListingCodec.unpackPosition(unpacker), unpacker.unpackBoolean());
       }
     },
     ROUTES_PASSED_ON(RoutesPassedOn.class) {
--- a/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
@@ -20,6 +20,7 @@
 import org.limpetdoor.core.gateway.ServiceSpec;
 import org.limpetdoor.core.gateway.ServiceSpec.EngineSpec;
 import org.limpetdoor.core.gateway.ServiceSpec.ModelSpec;
+import org.limpetdoor.core.gateway.StorePosition;
 import org.limpetdoor.core.gateway.account.AccountTable;
 import org.limpetdoor.core.gateway.account.AccountTable.AccountKeys;
 import org.limpetdoor.core.gateway.account.Allowance;
@@ -56,7 +57,7 @@
           new LoadDigest(
               DigestScope.GROUP,
               new DigestTimes(123, 456),
-              new StoreFacts(7, 99, true, 250),
+              new StoreFacts(7, new StorePosition(0, 99), true, 250),
               41,
               HashTreePMap.singleton(new BackendId("g1"), 3),
               HashTreePMap.singleton(new BackendId("g2"), 74),
@@ -68,10 +69,11 @@
           new DutyReleased(41),
           new DutyHandedOver(42),
           new ModelRequested("llm", ModelKey.of("m1")),
-          new FactsRequested(7, 99, true),
+          new FactsRequested(7, new StorePosition(0, 99), true),
           new RoutesPassedOn(routes()),
           new EnginesPassedOn(
               new EngineListing(
+                  0,
                   5,
                   9,
                   List.of(
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DutyClient.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DutyClient.java
@@ -11,15 +11,16 @@
   /**
    * Response of the store to a request for the placement duty.
    *
+   * @param era era of the store
    * @param generation generation of the group, which rises with each change of the holder
    * @param held whether this instance holds the duty
    */
-  record DutyResponse(long generation, boolean held) {}
+  record DutyResponse(long era, long generation, boolean held) {}
 
   /**
    * Requests the duty or renews it. The result is empty if there is no valid response.
    *
-   * @param generation last generation that the store reported; 0 if none
+   * @param generation last generation that the store reported in its present era; 0 if none
    * @param ttlMs time without a request after which the store may grant the duty to another
    *     instance, in milliseconds
    */
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 import org.limpetdoor.core.decision.ConnectionCloseReason;
 import org.limpetdoor.core.effect.AbortCall;
+import org.limpetdoor.core.effect.AdoptStoreEra;
 import org.limpetdoor.core.effect.ApplyCallerLimits;
 import org.limpetdoor.core.effect.CancelForward;
 import org.limpetdoor.core.effect.FollowStore;
@@ -223,7 +224,11 @@
                         submit(
                             atMs ->
                                 new DutyAnswered(
-                                    atMs, requestedAtMs, response.generation(), response.held()))));
+                                    atMs,
+                                    requestedAtMs,
+                                    response.era(),
+                                    response.generation(),
+                                    response.held()))));
   }
 
   @Override
@@ -279,6 +284,11 @@
     }
   }
 
+  @Override
+  public void adoptStoreEra(AdoptStoreEra effect) {
+    storeFollower.adoptEra(effect.era());
+  }
+
   /** Closes the connections of callers: all of them when the process ends, else only idle ones. */
   void closeCallers(ConnectionCloseReason reason) {
     for (CallerChannel caller : Set.copyOf(callers)) {
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/StateGauges.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/StateGauges.java
@@ -21,6 +21,8 @@
   ENGINES("limpetdoor.engines", node -> node.gateway().engineCount()),
   /** 1 if the store is reachable, 0 otherwise. */
   STORE_REACHABLE("limpetdoor.store.reachable", node -> node.gateway().storeReachable() ? 1 : 0),
+  /** Latest known era of the store; 0 if it states none. */
+  STORE_ERA("limpetdoor.store.era", node -> node.gateway().storeEra()),
   /** 1 if other instances exchange messages through this one, 0 if it is a spoke of a hub. */
   HUB("limpetdoor.fleet.hub", node -> node.gateway().isHub() ? 1 : 0),
   /** Age of the routes and the list of engines, in milliseconds. */
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/StoreFollower.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/StoreFollower.java
@@ -23,6 +23,12 @@
    */
   void follow(long engineIntervalMs);
 
+  /**
+   * Ignores answers of earlier eras from now on, starts again with the newest records, and writes
+   * the entry of this instance, unless the era is known already.
+   */
+  void adoptEra(long era);
+
   /** Stops reading. Responses that arrive later are ignored. */
   void stop();
 }
