--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DutyEvents.java
@@ -137,9 +137,7 @@
   private static Transition<NodeState, Effect> handedOver(NodeState node, DutyHandedOver message) {
     GatewayState state = node.gateway();
     boolean newest =
-        EraOrder.of(DutyTerm.of(message.fencingNumber()).era(), state.store().era())
-                != EraOrder.EARLIER
-            && message.fencingNumber() > state.duty().fencingNumber()
+        message.fencingNumber() > state.duty().fencingNumber()
             && message.fencingNumber() > state.duty().otherHolder().fencingNumber();
     if (node.draining() || !newest || !storeUnreachable(node)) {
       return Transition.of(node);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
@@ -175,9 +175,10 @@
     return node.withGateway(state.withEngines(state.engines().without(id)));
   }
 
-  private static Transition<NodeState, Effect> entryRead(NodeState node, EngineEntry entry) {
+  private static Transition<NodeState, Effect> entryRead(NodeState node, EngineEntry read) {
     GatewayState state = node.gateway();
-    var existing = state.engines().find(entry.id());
+    var existing = state.engines().find(read.id());
+    EngineEntry entry = existing.map(engine -> withKnownDraining(node, engine, read)).orElse(read);
     NodeState updated = node.withGateway(state.withEngines(state.engines().withEntry(entry)));
     boolean changed =
         existing.isEmpty()
@@ -200,6 +201,17 @@
     return restarted ? result.then(next -> CrashEvents.engineLost(next, existing.get())) : result;
   }
 
+  /**
+   * Returns an entry that says that the engine drains if that is known. After a restoration of the
+   * store, an entry may be older than what is known; an engine that drains does so until its end.
+   */
+  private static EngineEntry withKnownDraining(
+      NodeState node, EngineState engine, EngineEntry entry) {
+    boolean sameStart = engine.entry().startedAtMs() == entry.startedAtMs();
+    boolean older = isRelisting(node) && sameStart && engine.entry().draining();
+    return older ? entry.withDraining() : entry;
+  }
+
   private static Transition<NodeState, Effect> removed(NodeState node, BackendId id) {
     GatewayState state = node.gateway();
     if (state.engines().find(id).isEmpty()) {
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/DutyTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/DutyTest.java
@@ -165,6 +165,75 @@
     assertThat(waiting.withPeerNotHolding(PEER, 10_900).maySendOrders(10_910)).isTrue();
   }
 
+  /** Guards against orders that engines refuse because generations are given out again. */
+  @Test
+  void aLaterEraHasHigherFencingNumbersThanAnyGenerationBefore() {
+    Duty before =
+        Duty.NONE.withStoreResponse(new DutyAnswered(100, 90, 0, 900, true), 100, FENCED, false);
+
+    Duty after =
+        before
+            .inEra(1, 200, FENCED)
+            .withStoreResponse(new DutyAnswered(300, 290, 1, 2, true), 300, FENCED, false);
+
+    assertThat(after.fencingNumber()).isGreaterThan(before.fencingNumber());
+    assertThat(new DutyTerm(1, 0).fencingNumber(0))
+        .isGreaterThan(new DutyTerm(0, DutyTerm.MAX_GENERATION).fencingNumber(63));
+  }
+
+  /** Guards against fencing numbers that JSON rounds. */
+  @Test
+  void theHighestFencingNumberIsExactInJson() {
+    long highest = new DutyTerm(DutyTerm.MAX_ERA, DutyTerm.MAX_GENERATION).fencingNumber(63);
+
+    assertThat(highest).isEqualTo((1L << 53) - 1);
+    assertThat(DutyTerm.of(highest))
+        .isEqualTo(new DutyTerm(DutyTerm.MAX_ERA, DutyTerm.MAX_GENERATION));
+  }
+
+  /**
+   * Guards against two holders at a time: the restored store grants the duty without waiting for
+   * the end of a grant that it has lost, and its holder is silent because it is cut off.
+   */
+  @Test
+  void waitsForAFullLeaseAfterAHolderOfAnEarlierEra() {
+    Duty duty =
+        Duty.NONE
+            .withHolderReport(PEER, FIRST_FENCING_NUMBER, 10_000)
+            .inEra(1, 12_000, FENCED)
+            .withStoreResponse(new DutyAnswered(12_100, 12_090, 1, 4, true), 12_100, FENCED, true);
+
+    assertThat(duty.held()).isTrue();
+    assertThat(duty.maySendOrders(12_150)).isFalse();
+    assertThat(duty.withPeerNotHolding(PEER, 12_200).maySendOrders(12_210)).isTrue();
+  }
+
+  /** Guards against two holders at engines that do not check fencing numbers. */
+  @Test
+  void waitsForALeaseAfterAChangeOfEraIfEnginesDoNotCheckFencingNumbers() {
+    Duty renewed =
+        Duty.NONE
+            .inEra(1, 20_000, UNFENCED)
+            .withStoreResponse(
+                new DutyAnswered(20_100, 20_090, 1, 4, true), 20_100, UNFENCED, false)
+            .withStoreResponse(
+                new DutyAnswered(23_200, 23_190, 1, 4, true), 23_200, UNFENCED, false);
+
+    assertThat(renewed.maySendOrders(23_250)).isFalse();
+    assertThat(renewed.maySendOrders(23_310)).isTrue();
+  }
+
+  /** Guards against a duty that is held on the word of a store that no longer exists. */
+  @Test
+  void ignoresALateAnswerOfAnEarlierEra() {
+    Duty duty = Duty.NONE.inEra(2, 10_000, FENCED);
+
+    assertThat(
+            duty.withStoreResponse(
+                new DutyAnswered(10_100, 10_090, 1, 900, true), 10_100, FENCED, false))
+        .isEqualTo(duty);
+  }
+
   /** Guards against a holder that resumes orders while its successor sends them. */
   @Test
   void sendsNoOrdersBesideAHolderWithAHigherFencingNumber() {
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FactsEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FactsEventsTest.java
@@ -5,11 +5,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.Timed;
 import org.limpetdoor.core.effect.FollowStore;
 import org.limpetdoor.core.effect.SendToPeer;
+import org.limpetdoor.core.event.EnginesRead;
 import org.limpetdoor.core.event.InstancesListed;
 import org.limpetdoor.core.event.PeerLinkUp;
 import org.limpetdoor.core.event.PeerMessageReceived;
+import org.limpetdoor.core.event.StoreEraObserved;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
@@ -130,6 +133,67 @@
     assertThat(fixture.take(FollowStore.class).get(0).started()).isTrue();
   }
 
+  /** Guards against a spoke that relies on a hub which has not noticed that its facts are gone. */
+  @Test
+  void aSpokeReadsTheStoreIfItsHubKnowsAnEarlierEra() {
+    InstanceId hub = becomeSpoke();
+    receiveFromHub(hub, 100);
+    fixture.take(FollowStore.class);
+    fixture.reduce(new StoreEraObserved(fixture.nowMs(), 1));
+    fixture.reduce(
+        new EnginesRead(
+            fixture.nowMs(),
+            new EngineListing(1, 0, 1, List.of(GatewayFixture.plain("e1")), List.of(), true)));
+
+    for (int i = 0; i <= GatewayFixture.SETTINGS.factsMaxAgeMs() / 250; i++) {
+      DigestTimes times = new DigestTimes(1, fixture.nowMs());
+      StoreFacts earlier = new StoreFacts(1, new StorePosition(0, 1), true, 0);
+      receive(hub, digest(DigestScope.FLEET, times, earlier, 3));
+      fixture.advance(250);
+    }
+
+    assertThat(fixture.take(FollowStore.class).get(0).started()).isTrue();
+  }
+
+  /** Guards against a spoke whose list mixes eras because its hub noticed the change first. */
+  @Test
+  void doesNotContinueAListWithChangesOfALaterEra() {
+    InstanceId hub = becomeSpoke();
+    fixture.advance(1_000);
+    fixture.take(SendToPeer.class);
+
+    receive(
+        hub, new EnginesPassedOn(new EngineListing(1, 0, 1, List.of(), List.of(ENGINE), false)));
+
+    assertThat(sent(FactsRequested.class)).hasSize(1);
+    assertThat(fixture.gateway().engines().find(ENGINE).orElseThrow().unlistedAtMs())
+        .isEqualTo(Timed.NEVER_MS);
+  }
+
+  /** Guards against the loss of live engines that a hub read from a copy without their entries. */
+  @Test
+  void aSpokeKeepsEnginesThatAListOfALaterEraLacks() {
+    InstanceId hub = becomeSpoke();
+
+    receive(hub, new EnginesPassedOn(new EngineListing(1, 0, 1, List.of(), List.of(), true)));
+
+    assertThat(fixture.gateway().engines().find(ENGINE)).isPresent();
+    fixture.advance(GatewayFixture.SETTINGS.relistMs() + GatewayTick.INTERVAL_MS);
+    assertThat(fixture.gateway().engines().find(ENGINE)).isEmpty();
+  }
+
+  /** Guards against the complete list of a peer that has not noticed the change. */
+  @Test
+  void ignoresAListOfAnEarlierEraFromAPeer() {
+    InstanceId hub = becomeSpoke();
+    fixture.reduce(new StoreEraObserved(fixture.nowMs(), 1));
+    fixture.advance(GatewayFixture.SETTINGS.relistMs());
+
+    receive(hub, new EnginesPassedOn(new EngineListing(0, 0, 99, List.of(), List.of(), true)));
+
+    assertThat(fixture.gateway().engines().find(ENGINE)).isPresent();
+  }
+
   /** Guards against changes that are applied although earlier ones were missed. */
   @Test
   void requestsTheCompleteListAfterAGap() {
