--- a/limpetdoor-cli/src/main/java/org/limpetdoor/cli/CallTimeline.java
+++ b/limpetdoor-cli/src/main/java/org/limpetdoor/cli/CallTimeline.java
@@ -15,7 +15,14 @@
 
   /** Events of status changes that can affect any call. */
   private static final Set<String> SHARED_CHANGES =
-      Set.of("dependency", "duty", "routes", "drain", "instance_started", "instance_stopped");
+      Set.of(
+          "dependency",
+          "duty",
+          "routes",
+          "store_era",
+          "drain",
+          "instance_started",
+          "instance_stopped");
 
   private final String call;
   private final List<Entry> callEntries = new ArrayList<>();
