Drop engines that a restored store lacks also at cut off gateways

A gateway that the store does not answer kept engines that a peer had read as missing after a change of era until its own contact with the store was back. They now go when relistMs have passed. Found by a test of 62 gateways whose store is restored twice in a row while one hub cannot reach it: e4 was still listed at n5.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
@@ -130,7 +130,7 @@
     }
     if (list.complete()) {
       for (BackendId id : node.gateway().engines().byId().keySet()) {
-        boolean gone = source == RoutesRead.Source.PEER && !isRelisting(node);
+        boolean gone = source == RoutesRead.Source.PEER && !isRelisting(node, node.nowMs());
         result =
             listed.contains(id)
                 ? result
@@ -154,12 +154,18 @@
         new RecordDecision(decision));
   }
 
-  /** Removes engines that were not listed again in time after the store recovered. */
+  /**
+   * Removes engines that were not listed again in time after the store recovered. Those that were
+   * missing after a restoration are gone also if the store doesn't answer this instance, because a
+   * peer has read that they are missing.
+   */
   static Transition<NodeState, Effect> dropUnlisted(NodeState node) {
     Transition<NodeState, Effect> result = Transition.of(node);
     for (EngineState engine : node.gateway().engines().byId().values()) {
       boolean unlisted = engine.unlistedAtMs() != Timed.NEVER_MS;
-      if (unlisted && !mayBeListedAgain(node)) {
+      boolean missingAfterRestoration =
+          isRelisting(node, engine.unlistedAtMs()) && !isRelisting(node, node.nowMs());
+      if (unlisted && (missingAfterRestoration || !mayBeListedAgain(node))) {
         BackendId id = engine.entry().id();
         result =
             result
@@ -208,7 +214,7 @@
   private static EngineEntry withKnownDraining(
       NodeState node, EngineState engine, EngineEntry entry) {
     boolean sameStart = engine.entry().startedAtMs() == entry.startedAtMs();
-    boolean older = isRelisting(node) && sameStart && engine.entry().draining();
+    boolean older = isRelisting(node, node.nowMs()) && sameStart && engine.entry().draining();
     return older ? entry.withDraining() : entry;
   }
 
@@ -257,12 +263,12 @@
     long sinceMs = node.nowMs() - state.store().recoveredAtMs();
     boolean hadOutage = state.store().recoveredAtMs() > 0;
     return !state.storeReachable()
-        || isRelisting(node)
+        || isRelisting(node, node.nowMs())
         || (hadOutage && sinceMs < state.settings().relistMs());
   }
 
-  private static boolean isRelisting(NodeState node) {
+  private static boolean isRelisting(NodeState node, long atMs) {
     GatewayState state = node.gateway();
-    return state.store().isRelisting(node.nowMs(), state.settings().relistMs());
+    return state.store().isRelisting(atMs, state.settings().relistMs());
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreView.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreView.java
@@ -43,9 +43,9 @@
     return requestedAtMs == 0 || nowMs - requestedAtMs >= REQUEST_INTERVAL_MS;
   }
 
-  /** Returns whether the store was restored so recently that entries may still be missing. */
-  boolean isRelisting(long nowMs, long relistMs) {
-    return era > 0 && nowMs - eraSinceMs < relistMs;
+  /** Returns whether the store had been restored so recently that entries could be missing. */
+  boolean isRelisting(long atMs, long relistMs) {
+    return era > 0 && atMs >= eraSinceMs && atMs - eraSinceMs < relistMs;
   }
 
   StoreView withContact(boolean nowReachable, long nowMs) {
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetSimulation.java
@@ -16,6 +16,7 @@
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.NodeState.Self;
 import org.limpetdoor.core.Transition;
+import org.limpetdoor.core.effect.AdoptStoreEra;
 import org.limpetdoor.core.effect.ConnectPeer;
 import org.limpetdoor.core.effect.Effect;
 import org.limpetdoor.core.effect.FollowStore;
@@ -33,6 +34,7 @@
 import org.limpetdoor.core.event.PeerMessageReceived;
 import org.limpetdoor.core.event.RoutesRead;
 import org.limpetdoor.core.event.StoreContactChanged;
+import org.limpetdoor.core.event.StoreEraObserved;
 import org.limpetdoor.core.event.TimerFired;
 import org.limpetdoor.core.gateway.Route.WeightedService;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
@@ -61,6 +63,7 @@
       new PriorityQueue<>(
           Comparator.comparingLong(Delivery::atMs).thenComparingLong(Delivery::number));
   private final List<ListedInstance> listed = new ArrayList<>();
+  private final List<ListedInstance> entries;
   private final List<EngineEntry> engines = new ArrayList<>();
   private final List<BackendId> removed = new ArrayList<>();
   private final Set<InstanceId> cutFromStore = new HashSet<>();
@@ -71,6 +74,7 @@
   private int answeredCalls;
   private RouteTable routes;
   private long listOffset = 10;
+  private long storeEra;
   private long nowMs = 1_000;
   private long nextNumber;
   private long storeReads;
@@ -87,6 +91,7 @@
     long followMs;
     int followRun;
     long readOffset = -1;
+    long readEra;
     final Set<InstanceId> links = new HashSet<>();
 
     Instance(InstanceId id, ZoneId zone) {
@@ -105,6 +110,7 @@
       double cores = i % 5 == 0 ? 1.5 : 0.36;
       listed.add(new ListedInstance(id, "10.0.0.1:" + (1_000 + i), zone, "r", false, cores));
     }
+    entries = List.copyOf(listed);
     for (int i = 0; i < 8; i++) {
       engines.add(engineWithManySlots("e" + i));
     }
@@ -227,6 +233,38 @@
     }
   }
 
+  /**
+   * Restores the store from a copy that lacks the entries of half of the instances, of which each
+   * writes its entry again when it learns of the new era, and those of some engines.
+   *
+   * @param lostEngines number of engines whose entries are lost
+   */
+  void restoreStore(int lostEngines) {
+    storeEra++;
+    listOffset = 1;
+    listed.removeIf(entry -> Math.floorMod(entry.id().hashCode(), 2) == 0);
+    engines.subList(0, lostEngines).clear();
+  }
+
+  /** Lists engines again that the store has lost. */
+  void listAgain(List<BackendId> ids) {
+    for (BackendId id : ids) {
+      if (!engineIds().contains(id)) {
+        engines.add(engineWithManySlots(id.value()));
+      }
+    }
+    listOffset++;
+  }
+
+  private void writeEntry(Instance instance) {
+    ListedInstance own =
+        entries.stream().filter(entry -> entry.id().equals(instance.id)).findFirst().orElseThrow();
+    if (instance.live && !listed.contains(own)) {
+      listed.add(own);
+      instances.values().forEach(reader -> after(STORE_MS, () -> readInstances(reader)));
+    }
+  }
+
   void publish(long version) {
     routes = routes(version);
     for (Instance instance : instances.values()) {
@@ -361,6 +399,8 @@
       after(LATENCY_MS, () -> deliver(instance, message.peer(), message.message()));
     } else if (effect instanceof FollowStore follow) {
       follow(instance, follow.engineIntervalMs());
+    } else if (effect instanceof AdoptStoreEra) {
+      after(STORE_MS, () -> writeEntry(instance));
     } else if (effect instanceof ForwardCall forward && crashingPart.isPresent()) {
       after(FIRST_EVENT_MS, () -> runOnEngine(instance, forward));
     }
@@ -460,13 +500,20 @@
     boolean cut = cutFromStore.contains(instance.id);
     reduce(instance, new StoreContactChanged(nowMs, !cut));
     if (!cut) {
+      if (instance.readEra != storeEra) {
+        instance.readEra = storeEra;
+        instance.readOffset = -1;
+        reduce(instance, new StoreEraObserved(nowMs, storeEra));
+        readInstances(instance);
+      }
       boolean complete = instance.readOffset < 0;
       long fromOffset = complete ? 0 : instance.readOffset;
       instance.readOffset = listOffset;
       reduce(
           instance,
           new EnginesRead(
-              nowMs, new EngineListing(0, fromOffset, listOffset, engines, removed, complete)));
+              nowMs,
+              new EngineListing(storeEra, fromOffset, listOffset, engines, removed, complete)));
     }
   }
 }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FleetTest.java
@@ -268,4 +268,48 @@
       assertThat(fleet.hubs().size()).isAtMost(FleetLayout.FULL_MESH_MAX_INSTANCES);
     }
   }
+
+  /**
+   * Guards against a fleet that loses instances, or engines before {@code relistMs} have passed,
+   * when the store is restored from a copy, twice in a row and with hubs that it does not answer.
+   */
+  @Test
+  void aRestoredStoreLosesNoInstanceAndNoEngineThatIsListedAgain() {
+    FleetSimulation fleet = new FleetSimulation(62, 3, 12);
+    fleet.advance(SETTLE_MS);
+    List<BackendId> engines = fleet.engineIds();
+    fleet.cutFromStore(fleet.hubs().get(0), true);
+
+    fleet.restoreStore(3);
+    fleet.advance(800);
+    fleet.restoreStore(2);
+    for (int i = 0; i < 15; i++) {
+      fleet.advance(100);
+      assertAllKnow(fleet, engines);
+    }
+    fleet.listAgain(engines.subList(0, 4));
+    fleet.advance(SETTLE_MS);
+
+    for (InstanceId id : fleet.liveIds()) {
+      GatewayState state = fleet.state(id).gateway();
+      assertWithMessage("era at %s", id).that(state.storeEra()).isEqualTo(2);
+      for (BackendId engine : engines) {
+        boolean relisted = !engine.equals(engines.get(4));
+        assertWithMessage("%s at %s is listed", engine, id)
+            .that(state.engines().find(engine).isPresent())
+            .isEqualTo(relisted);
+      }
+    }
+  }
+
+  private static void assertAllKnow(FleetSimulation fleet, List<BackendId> engines) {
+    for (InstanceId id : fleet.liveIds()) {
+      assertWithMessage("members at %s", id)
+          .that(fleet.state(id).membership().members())
+          .hasSize(fleet.liveIds().size());
+      assertWithMessage("engines at %s", id)
+          .that(fleet.state(id).gateway().engines().byId().keySet())
+          .containsAtLeastElementsIn(engines);
+    }
+  }
 }
