--- a/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
@@ -57,7 +57,7 @@
           new LoadDigest(
               DigestScope.GROUP,
               new DigestTimes(123, 456),
-              new StoreFacts(7, new StorePosition(0, 99), true, 250),
+              new StoreFacts(7, new StorePosition(3, 99), true, 250),
               41,
               HashTreePMap.singleton(new BackendId("g1"), 3),
               HashTreePMap.singleton(new BackendId("g2"), 74),
@@ -69,11 +69,11 @@
           new DutyReleased(41),
           new DutyHandedOver(42),
           new ModelRequested("llm", ModelKey.of("m1")),
-          new FactsRequested(7, new StorePosition(0, 99), true),
+          new FactsRequested(7, new StorePosition(3, 99), true),
           new RoutesPassedOn(routes()),
           new EnginesPassedOn(
               new EngineListing(
-                  0,
+                  3,
                   5,
                   9,
                   List.of(
