--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FactsEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FactsEventsTest.java
@@ -5,11 +5,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.limpetdoor.core.Timed;
 import org.limpetdoor.core.effect.FollowStore;
 import org.limpetdoor.core.effect.SendToPeer;
+import org.limpetdoor.core.event.EnginesRead;
 import org.limpetdoor.core.event.InstancesListed;
 import org.limpetdoor.core.event.PeerLinkUp;
 import org.limpetdoor.core.event.PeerMessageReceived;
+import org.limpetdoor.core.event.StoreEraObserved;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
@@ -72,7 +75,7 @@
   }
 
   private StoreFacts factsOfAge(long ageMs) {
-    return new StoreFacts(1, fixture.gateway().store().listOffset(), true, ageMs);
+    return new StoreFacts(1, fixture.gateway().store().listPosition(), true, ageMs);
   }
 
   private void receiveFromHub(InstanceId hub, long ageMs) {
@@ -130,18 +133,79 @@
     assertThat(fixture.take(FollowStore.class).get(0).started()).isTrue();
   }
 
+  /** Guards against a spoke that relies on a hub which has not noticed that its facts are gone. */
+  @Test
+  void aSpokeReadsTheStoreIfItsHubKnowsAnEarlierEra() {
+    InstanceId hub = becomeSpoke();
+    receiveFromHub(hub, 100);
+    fixture.take(FollowStore.class);
+    fixture.reduce(new StoreEraObserved(fixture.nowMs(), 1));
+    fixture.reduce(
+        new EnginesRead(
+            fixture.nowMs(),
+            new EngineListing(1, 0, 1, List.of(GatewayFixture.plain("e1")), List.of(), true)));
+
+    for (int i = 0; i <= GatewayFixture.SETTINGS.factsMaxAgeMs() / 250; i++) {
+      DigestTimes times = new DigestTimes(1, fixture.nowMs());
+      StoreFacts earlier = new StoreFacts(1, new StorePosition(0, 1), true, 0);
+      receive(hub, digest(DigestScope.FLEET, times, earlier, 3));
+      fixture.advance(250);
+    }
+
+    assertThat(fixture.take(FollowStore.class).get(0).started()).isTrue();
+  }
+
+  /** Guards against a spoke whose list mixes eras because its hub noticed the change first. */
+  @Test
+  void doesNotContinueAListWithChangesOfALaterEra() {
+    InstanceId hub = becomeSpoke();
+    fixture.advance(1_000);
+    fixture.take(SendToPeer.class);
+
+    receive(
+        hub, new EnginesPassedOn(new EngineListing(1, 0, 1, List.of(), List.of(ENGINE), false)));
+
+    assertThat(sent(FactsRequested.class)).hasSize(1);
+    assertThat(fixture.gateway().engines().find(ENGINE).orElseThrow().unlistedAtMs())
+        .isEqualTo(Timed.NEVER_MS);
+  }
+
+  /** Guards against the loss of live engines that a hub read from a copy without their entries. */
+  @Test
+  void aSpokeKeepsEnginesThatAListOfALaterEraLacks() {
+    InstanceId hub = becomeSpoke();
+
+    receive(hub, new EnginesPassedOn(new EngineListing(1, 0, 1, List.of(), List.of(), true)));
+
+    assertThat(fixture.gateway().engines().find(ENGINE)).isPresent();
+    fixture.advance(GatewayFixture.SETTINGS.relistMs() + GatewayTick.INTERVAL_MS);
+    assertThat(fixture.gateway().engines().find(ENGINE)).isEmpty();
+  }
+
+  /** Guards against the complete list of a peer that has not noticed the change. */
+  @Test
+  void ignoresAListOfAnEarlierEraFromAPeer() {
+    InstanceId hub = becomeSpoke();
+    fixture.reduce(new StoreEraObserved(fixture.nowMs(), 1));
+    fixture.advance(GatewayFixture.SETTINGS.relistMs());
+
+    receive(hub, new EnginesPassedOn(new EngineListing(0, 0, 99, List.of(), List.of(), true)));
+
+    assertThat(fixture.gateway().engines().find(ENGINE)).isPresent();
+  }
+
   /** Guards against changes that are applied although earlier ones were missed. */
   @Test
   void requestsTheCompleteListAfterAGap() {
     InstanceId hub = becomeSpoke();
     fixture.advance(1_000);
     fixture.take(SendToPeer.class);
-    long offset = fixture.gateway().store().listOffset();
+    long offset = fixture.gateway().store().listPosition().offset();
 
     receive(
         hub,
         new EnginesPassedOn(
-            new EngineListing(offset + 1, offset + 2, List.of(), List.of(ENGINE), false)));
+            new EngineListing(0, offset + 1, offset + 2, List.of(), List.of(ENGINE), false)));
 
     assertThat(sent(FactsRequested.class)).hasSize(1);
     assertThat(fixture.gateway().engines().find(ENGINE)).isPresent();
@@ -153,10 +217,11 @@
     InstanceId hub = becomeSpoke();
     // Until then a removed entry may only have been lost in an outage of the store.
     fixture.advance(GatewayFixture.SETTINGS.relistMs());
-    long offset = fixture.gateway().store().listOffset();
+    long offset = fixture.gateway().store().listPosition().offset();
 
     receive(
-        hub, new EnginesPassedOn(new EngineListing(0, offset, List.of(), List.of(ENGINE), false)));
+        hub,
+        new EnginesPassedOn(new EngineListing(0, 0, offset, List.of(), List.of(ENGINE), false)));
 
     assertThat(fixture.gateway().engines().find(ENGINE)).isPresent();
   }
@@ -169,7 +234,11 @@
     fixture.reduce(new PeerLinkUp(fixture.nowMs(), spoke));
     receive(
         spoke,
-        digest(DigestScope.INSTANCE, new DigestTimes(1, 0), new StoreFacts(1, 1, false, 0), 2));
+        digest(
+            DigestScope.INSTANCE,
+            new DigestTimes(1, 0),
+            new StoreFacts(1, new StorePosition(0, 1), false, 0),
+            2));
     fixture.take(SendToPeer.class);
 
     fixture.engines(GatewayFixture.plain("e1").withDraining());
@@ -185,7 +254,11 @@
     fixture.reduce(new PeerLinkUp(fixture.nowMs(), spoke));
     receive(
         spoke,
-        digest(DigestScope.INSTANCE, new DigestTimes(1, 0), new StoreFacts(1, 1, false, 0), 2));
+        digest(
+            DigestScope.INSTANCE,
+            new DigestTimes(1, 0),
+            new StoreFacts(1, new StorePosition(0, 1), false, 0),
+            2));
     assertThat(fixture.gateway().peers().inFlight(ENGINE)).isEqualTo(2);
 
     fixture.advance(2_000);
