Poll the sockets of callers also after a new connection to an engine

A process that has just started has no idle connections to engines. The write after a connect was made in the pass that found the connection established, before the ends of callers' connections of the same pass had been read.

Both writes now use one measure, the time since which input may be unread. The path after a connect has no test of its own: on loopback a connection is established at once.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
@@ -1,6 +1,7 @@
 package org.limpetdoor.gateway;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -40,12 +41,15 @@
   private static final long CLEANUP_INTERVAL_MS = 1_000;
 
   private final EventLoop loop;
+  private final ReadTimes readTimes;
   private final CallProtocol protocol;
   private final EngineNotices notices;
   private final Map<BackendId, Deque<EngineChannel>> idle = new HashMap<>();
 
-  EngineConnectionPool(EventLoop loop, CallProtocol protocol, EngineNotices notices) {
+  EngineConnectionPool(
+      EventLoop loop, ReadTimes readTimes, CallProtocol protocol, EngineNotices notices) {
     this.loop = loop;
+    this.readTimes = readTimes;
     this.protocol = protocol;
     this.notices = notices;
     loop.scheduleWithFixedDelay(
@@ -70,14 +74,19 @@
           if (!attempt.hasEnded() && !done.isSuccess()) {
             attempt.connectFailed();
           }
-          if (attempt.hasEnded() || endIfOutdated(attempt)) {
-            connecting.channel().close();
-            return;
-          }
-          opened.send(attempt, protocol);
+          readTimes.runWithRecentInput(
+              loop, () -> sendOrClose(attempt, opened, connecting.channel()));
         });
   }
 
+  private void sendOrClose(EngineAttempt attempt, EngineChannel opened, Channel channel) {
+    if (attempt.hasEnded() || endIfOutdated(attempt)) {
+      channel.close();
+      return;
+    }
+    opened.send(attempt, protocol);
+  }
+
   @Override
   public void channelIdle(EngineChannel channel) {
     idle.computeIfAbsent(channel.engine(), engine -> new ArrayDeque<>()).addLast(channel);
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -46,12 +46,6 @@
   /** Time for which the pace of an engine without streams is retained, in milliseconds. */
   private static final long PACE_RETENTION_MS = 10_000;
 
-  /**
-   * Time since the last poll from which the ends of connections may have gone unseen for too long,
-   * in milliseconds. Requests must not reach engines half a second after their callers have left.
-   */
-  private static final long MAX_UNPOLLED_MS = 100;
-
   private final EventLoop loop;
   private final CallProtocol protocol;
   private final EngineClient engineClient;
@@ -93,7 +87,7 @@
     this.overloads = overloads;
     this.eventSink = eventSink;
     this.notices = new EngineNotices(clock, this);
-    this.pool = new EngineConnectionPool(loop, protocol, notices);
+    this.pool = new EngineConnectionPool(loop, readTimes, protocol, notices);
     this.paceMeter = new PaceMeter(this);
     loop.scheduleWithFixedDelay(
         this::cleanUp, CLEANUP_INTERVAL_MS, CLEANUP_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -186,12 +180,7 @@
    */
   @Override
   public void forwardCall(ForwardCall effect) {
-    if (readTimes.workingForMs() > MAX_UNPOLLED_MS) {
-      // A scheduled task runs after the next poll, unlike one that is only executed.
-      loop.schedule(() -> sendIfConnected(effect), 0, TimeUnit.MILLISECONDS);
-      return;
-    }
-    sendIfConnected(effect);
+    readTimes.runWithRecentInput(loop, () -> sendIfConnected(effect));
   }
 
   private void sendIfConnected(ForwardCall effect) {
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ReadTimes.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ReadTimes.java
@@ -1,9 +1,11 @@
 package org.limpetdoor.gateway;
 
 import io.netty.channel.DefaultSelectStrategyFactory;
+import io.netty.channel.EventLoop;
 import io.netty.channel.SelectStrategy;
 import io.netty.channel.SelectStrategyFactory;
 import io.netty.util.IntSupplier;
+import java.util.concurrent.TimeUnit;
 import org.limpetdoor.runtime.MonotonicClock;
 
 /**
@@ -14,6 +16,12 @@
 final class ReadTimes implements SelectStrategyFactory {
   private static final long NO_WORK_MS = -1;
 
+  /**
+   * Longest time for which input may be unread when a request is written to an engine, in
+   * milliseconds. Requests must not reach engines half a second after their callers have left.
+   */
+  private static final long MAX_UNREAD_MS = 100;
+
   private final MonotonicClock clock;
 
   /** Time of the first work since the last poll. */
@@ -33,10 +41,17 @@
     }
   }
 
-  /** Returns the time since the work began that preceded this call and follows the last poll. */
-  long workingForMs() {
-    recordWork();
-    return clock.nowMs() - workBeganMs;
+  /**
+   * Runs a task at once, or after the next poll if the ends of connections may have been unread for
+   * too long.
+   */
+  void runWithRecentInput(EventLoop loop, Runnable task) {
+    if (clock.nowMs() - earliestArrivalMs() <= MAX_UNREAD_MS) {
+      task.run();
+      return;
+    }
+    // Unlike a task that is only executed, a scheduled one runs after the next poll.
+    loop.schedule(task, 0, TimeUnit.MILLISECONDS);
   }
 
   /**
