Count responses that callers do not take, and close callers that take none

The memory of a response was free when its call ended, although its bytes stayed in memory until the caller read them; such a connection was closed after a minute only, and one with an open stream never.

UnsentResponses counts responses in the memory of responses until the socket has taken them. A stream without memory is suspended at the engine's connection, as one over Netty's mark is, and resumed when all has been sent; meanwhile the engine does not count as silent. A caller that takes no byte of a response for idleTimeoutMs is closed: caller_closed and overload with slow_reader.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/ConnectionCloseReason.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/ConnectionCloseReason.java
@@ -12,6 +12,8 @@
   STOP,
   /** There was no memory for the rest of a request; its caller got a reply. */
   NO_MEMORY,
+  /** The caller took no byte of a response for longer than the configuration allows. */
+  SLOW_READER,
   /** Reading from or writing to the connection failed. */
   CONNECTION_ERROR;
 
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
@@ -26,6 +26,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.limpetdoor.core.decision.ConnectionCloseReason;
+import org.limpetdoor.core.decision.OverloadReason;
 import org.limpetdoor.core.decision.RequestProgress;
 import org.limpetdoor.core.event.CallCancelled;
 import org.limpetdoor.core.event.CallerConnectionClosed;
@@ -47,6 +48,7 @@
   private Channel channel;
   private HttpRequest head;
   private final BufferedBody body;
+  private final UnsentResponses unsent;
   private OpenCall call;
   private ChannelFuture lastResponse;
   private CallerLimits idleLimits;
@@ -57,6 +59,7 @@
     this.traffic = traffic;
     this.idleLimits = traffic.callerLimits();
     this.body = new BufferedBody(traffic.requestMemory());
+    this.unsent = new UnsentResponses(traffic.responseMemory());
   }
 
   /**
@@ -64,6 +67,11 @@
    * middle of a request gets a response.
    */
   void closeIfStalled() {
+    if (unsent.isStalled(channel, idleTimeoutMs())) {
+      traffic.overloads().accept(OverloadReason.SLOW_READER);
+      close(ConnectionCloseReason.SLOW_READER);
+      return;
+    }
     RequestProgress progress = progress();
     long quietMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastUsedNs);
     if (quietMs <= progress.maxQuietMs(idleLimits, traffic.callerLimits())) {
@@ -76,6 +84,10 @@
     close(ConnectionCloseReason.IDLE_TIMEOUT);
   }
 
+  private int idleTimeoutMs() {
+    return Math.max(idleLimits.idleTimeoutMs(), traffic.callerLimits().idleTimeoutMs());
+  }
+
   /** Returns whether no request is being received or served and all responses have been sent. */
   boolean isIdle() {
     return progress() == RequestProgress.NONE;
@@ -124,12 +136,23 @@
 
   /** Writes complete events of a streamed response. */
   void writeStreamContent(ByteBuf events) {
-    channel.writeAndFlush(new DefaultHttpContent(events));
+    int lengthBytes = events.readableBytes();
+    ChannelFuture write = channel.writeAndFlush(new DefaultHttpContent(events));
+    if (!unsent.add(write, lengthBytes) || !channel.isWritable()) {
+      traffic.callerWritabilityChanged(call, false);
+      write.addListener(taken -> resumeStream());
+    }
+  }
+
+  private void resumeStream() {
+    if (call != null && unsent.isEmpty()) {
+      traffic.callerWritabilityChanged(call, channel.isWritable());
+    }
   }
 
   /** Completes a streamed response. */
   void endStream() {
-    responseWritten(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+    responseWritten(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), 0);
   }
 
   /** Writes a complete response of an engine. */
@@ -296,7 +319,8 @@
   private void write(FullHttpResponse response) {
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
     setConnectionHeader(response.headers());
-    responseWritten(channel.writeAndFlush(response));
+    int lengthBytes = response.content().readableBytes();
+    responseWritten(channel.writeAndFlush(response), lengthBytes);
   }
 
   private void setConnectionHeader(HttpHeaders headers) {
@@ -306,7 +330,8 @@
     }
   }
 
-  private void responseWritten(ChannelFuture write) {
+  private void responseWritten(ChannelFuture write, int lengthBytes) {
+    unsent.add(write, lengthBytes);
     if (call != null) {
       traffic.removeCall(call.spec().id());
     }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
@@ -57,6 +57,7 @@
   private boolean eventsAccepted;
   private boolean startReported;
   private boolean ended;
+  private boolean callerWritable = true;
 
   EngineAttempt(
       ForwardCall forward,
@@ -201,9 +202,16 @@
     }
   }
 
-  /** Suspends or resumes reading from the engine when the caller's writability changes. */
+  /**
+   * Suspends or resumes reading from the engine when the caller's writability changes. An engine
+   * that is not read from is not silent.
+   */
   void callerWritabilityChanged(boolean writable) {
     if (channel != null && !ended) {
+      if (writable && !callerWritable) {
+        lastProgressNs = System.nanoTime();
+      }
+      callerWritable = writable;
       channel.setAutoRead(writable);
     }
   }
@@ -317,8 +325,8 @@
   private void checkSilence() {
     long timeoutMs = startReported ? forward.gapTimeoutMs() : forward.firstByteTimeoutMs();
     long silentMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastProgressNs);
-    if (silentMs < timeoutMs) {
-      scheduleSilenceCheck(timeoutMs - silentMs);
+    if (silentMs < timeoutMs || !callerWritable) {
+      scheduleSilenceCheck(callerWritable ? timeoutMs - silentMs : timeoutMs);
       return;
     }
     eventSink.submit(atMs -> new ForwardSilent(atMs, forward.call(), forward.attempt()));
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -148,6 +148,10 @@
     return new HeadMemory(memories.requests(), overloads);
   }
 
+  BodyMemory responseMemory() {
+    return memories.responses();
+  }
+
   BodyMemory requestMemory() {
     return memories.requests();
   }
--- /dev/null
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/UnsentResponses.java
@@ -0,0 +1,71 @@
+package org.limpetdoor.gateway;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelOutboundBuffer;
+import java.util.concurrent.TimeUnit;
+import org.limpetdoor.runtime.BodyMemory;
+
+/**
+ * What the socket of one caller has not taken of its responses, as part of the memory of all
+ * responses. Confined to the traffic thread.
+ *
+ * <p>It answers callers that read slowly or not at all: their responses stay in memory after their
+ * calls have ended.
+ */
+final class UnsentResponses {
+  private final BodyMemory.Reservation reservation;
+  private int writes;
+  private long progressBytes;
+  private long lastTakenNs;
+
+  UnsentResponses(BodyMemory memory) {
+    this.reservation = memory.reserve();
+  }
+
+  /**
+   * Counts a write until the socket has taken it or the connection has ended.
+   *
+   * @param write result of the write
+   * @param bytes length of its content, in bytes
+   * @return whether there is memory for more
+   */
+  boolean add(ChannelFuture write, int bytes) {
+    if (write.isDone()) {
+      return true;
+    }
+    if (writes == 0) {
+      lastTakenNs = System.nanoTime();
+    }
+    writes++;
+    boolean allowed = reservation.grow(bytes);
+    write.addListener(
+        taken -> {
+          writes--;
+          reservation.shrink(bytes);
+          lastTakenNs = System.nanoTime();
+        });
+    return allowed;
+  }
+
+  boolean isEmpty() {
+    return writes == 0;
+  }
+
+  /**
+   * Returns whether the caller has taken no byte for a time although there are some.
+   *
+   * @param timeoutMs the time, in milliseconds
+   */
+  boolean isStalled(Channel channel, long timeoutMs) {
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    if (writes == 0 || buffer == null) {
+      return false;
+    }
+    if (buffer.currentProgress() != progressBytes) {
+      progressBytes = buffer.currentProgress();
+      lastTakenNs = System.nanoTime();
+    }
+    return System.nanoTime() - lastTakenNs >= TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+  }
+}
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/BodyMemory.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/BodyMemory.java
@@ -61,6 +61,22 @@
       return true;
     }
 
+    /**
+     * Reserves more for bytes that are there already, and returns whether more may follow them.
+     *
+     * @param addedBytes growth of the body, in bytes
+     */
+    public boolean grow(long addedBytes) {
+      reservedBytes += addedBytes;
+      return threshold.allows(reservedBytes, usedBytes.addAndGet(addedBytes));
+    }
+
+    /** Releases a part. */
+    public void shrink(long removedBytes) {
+      reservedBytes -= removedBytes;
+      usedBytes.addAndGet(-removedBytes);
+    }
+
     @Override
     public void close() {
       usedBytes.addAndGet(-reservedBytes);
