--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/HeadMemory.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/HeadMemory.java
@@ -17,10 +17,10 @@
  */
 final class HeadMemory implements HttpHeadersFactory, AutoCloseable {
   /**
-   * Largest number of header lines. A head of 16 kB has that many lines of 16 bytes, and heads of
-   * ordinary callers have fewer than a hundred.
+   * Largest number of header lines. No head of 16 kB, the largest that configurations allow callers,
+   * has more, since a line takes at least four bytes.
    */
-  static final int MAX_LINES = 1_024;
+  static final int MAX_LINES = 4_096;
 
   /**
    * What a header line takes beside its bytes: an entry, two texts with their arrays, and the same
