Report the use of client accounts in load digests

An allowance holds for an account over all instances together, so each instance needs to know what the others offered and admitted.

AccountUsage, a new part of GatewayState, keeps the rates of this instance and the sum over the recent digests of its peers by differences, as PeerLoads does for calls in flight. Digests carry the rates of accounts that have a limit and the number of instances they cover; without such accounts they grow by an empty map. The report of a spoke is subtracted from what its hub sends to it. A report that echoes an old time of the receiver does not count, because a process that was frozen receives digests that were sent long before.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DigestWriter.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/DigestWriter.java
@@ -6,6 +6,7 @@
 import org.limpetdoor.core.NodeState;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.limits.UseReport;
 import org.limpetdoor.core.membership.DigestScope;
 import org.limpetdoor.core.membership.PeerMessage.DigestTimes;
 import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
@@ -35,11 +36,13 @@
    * @param inFlight calls in flight at each engine
    * @param gapsMs time between the events of a stream at each slow engine, in milliseconds
    * @param adaptersInUse adapters with calls in flight
+   * @param use use of the accounts that have a limit
    */
   private record Load(
       PMap<BackendId, Integer> inFlight,
       PMap<BackendId, Integer> gapsMs,
-      PSet<ModelKey> adaptersInUse) {
+      PSet<ModelKey> adaptersInUse,
+      UseReport use) {
     Load plus(LoadDigest digest) {
       PMap<BackendId, Integer> longest = gapsMs;
       for (Map.Entry<BackendId, Integer> entry : digest.gapsMs().entrySet()) {
@@ -49,13 +52,19 @@
       return new Load(
           PeerLoads.plusDifference(inFlight, HashTreePMap.empty(), digest.inFlight()),
           longest,
-          adaptersInUse.plusAll(digest.adaptersInUse()));
+          adaptersInUse.plusAll(digest.adaptersInUse()),
+          use.plus(digest.use()));
     }
   }
 
   static DigestWriter of(NodeState node) {
     GatewayState state = node.gateway();
-    Load group = new Load(ownInFlight(state), slowEngineGapsMs(node), state.adaptersInUse());
+    Load group =
+        new Load(
+            ownInFlight(state),
+            slowEngineGapsMs(node),
+            state.adaptersInUse(),
+            state.usage().ownReport(node.nowMs()));
     for (ReceivedDigest peer : state.peers().byPeer().values()) {
       group = peer.digest().scope() == DigestScope.INSTANCE ? group.plus(peer.digest()) : group;
     }
@@ -87,6 +96,7 @@
         load.gapsMs(),
         load.adaptersInUse(),
         upwards ? state.arrivals() : HashTreePMap.empty(),
+        load.use(),
         crashReports(state, receiver));
   }
 
@@ -99,12 +109,10 @@
 
   /** A spoke counts its own calls itself, so they are not part of what its hub sends. */
   private Load fleetWithout(InstanceId spoke) {
+    LoadDigest ofSpoke = node.gateway().peers().byPeer().get(spoke).digest();
     PMap<BackendId, Integer> others =
-        PeerLoads.plusDifference(
-            fleet.inFlight(),
-            node.gateway().peers().byPeer().get(spoke).digest().inFlight(),
-            HashTreePMap.empty());
-    return new Load(others, fleet.gapsMs(), HashTreePSet.empty());
+        PeerLoads.plusDifference(fleet.inFlight(), ofSpoke.inFlight(), HashTreePMap.empty());
+    return new Load(others, fleet.gapsMs(), HashTreePSet.empty(), fleet.use().minus(ofSpoke.use()));
   }
 
   private StoreFacts facts(GatewayState state) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -137,7 +137,7 @@
     }
     return node.withGateway(
         state
-            .withPeers(state.peers().without(peer))
+            .withPeers(state.peers().without(peer), node.nowMs())
             .withDuty(
                 state.duty().withOtherHolderStopped(last.digest().fencingNumber(), node.nowMs())));
   }
@@ -159,7 +159,7 @@
     PeerLoads peers = isHub || ofSpoke ? state.peers() : PeerLoads.NONE;
     GatewayState recorded =
         withArrivals(state, digest, node.nowMs())
-            .withPeers(peers.with(peer, ReceivedDigest.of(digest, node.nowMs())));
+            .withPeers(peers.with(peer, ReceivedDigest.of(digest, node.nowMs())), node.nowMs());
     Duty duty =
         digest.fencingNumber() > 0
             ? state.duty().withHolderReport(peer, digest.fencingNumber(), node.nowMs())
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/FleetEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/FleetEvents.java
@@ -46,7 +46,8 @@
         Transition.of(
             node.withGateway(
                 state.withPeers(
-                    counted(state.peers().withoutOutdated(node.nowMs()), next.role()))));
+                    counted(state.peers().withoutOutdated(node.nowMs()), next.role()),
+                    node.nowMs())));
     if (roleChanged || !previous.hub().equals(next.hub())) {
       result = result.with(new RecordDecision(GatewayDecision.fleetRole(next.role(), next.hub())));
     }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayState.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayState.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.limpetdoor.core.Timed;
 import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.limits.AccountUsage;
 import org.limpetdoor.core.request.RetryBudget;
 import org.pcollections.HashTreePMap;
 import org.pcollections.HashTreePSet;
@@ -25,6 +26,7 @@
  * @param arrivals number of calls for each model since the last digest, including those of spokes
  * @param store what is known of the store and the age of its contents
  * @param fleet role of this instance in the exchange of messages
+ * @param usage use of the accounts that have a limit, by this instance and the others
  * @param acceptsUntilMs time at which a graceful shutdown stops accepting calls, in monotonic
  *     milliseconds
  */
@@ -41,6 +43,7 @@
     PMap<ModelKey, Integer> arrivals,
     StoreView store,
     FleetView fleet,
+    AccountUsage usage,
     long acceptsUntilMs) {
   /** State of an instance that has just started. */
   public static final GatewayState INITIAL =
@@ -57,6 +60,7 @@
           HashTreePMap.empty(),
           StoreView.INITIAL,
           FleetView.ALONE,
+          AccountUsage.NONE,
           Timed.NEVER_MS);
 
   /** Returns whether callers may be sent to this instance, which requires a configuration. */
@@ -169,6 +173,7 @@
         arrivals,
         store,
         fleet,
+        usage,
         value);
   }
 
@@ -186,6 +191,7 @@
         arrivals,
         store,
         fleet,
+        usage,
         acceptsUntilMs);
   }
 
@@ -203,6 +209,7 @@
         arrivals,
         store,
         fleet,
+        usage,
         acceptsUntilMs);
   }
 
@@ -220,6 +227,7 @@
         arrivals,
         store,
         fleet,
+        usage,
         acceptsUntilMs);
   }
 
@@ -237,6 +245,7 @@
         arrivals,
         store,
         fleet,
+        usage,
         acceptsUntilMs);
   }
 
@@ -254,10 +263,12 @@
         arrivals,
         store,
         fleet,
+        usage,
         acceptsUntilMs);
   }
 
-  GatewayState withPeers(PeerLoads value) {
+  /** Returns a copy with other digests of the peers, whose reports of use count from now on. */
+  GatewayState withPeers(PeerLoads value, long nowMs) {
     return new GatewayState(
         settings,
         table,
@@ -271,6 +282,7 @@
         arrivals,
         store,
         fleet,
+        value.applyTo(usage, nowMs),
         acceptsUntilMs);
   }
 
@@ -288,6 +300,7 @@
         arrivals,
         store,
         fleet,
+        usage,
         acceptsUntilMs);
   }
 
@@ -305,6 +318,7 @@
         arrivals,
         store,
         fleet,
+        usage,
         acceptsUntilMs);
   }
 
@@ -322,6 +336,7 @@
         arrivals,
         store,
         fleet,
+        usage,
         acceptsUntilMs);
   }
 
@@ -339,6 +354,7 @@
         value,
         store,
         fleet,
+        usage,
         acceptsUntilMs);
   }
 
@@ -356,6 +372,7 @@
         arrivals,
         value,
         fleet,
+        usage,
         acceptsUntilMs);
   }
 
@@ -373,6 +390,25 @@
         arrivals,
         store,
         value,
+        usage,
+        acceptsUntilMs);
+  }
+
+  GatewayState withUsage(AccountUsage value) {
+    return new GatewayState(
+        settings,
+        table,
+        engines,
+        callTable,
+        budgets,
+        peers,
+        crashRecords,
+        duty,
+        placement,
+        arrivals,
+        store,
+        fleet,
+        value,
         acceptsUntilMs);
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PeerLoads.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/PeerLoads.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
+import org.limpetdoor.core.limits.AccountUsage;
+import org.limpetdoor.core.limits.AccountUsage.ReceivedReport;
 import org.limpetdoor.core.membership.DigestScope;
 import org.pcollections.HashTreePMap;
 import org.pcollections.PMap;
@@ -38,6 +40,23 @@
     return result;
   }
 
+  /** Replaces the reports of use in the sums of the accounts by those of these digests. */
+  AccountUsage applyTo(AccountUsage usage, long nowMs) {
+    AccountUsage result = usage;
+    for (InstanceId peer : usage.reports().keySet()) {
+      result = byPeer.containsKey(peer) ? result : result.withoutReport(peer, nowMs);
+    }
+    for (Map.Entry<InstanceId, ReceivedDigest> entry : byPeer.entrySet()) {
+      ReceivedReport known = usage.reports().get(entry.getKey());
+      ReceivedReport next = entry.getValue().useReport();
+      boolean reportsUse = known != null || next.report().instances() > 0;
+      if (reportsUse && !next.equals(known)) {
+        result = result.withReport(entry.getKey(), next, nowMs);
+      }
+    }
+    return result;
+  }
+
   /** Returns the calls of all peers at an engine. */
   int inFlight(BackendId engine) {
     return inFlight.getOrDefault(engine, 0);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/membership/PeerMessage.java
@@ -8,6 +8,7 @@
 import org.limpetdoor.core.gateway.RouteTable;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.CustomerId;
+import org.limpetdoor.core.limits.UseReport;
 import org.pcollections.PMap;
 import org.pcollections.PSet;
 
@@ -85,6 +86,7 @@
    * @param adaptersInUse adapters with calls in flight; empty in a digest of the fleet
    * @param arrivals number of calls that arrived for each model since the last digest; empty in a
    *     digest of the fleet
+   * @param use use of the client accounts that have a limit
    * @param crashReports evidence of contents that crash engines that has changed since the last
    *     digest to the receiver
    */
@@ -97,6 +99,7 @@
       PMap<BackendId, Integer> gapsMs,
       PSet<ModelKey> adaptersInUse,
       PMap<ModelKey, Integer> arrivals,
+      UseReport use,
       List<CrashReport> crashReports)
       implements PeerMessage {
     /** Copies the reports. */
@@ -106,7 +109,8 @@
 
     /**
      * Returns whether a receiver of the other digest learns nothing new from this one but that its
-     * sender is live. Calls and reports since the last digest are always new.
+     * sender is live. Calls and reports since the last digest are always new. Use of accounts,
+     * which changes with each call, is not compared.
      */
     public boolean saysTheSameAs(LoadDigest other) {
       return arrivals.isEmpty()
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FactsEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FactsEventsTest.java
@@ -13,6 +13,7 @@
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.limits.UseReport;
 import org.limpetdoor.core.membership.DigestScope;
 import org.limpetdoor.core.membership.ListedInstance;
 import org.limpetdoor.core.membership.PeerMessage;
@@ -41,6 +42,7 @@
         HashTreePMap.empty(),
         HashTreePSet.empty(),
         HashTreePMap.empty(),
+        UseReport.NONE,
         List.of());
   }
 
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
@@ -29,6 +29,7 @@
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.limits.UseReport;
 import org.limpetdoor.core.membership.DigestScope;
 import org.limpetdoor.core.membership.PeerMessage.DigestTimes;
 import org.limpetdoor.core.membership.PeerMessage.LoadDigest;
@@ -230,6 +231,7 @@
             HashTreePMap.empty(),
             HashTreePSet.empty(),
             HashTreePMap.empty(),
+            UseReport.NONE,
             reports);
     reduce(new PeerLinkUp(nowMs, id));
     reduce(new PeerMessageReceived(nowMs, id, digest));
--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/PeerMessageCodec.java
@@ -7,6 +7,7 @@
 import org.limpetdoor.core.gateway.CrashReport;
 import org.limpetdoor.core.gateway.ModelKey;
 import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.limits.UseReport;
 import org.limpetdoor.core.membership.DigestScope;
 import org.limpetdoor.core.membership.PeerMessage;
 import org.limpetdoor.core.membership.PeerMessage.DigestTimes;
@@ -121,6 +122,7 @@
           Values.packKey(packer, entry.getKey());
           packer.packInt(entry.getValue());
         }
+        UseReportCodec.pack(packer, digest.use());
         Values.packList(packer, digest.crashReports(), CrashReportCodec::pack);
       }
 
@@ -140,6 +142,7 @@
         PSet<ModelKey> adaptersInUse = Values.unpackKeys(unpacker);
         PMap<ModelKey, Integer> arrivals =
             Values.unpackMap(unpacker, Values::unpackKey, MessageUnpacker::unpackInt);
+        UseReport use = UseReportCodec.unpack(unpacker);
         List<CrashReport> crashReports = Values.unpackList(unpacker, CrashReportCodec::unpack);
         return new LoadDigest(
             scope,
@@ -150,6 +153,7 @@
             gapsMs,
             adaptersInUse,
             arrivals,
+            use,
             crashReports);
       }
     },
--- a/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
@@ -29,6 +29,8 @@
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.KeyDigest;
 import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.limits.AccountRates;
+import org.limpetdoor.core.limits.UseReport;
 import org.limpetdoor.core.membership.DigestScope;
 import org.limpetdoor.core.membership.ListedInstance;
 import org.limpetdoor.core.membership.PeerMessage;
@@ -62,6 +64,7 @@
               HashTreePMap.singleton(new BackendId("g2"), 74),
               HashTreePSet.singleton(ModelKey.of("m1", "a2")),
               HashTreePMap.singleton(ModelKey.of("m1", "a1"), 2),
+              new UseReport(12, HashTreePMap.singleton("acme", new AccountRates(5_000.5, 250))),
               List.of(
                   new CrashReport(-5, List.of(new CrashReport.Loss(9, 30, 10)), true, 40),
                   new CrashReport(6, List.of(), false, CrashReport.NOT_ANSWERED))),
