Admit calls within the allowance of their account over all gateways

An account may use its rate and burst over all gateways together, but each gateway sees only a part of its calls.

AllowanceAdmission admits the same part of the calls at each gateway, from the offered rate of the fleet and a level that own admissions drain at once and those of the others as their digests tell. A call over the allowance gets 429 with Retry-After at arrival; one that ends without having run at any engine gives its cost back.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/CallDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/CallDecision.java
@@ -9,6 +9,7 @@
 import org.limpetdoor.core.gateway.ForwardResult;
 import org.limpetdoor.core.gateway.Reply;
 import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.core.limits.AllowanceVerdict;
 
 /**
  * Decision about a call that is forwarded by route.
@@ -19,6 +20,8 @@
  */
 public record CallDecision(DecisionKind kind, Subject call, List<Field> details)
     implements Decision {
+  private static final int PERCENT = 100;
+
   /** Copies the details. */
   public CallDecision {
     details = List.copyOf(details);
@@ -170,6 +173,24 @@
             Field.of("time_left_ms", failure.timeLeftMs())));
   }
 
+  /** Returns the decision that records the refusal of a call over the allowance of its account. */
+  public static CallDecision overAllowance(
+      Subject call, Reply reply, AllowanceVerdict verdict, double cost) {
+    return new CallDecision(
+        DecisionKind.CALL_REFUSED,
+        call,
+        List.of(
+            Field.of("reason", reply.label()),
+            Field.of("status", reply.status()),
+            Field.of("not_run", reply.notRun()),
+            Field.of("broken_off", false),
+            Field.of("cause", verdict.reason().label()),
+            Field.of("cost", Math.round(cost)),
+            Field.of("admitted_percent", Math.round(verdict.admittedPart() * PERCENT)),
+            Field.of("coverage_percent", Math.round(verdict.coverage() * PERCENT)),
+            Field.of("retry_after_ms", verdict.retryAfterMs())));
+  }
+
   /**
    * Returns the decision that records that the connection of a caller was closed before the caller
    * had received a complete response.
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -66,7 +66,11 @@
     if (state.crashRecords().bannedContent(spec, node.nowMs()).isPresent()) {
       return CallSteps.refuseOnArrival(node, spec, Reply.CRASH_SUSPECT);
     }
-    NodeState afterCount = CallSteps.countArrival(node, call);
+    AllowanceSteps.Charge charge = AllowanceSteps.charge(node, call);
+    if (charge.refusal().isPresent()) {
+      return AllowanceSteps.refuse(charge.node(), call, charge.refusal().get());
+    }
+    NodeState afterCount = CallSteps.countArrival(charge.node(), call);
     NodeState afterTimer = afterCount.withTimers(afterCount.timers().plus(call.expiryTimer()));
     boolean refilled =
         !CallSteps.budget(node, call.service()).allowsRetry()
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -283,7 +283,9 @@
   }
 
   private static NodeState remove(NodeState node, Call call) {
-    return node.withGateway(node.gateway().withoutCall(call.spec().id()))
+    NodeState settled = AllowanceSteps.giveBackUnlessRun(node, call);
+    return settled
+        .withGateway(settled.gateway().withoutCall(call.spec().id()))
         .withTimers(
             node.timers()
                 .minus(call.expiryTimer())
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Digests.java
@@ -47,7 +47,7 @@
     for (Map.Entry<InstanceId, DigestScope> receiver : receivers(node).entrySet()) {
       LoadDigest digest = writer.write(receiver.getKey(), receiver.getValue());
       LoadDigest previous = state.fleet().sent().get(receiver.getKey());
-      boolean due = previous == null || isDue(previous, digest, node.nowMs());
+      boolean due = previous == null || isDue(state, previous, digest, node.nowMs());
       sentDigests = sentDigests.plus(receiver.getKey(), due ? digest : previous);
       if (due) {
         messages.add(new SendToPeer(receiver.getKey(), digest));
@@ -72,11 +72,14 @@
    * often as it must to know that this instance is live. Between a hub and its spokes, which
    * exchange most of the digests of a fleet, changes are collected for as long.
    */
-  private static boolean isDue(LoadDigest previous, LoadDigest next, long nowMs) {
+  private static boolean isDue(
+      GatewayState state, LoadDigest previous, LoadDigest next, long nowMs) {
     boolean overdue = nowMs - previous.times().sentAtMs() >= UNCHANGED_INTERVAL_MS;
     boolean betweenHubs = next.scope() == DigestScope.GROUP;
     boolean urgent = !next.crashReports().isEmpty() || next.scope() != previous.scope();
-    return overdue || urgent || (betweenHubs && !next.saysTheSameAs(previous));
+    boolean changed =
+        !next.saysTheSameAs(previous) || state.usage().hasMoved(previous.use(), next.use());
+    return overdue || urgent || (betweenHubs && changed);
   }
 
   private static Map<InstanceId, DigestScope> receivers(NodeState node) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
@@ -38,7 +38,7 @@
   public static Transition<NodeState, Effect> tick(NodeState node) {
     Timer next = new Timer(node.nowMs() + INTERVAL_MS, TimerKind.GATEWAY_TICK, "");
     NodeState timed = node.withTimers(node.timers().plus(next));
-    return StoreEvents.dropUnlisted(dropLoadedModels(decayDemand(timed)))
+    return StoreEvents.dropUnlisted(dropLoadedModels(decayDemand(withListed(timed))))
         .then(state -> DutyEvents.tick(PlacementPlanner.refillLoadTokens(state)))
         .then(FleetEvents::tick)
         .then(FactsEvents::tick)
@@ -85,6 +85,13 @@
             state.callTable().withoutAbsent(key -> loaded.contains(key.model()), node.nowMs())));
   }
 
+  /** Adapts the shares of the allowances to the number of listed instances. */
+  private static NodeState withListed(NodeState node) {
+    GatewayState state = node.gateway();
+    int listed = node.membership().layout().size();
+    return node.withGateway(state.withUsage(state.usage().withListed(listed, node.nowMs())));
+  }
+
   private static NodeState decayDemand(NodeState node) {
     GatewayState state = node.gateway();
     Placement placement = state.placement().decayed(INTERVAL_MS, node.nowMs());
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
@@ -29,7 +29,11 @@
     GatewayDecision decision =
         GatewayDecision.routes(state.version(), table.version(), event.source());
     return Transition.<NodeState, Effect>of(
-            node.withGateway(state.withTable(table)), new ApplyCallerLimits(table.limits()))
+            node.withGateway(
+                state
+                    .withTable(table)
+                    .withUsage(state.usage().withAccounts(table.accounts(), node.nowMs()))),
+            new ApplyCallerLimits(table.limits()))
         .with(new RecordDecision(decision))
         .then(FactsEvents::passOnRoutes)
         .then(CallEvents::serveWaiting);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/limits/AccountUsage.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/limits/AccountUsage.java
@@ -37,6 +37,9 @@
    */
   private static final int UNLISTED_INSTANCES = 64;
 
+  /** Part of its allowance by which the offered rate of an account moves before an early report. */
+  private static final double EARLY_REPORT_PART = 0.125;
+
   /**
    * A report and the time from which it is outdated.
    *
@@ -82,19 +85,56 @@
     return new UseReport(1, HashTreePMap.from(rates));
   }
 
+  /**
+   * Result of the admission of a call.
+   *
+   * @param usage use after it
+   * @param verdict whether the call is admitted, and why
+   */
+  public record Admission(AccountUsage usage, AllowanceVerdict verdict) {}
+
+  /**
+   * Counts a call of an account with a limit, and decides whether it is admitted.
+   *
+   * @param draw number that is spread evenly over calls, from 0 to 1
+   */
+  public Admission admit(ClientAccount account, double cost, double draw, long nowMs) {
+    AccountUsage current = withoutOutdated(nowMs);
+    double coverage = current.coverage();
+    AccountMeter offered = current.meter(account, nowMs).at(nowMs, coverage).withOffered(cost);
+    AllowanceVerdict verdict = new AllowanceAdmission(offered, coverage).decide(draw, cost);
+    AccountMeter counted = verdict.reason().admits() ? offered.withAdmitted(cost) : offered;
+    return new Admission(current.withMeter(account.name(), counted), verdict);
+  }
+
+  /** Returns whether an offered rate has moved far enough since a report to send another early. */
+  public boolean hasMoved(UseReport previous, UseReport next) {
+    return meters.entrySet().stream()
+        .anyMatch(
+            entry -> {
+              double before = previous.of(entry.getKey()).offeredPerS();
+              double after = next.of(entry.getKey()).offeredPerS();
+              double rate = entry.getValue().allowance().ratePerS();
+              return Math.abs(after - before) >= rate * EARLY_REPORT_PART;
+            });
+  }
+
+  /** Gives the cost of a call back that was admitted and has not run. */
+  public AccountUsage givenBack(String account, double cost, long nowMs) {
+    AccountMeter meter = meters.get(account);
+    return meter == null
+        ? this
+        : withMeter(account, meter.at(nowMs, coverage()).withGivenBack(cost));
+  }
+
   /** Adapts the meters to the accounts of a configuration. */
   public AccountUsage withAccounts(AccountTable accounts, long nowMs) {
     AccountUsage current = withoutOutdated(nowMs);
     PMap<String, AccountMeter> next = HashTreePMap.empty();
     for (ClientAccount account : accounts.all()) {
       if (account.allowance().limited()) {
-        AccountMeter known = current.meters.get(account.name());
-        AccountMeter meter =
-            known == null
-                ? AccountMeter.started(account.allowance(), nowMs)
-                    .withPeers(current.reported(account.name()))
-                : known.at(nowMs, current.coverage()).withAllowance(account.allowance());
-        next = next.plus(account.name(), meter);
+        AccountMeter known = current.meter(account, nowMs).at(nowMs, current.coverage());
+        next = next.plus(account.name(), known.withAllowance(account.allowance(), nowMs));
       }
     }
     return current.withMeters(next);
@@ -181,6 +221,15 @@
     return new AccountUsage(result, reports, listed, nextCovered, checkAtMs);
   }
 
+  private AccountMeter meter(ClientAccount account, long nowMs) {
+    AccountMeter known = meters.get(account.name());
+    return known == null ? started(account, nowMs) : known;
+  }
+
+  private AccountMeter started(ClientAccount account, long nowMs) {
+    return AccountMeter.started(account.allowance(), nowMs).withPeers(reported(account.name()));
+  }
+
   private AccountRates reported(String account) {
     AccountRates sum = AccountRates.NONE;
     for (ReceivedReport received : reports.values()) {
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DecisionLog.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DecisionLog.java
@@ -53,6 +53,7 @@
   private final PrintStream out;
   private final Counter droppedCounter;
   private final MeterRegistry metrics;
+  private final AccountMetrics accountMetrics;
   private final CountDownLatch closing = new CountDownLatch(1);
   private final Thread writer;
   private long routineCalls;
@@ -64,6 +65,7 @@
   DecisionLog(PrintStream out, MeterRegistry metrics, int maxQueuedLines) {
     this.out = out;
     this.metrics = metrics;
+    this.accountMetrics = new AccountMetrics(metrics);
     this.lines = new ArrayBlockingQueue<>(maxQueuedLines);
     this.droppedCounter = metrics.counter("limpetdoor.log.dropped.lines");
     this.writer = new Thread(this::writeLines, "log-writer");
@@ -120,6 +122,9 @@
   private void countDecision(Decision decision) {
     String reason = fieldValue(decision, "reason");
     String route = decision instanceof CallDecision call ? call.call().route() : "none";
+    if (decision instanceof CallDecision call) {
+      accountMetrics.count(call);
+    }
     if (decision.kind() == DecisionKind.CALL_ENDED) {
       durationSummary(route, reason).record(Double.parseDouble(fieldValue(decision, "took_ms")));
     }
