--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/AllowanceTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/AllowanceTest.java
@@ -213,6 +213,30 @@
     assertThat(report.of(NAME).offeredPerS()).isWithin(1e-9).of(130);
   }
 
+  /** Returns whether another hub is told within a tick that the use by a spoke has moved. */
+  private boolean isToldEarly(double use) {
+    receive("spoke-1", DigestScope.INSTANCE, 0, 1, 100);
+    receive("hub-2", DigestScope.GROUP, 0, 9, 4);
+    fixture.advance(250);
+    fixture.take(SendToPeer.class);
+    receive("spoke-1", DigestScope.INSTANCE, 0, 1, use);
+    fixture.advance(250);
+    return fixture.take(SendToPeer.class).stream()
+        .anyMatch(effect -> effect.peer().equals(new InstanceId("hub-2")));
+  }
+
+  /** Guards against a burst that other hubs learn of half a second late. */
+  @Test
+  void sendsADigestEarlyWhenTheOfferedRateMovedByAnEighthOfTheAllowance() {
+    assertThat(isToldEarly(8_200)).isTrue();
+  }
+
+  /** Guards against digests that are sent early for each call of an account. */
+  @Test
+  void sendsNoDigestEarlyWhenTheOfferedRateMovedByLess() {
+    assertThat(isToldEarly(8_000)).isFalse();
+  }
+
   /** Guards against reports of a lost peer, or from before a freeze, that count on. */
   @Test
   void countsRecentReportsOnly() {
--- a/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
@@ -153,4 +153,35 @@
     }
     assertThrows(MalformedFrameException.class, () -> PeerMessageCodec.decode(new byte[] {99}));
   }
+
+  private static byte[] encodedWith(UseReport use) {
+    return PeerMessageCodec.encode(
+        new LoadDigest(
+            DigestScope.GROUP,
+            new DigestTimes(0, 0),
+            new StoreFacts(0, 0, true, 0),
+            0,
+            HashTreePMap.empty(),
+            HashTreePMap.empty(),
+            HashTreePSet.empty(),
+            HashTreePMap.empty(),
+            use,
+            List.of()));
+  }
+
+  /** Guards against digests that grow by more than an empty map without limited accounts. */
+  @Test
+  void aDigestWithoutLimitedAccountsHasAnEmptyMapForTheirUse() {
+    int bytesOfOtherFields = 14;
+    assertThat(encodedWith(UseReport.NONE)).hasLength(bytesOfOtherFields + 1);
+  }
+
+  /** Guards against a forged rate, which would make the sums of an account unusable. */
+  @Test
+  void rejectsRatesThatAreNoAmounts() {
+    for (double rate : new double[] {-1, Double.NaN, Double.POSITIVE_INFINITY}) {
+      UseReport use = new UseReport(1, HashTreePMap.singleton("acme", new AccountRates(rate, 0)));
+      assertThrows(MalformedFrameException.class, () -> PeerMessageCodec.decode(encodedWith(use)));
+    }
+  }
 }
