--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FactsEventsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/FactsEventsTest.java
@@ -16,6 +16,7 @@
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.limits.UseReport;
 import org.limpetdoor.core.membership.DigestScope;
 import org.limpetdoor.core.membership.ListedInstance;
 import org.limpetdoor.core.membership.PeerMessage;
@@ -44,6 +45,7 @@
         HashTreePMap.empty(),
         HashTreePSet.empty(),
         HashTreePMap.empty(),
+        UseReport.NONE,
         List.of());
   }
 
--- a/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
@@ -30,6 +30,8 @@
 import org.limpetdoor.core.id.InstanceId;
 import org.limpetdoor.core.id.KeyDigest;
 import org.limpetdoor.core.id.ZoneId;
+import org.limpetdoor.core.limits.AccountRates;
+import org.limpetdoor.core.limits.UseReport;
 import org.limpetdoor.core.membership.DigestScope;
 import org.limpetdoor.core.membership.ListedInstance;
 import org.limpetdoor.core.membership.PeerMessage;
@@ -63,6 +65,7 @@
               HashTreePMap.singleton(new BackendId("g2"), 74),
               HashTreePSet.singleton(ModelKey.of("m1", "a2")),
               HashTreePMap.singleton(ModelKey.of("m1", "a1"), 2),
+              new UseReport(12, HashTreePMap.singleton("acme", new AccountRates(5_000.5, 250))),
               List.of(
                   new CrashReport(-5, List.of(new CrashReport.Loss(9, 30, 10)), true, 40),
                   new CrashReport(6, List.of(), false, CrashReport.NOT_ANSWERED))),
@@ -152,4 +155,35 @@
     }
     assertThrows(MalformedFrameException.class, () -> PeerMessageCodec.decode(new byte[] {99}));
   }
+
+  private static byte[] encodedWith(UseReport use) {
+    return PeerMessageCodec.encode(
+        new LoadDigest(
+            DigestScope.GROUP,
+            new DigestTimes(0, 0),
+            new StoreFacts(0, 0, true, 0),
+            0,
+            HashTreePMap.empty(),
+            HashTreePMap.empty(),
+            HashTreePSet.empty(),
+            HashTreePMap.empty(),
+            use,
+            List.of()));
+  }
+
+  /** Guards against digests that grow by more than an empty map without limited accounts. */
+  @Test
+  void aDigestWithoutLimitedAccountsHasAnEmptyMapForTheirUse() {
+    int bytesOfOtherFields = 14;
+    assertThat(encodedWith(UseReport.NONE)).hasLength(bytesOfOtherFields + 1);
+  }
+
+  /** Guards against a forged rate, which would make the sums of an account unusable. */
+  @Test
+  void rejectsRatesThatAreNoAmounts() {
+    for (double rate : new double[] {-1, Double.NaN, Double.POSITIVE_INFINITY}) {
+      UseReport use = new UseReport(1, HashTreePMap.singleton("acme", new AccountRates(rate, 0)));
+      assertThrows(MalformedFrameException.class, () -> PeerMessageCodec.decode(encodedWith(use)));
+    }
+  }
 }
