--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/AllowanceTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/AllowanceTest.java
@@ -167,7 +167,7 @@
             new LoadDigest(
                 scope,
                 new DigestTimes(fixture.nowMs(), echoedAtMs),
-                new StoreFacts(1, 0, true, 0),
+                new StoreFacts(1, new StorePosition(0, 0), true, 0),
                 0,
                 HashTreePMap.empty(),
                 HashTreePMap.empty(),
