--- a/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
+++ b/limpetdoor-format/src/test/java/org/limpetdoor/format/peer/PeerMessageCodecTest.java
@@ -161,7 +161,7 @@
         new LoadDigest(
             DigestScope.GROUP,
             new DigestTimes(0, 0),
-            new StoreFacts(0, 0, true, 0),
+            new StoreFacts(0, new StorePosition(0, 0), true, 0),
             0,
             HashTreePMap.empty(),
             HashTreePMap.empty(),
