--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/limits/AllowanceFleetTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/limits/AllowanceFleetTest.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntUnaryOperator;
 import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.limpetdoor.core.limits.AllowanceFleet.Instance;
@@ -119,18 +120,27 @@
     assertBounded(fleet);
   }
 
+  /** Guards against a fleet that refuses calls while it learns of a member. */
+  @Test
+  void refusesNothingInCalmWhenAnInstanceIsAdded() {
+    assertThat(refusedBesideAnAddedInstance(5_000)).isEqualTo(0);
+  }
+
   /**
-   * Guards against a fleet that refuses calls while it learns of a member. The new process itself
-   * has 1/n of the allowance until the first reports, and may refuse a call that arrives by chance
-   * with others.
+   * The same for a large account. The new process has 1/n of the allowance until the first reports,
+   * and refuses a call that arrives by chance with others.
    */
-  @ParameterizedTest
-  @ValueSource(doubles = {5_000, 212_361})
-  void refusesNothingInCalmWhenAnInstanceIsAdded(double ratePerS) {
+  @Tag("known-red")
+  @Test
+  void refusesNothingOfALargeAccountInCalmWhenAnInstanceIsAdded() {
+    assertThat(refusedBesideAnAddedInstance(212_361)).isEqualTo(0);
+  }
+
+  private static double refusedBesideAnAddedInstance(double ratePerS) {
     AllowanceFleet fleet = calmFleet(ratePerS, EVEN);
     fleet.add();
     fleet.run(6_000, USUAL * ratePerS, EVEN);
-    assertThat(fleet.refused()).isAtMost(6 * USUAL * ratePerS / 500);
+    return fleet.refused();
   }
 
   /** Guards against an earlier limit that binds on. */
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/HeadMemory.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/HeadMemory.java
@@ -17,8 +17,8 @@
  */
 final class HeadMemory implements HttpHeadersFactory, AutoCloseable {
   /**
-   * Largest number of header lines. No head of 16 kB, the largest that configurations allow callers,
-   * has more, since a line takes at least four bytes.
+   * Largest number of header lines. No head of 16 kB, the largest that configurations allow
+   * callers, has more, since a line takes at least four bytes.
    */
   static final int MAX_LINES = 4_096;
 
