Count the work of all messages between two polls

The time since which input may be unread was counted from the first message of a caller or effect after a poll; messages of peers, engines and the store before it were left out. A poll that does not block now begins the count itself.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ReadTimes.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ReadTimes.java
@@ -72,8 +72,10 @@
   private int poll(SelectStrategy delegate, IntSupplier supplier, boolean hasTasks)
       throws Exception {
     int strategy = delegate.calculateStrategy(supplier, hasTasks);
-    previousWorkBeganMs = strategy == SelectStrategy.SELECT ? NO_WORK_MS : workBeganMs;
-    workBeganMs = NO_WORK_MS;
+    boolean blocks = strategy == SelectStrategy.SELECT;
+    previousWorkBeganMs = blocks ? NO_WORK_MS : workBeganMs;
+    // Messages of peers, engines and the store are work too, but not recorded one by one.
+    workBeganMs = blocks ? NO_WORK_MS : clock.nowMs();
     return strategy;
   }
 }
