Move the waiting calls out of CallEvents

Change: WaitingCalls has the events of calls that wait for an engine; the code is unchanged but for names.

Tests: those of org.limpetdoor.core.gateway and ArchitectureTest pass.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
@@ -36,7 +36,7 @@
             new ApplyCallerLimits(table.limits()))
         .with(new RecordDecision(decision))
         .then(FactsEvents::passOnRoutes)
-        .then(CallEvents::serveWaiting);
+        .then(WaitingCalls::serve);
   }
 
   /** Applies entries and removals of the list of engines that this instance read itself. */
@@ -90,7 +90,7 @@
                     applied.withGateway(
                         applied.gateway().withStore(next.withChangedPosition(list.end())))))
         .then(applied -> FactsEvents.passOnEngines(applied, changes))
-        .then(applied -> CallEvents.serveWaiting(EngineOrders.completeListedChanges(applied)));
+        .then(applied -> WaitingCalls.serve(EngineOrders.completeListedChanges(applied)));
   }
 
   /**
