Move the waiting calls out of CallEvents

Change: WaitingCalls has the events of calls that wait for an engine; the code is unchanged but for names.

Tests: those of org.limpetdoor.core.gateway and ArchitectureTest pass.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/TimerKind.java
@@ -8,6 +8,7 @@
 import org.limpetdoor.core.gateway.EngineNoticeEvents;
 import org.limpetdoor.core.gateway.EngineOrders;
 import org.limpetdoor.core.gateway.GatewayTick;
+import org.limpetdoor.core.gateway.WaitingCalls;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.core.id.RequestId;
 import org.limpetdoor.core.request.RequestEvents;
@@ -32,14 +33,14 @@
   /** A forwarded call has reached its deadline. The key is its number. */
   CALL_EXPIRY(CallEvents::expired),
   /** A forwarded call has reached its longest wait for an engine. The key is its number. */
-  CALL_WAIT(CallEvents::waitTimedOut),
+  CALL_WAIT(WaitingCalls::timedOut),
   /**
    * The longest wait of a forwarded call for engines with many unread prompt tokens has passed. The
    * key is its number.
    */
-  CALL_PROMPT_PACING(CallEvents::promptPacingEnded),
+  CALL_PROMPT_PACING(WaitingCalls::promptPacingEnded),
   /** An engine that rejected a call or was unreachable may be tried again. The key is its name. */
-  ENGINE_RETRY(CallEvents::engineRetryDue),
+  ENGINE_RETRY(WaitingCalls::engineRetryDue),
   /**
    * The load of an adapter is due to be complete. The key holds the engine, the model and the
    * adapter.
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -1,9 +1,5 @@
 package org.limpetdoor.core.gateway;
 
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import org.limpetdoor.core.NodeState;
@@ -72,7 +68,7 @@
         !CallSteps.budget(node, call.service()).allowsRetry()
             && CallSteps.budget(afterTimer, call.service()).allowsRetry();
     Transition<NodeState, Effect> served =
-        refilled ? serveWaiting(afterTimer) : Transition.of(afterTimer);
+        refilled ? WaitingCalls.serve(afterTimer) : Transition.of(afterTimer);
     return served.then(next -> forwardOrWait(next, call));
   }
 
@@ -96,7 +92,7 @@
                         .update(
                             attempt.engine(),
                             engine -> CallSteps.recordResponseStarted(engine, call, tookMs))));
-    return serveWaiting(CrashEvents.engineResponded(started, attempt.engine()));
+    return WaitingCalls.serve(CrashEvents.engineResponded(started, attempt.engine()));
   }
 
   /**
@@ -165,7 +161,7 @@
                 event.result().failure()
                     ? attemptFailed(after, call, attempt, event.result())
                     : CallSteps.finish(after, call, CallDecision.Outcome.COMPLETED))
-        .then(CallEvents::serveWaiting);
+        .then(WaitingCalls::serve);
   }
 
   /** Removes the call of a caller that has disconnected and cancels its attempt. */
@@ -176,7 +172,7 @@
     }
     return CallSteps.cancelAttempt(recordSilence(node, call), call)
         .then(next -> CallSteps.finish(next, call, CallDecision.Outcome.CALLER_LEFT))
-        .then(CallEvents::serveWaiting);
+        .then(WaitingCalls::serve);
   }
 
   /** Records the attempt of a call that ends before its engine has responded completely. */
@@ -214,22 +210,7 @@
     Reply reply = mayHaveRun ? Reply.TIMED_OUT : Reply.EXPIRED_UNSENT;
     return CallSteps.cancelAttempt(recordSilence(node, call), call)
         .then(next -> CallSteps.fail(next, call, reply, 0, FailureCause.EXPIRED))
-        .then(CallEvents::serveWaiting);
-  }
-
-  /**
-   * Chooses an engine once more for a waiting call whose wait deadline has passed, and fails the
-   * call if none is available.
-   */
-  public static Transition<NodeState, Effect> waitTimedOut(NodeState node, String key) {
-    Call call = node.gateway().calls().get(Long.parseLong(key));
-    if (call == null || !node.gateway().waiting().contains(call.spec().id())) {
-      return Transition.of(node);
-    }
-    Choice choice = EngineSelector.choose(node, call);
-    return choice.verdict() == Verdict.CHOSEN
-        ? CallSteps.send(CallSteps.dequeue(node, call), call, choice)
-        : CallSteps.failWithoutEngine(node, call, choice);
+        .then(WaitingCalls::serve);
   }
 
   /**
@@ -249,68 +230,6 @@
     return result;
   }
 
-  /** Forwards calls that have waited for an engine that may be tried again now. */
-  public static Transition<NodeState, Effect> engineRetryDue(NodeState node, String key) {
-    return serveWaiting(node);
-  }
-
-  /** Forwards calls whose prompt was held back for the full pacing delay. */
-  public static Transition<NodeState, Effect> promptPacingEnded(NodeState node, String key) {
-    return serveWaiting(node);
-  }
-
-  /**
-   * Forwards the waiting calls for which an engine is available now, in order of priority.
-   * Interrupted responses come first, since their callers accept only a short pause. Calls that
-   * have already missed their target latency come last, so that the backlog of one crest does not
-   * delay all later calls beyond their targets. Calls whose engines all accept no requests for
-   * longer than the calls can wait, that may no longer be sent, or that have not begun and can't be
-   * retried, are answered.
-   */
-  static Transition<NodeState, Effect> serveWaiting(NodeState node) {
-    Transition<NodeState, Effect> result = Transition.of(node);
-    if (node.gateway().waiting().isEmpty()) {
-      return result;
-    }
-    List<Call> ordered =
-        node.gateway().waiting().stream()
-            .map(node.gateway().calls()::get)
-            .sorted(
-                Comparator.comparing((Call call) -> !call.delivered())
-                    .thenComparing(call -> call.isLate(node.nowMs()))
-                    .thenComparingInt(Call::priority))
-            .toList();
-    Map<Target, Choice> unavailable = new HashMap<>();
-    for (Call call : ordered) {
-      Target target = new Target(call.service(), call.spec().model());
-      Choice known = unavailable.get(target);
-      Choice choice = known == null ? EngineSelector.choose(result.state(), call) : known;
-      if (choice.verdict() == Verdict.CHOSEN) {
-        result = result.then(next -> CallSteps.send(CallSteps.dequeue(next, call), call, choice));
-        continue;
-      }
-      boolean refused = choice.verdict().refusesCall();
-      boolean sameForTarget = !refused && choice.verdict() != Verdict.PROMPT_HELD_BACK;
-      if (sameForTarget && call.triedEngines().isEmpty()) {
-        unavailable.put(target, choice);
-      }
-      boolean unaffordable = choice.verdict() == Verdict.RETRY_BUDGET_EMPTY && !call.delivered();
-      if (refused || unaffordable || ClosedEngineAdmission.opensTooLate(call, choice)) {
-        result = result.then(next -> CallSteps.failWithoutEngine(next, call, choice));
-      }
-    }
-    return result;
-  }
-
-  /**
-   * What decides which engines a call may use that was not sent to any yet. If none of them is
-   * available for one such call, none is for the others.
-   *
-   * @param service service of the call
-   * @param model model or adapter, if the service has models
-   */
-  private record Target(String service, Optional<ModelKey> model) {}
-
   private static Call createCall(
       CallSpec spec, Route route, Authentication caller, long receivedAtMs) {
     long routeTimeoutMs = route.timeoutMs();
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineNoticeEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineNoticeEvents.java
@@ -43,7 +43,7 @@
         state
             .engines()
             .update(new BackendId(key), engine -> engine.withHealth(EngineHealth::withRoom));
-    return CallEvents.serveWaiting(node.withGateway(state.withEngines(engines)));
+    return WaitingCalls.serve(node.withGateway(state.withEngines(engines)));
   }
 
   private static Transition<NodeState, Effect> closed(
@@ -58,7 +58,7 @@
       long closedMs = after.closedUntilMs() - node.nowMs();
       result = result.with(new RecordDecision(GatewayDecision.engineClosed(engine, closedMs)));
     }
-    return result.then(CallEvents::serveWaiting);
+    return result.then(WaitingCalls::serve);
   }
 
   private static Timer reopeningTimer(BackendId engine, long dueMs) {
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineOrders.java
@@ -101,7 +101,7 @@
     return done.map(order -> publishIfLoaded(recorded, order))
         .orElse(Transition.of(recorded))
         .then(PlacementPlanner::plan)
-        .then(CallEvents::serveWaiting);
+        .then(WaitingCalls::serve);
   }
 
   /** Reports a loaded model to the peers, which may be unable to read the list of engines. */
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
@@ -45,7 +45,7 @@
         .then(Digests::send)
         .then(ModelRequests::requestForWaitingCalls)
         .then(state -> PlacementPlanner.plan(EngineOrders.completeListedChanges(state)))
-        .then(CallEvents::serveWaiting)
+        .then(WaitingCalls::serve)
         .then(WaitingModels::report);
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/LoadedModelEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/LoadedModelEvents.java
@@ -64,6 +64,6 @@
                                 models.withChange(
                                     message.key(), message.held(), message.ordersAccepted()))
                         : engine);
-    return CallEvents.serveWaiting(node.withGateway(state.withEngines(engines)));
+    return WaitingCalls.serve(node.withGateway(state.withEngines(engines)));
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/StoreEvents.java
@@ -32,7 +32,7 @@
             node.withGateway(state.withTable(table)), new ApplyCallerLimits(table.limits()))
         .with(new RecordDecision(decision))
         .then(FactsEvents::passOnRoutes)
-        .then(CallEvents::serveWaiting);
+        .then(WaitingCalls::serve);
   }
 
   /** Applies entries and removals of the list of engines that this instance read itself. */
@@ -72,7 +72,7 @@
                     applied.withGateway(
                         applied.gateway().withStore(next.withChangedOffset(list.toOffset())))))
         .then(applied -> FactsEvents.passOnEngines(applied, changes))
-        .then(applied -> CallEvents.serveWaiting(EngineOrders.completeListedChanges(applied)));
+        .then(applied -> WaitingCalls.serve(EngineOrders.completeListedChanges(applied)));
   }
 
   /**
