Score engines only if one of them has room

Cause: with waiting calls, the selection runs on nearly every event, and under overload all engines are full. Each selection sorted the engines for the preference order, computed their mean latency and the affinity engine, and then used none of it.

Change: the selector first collects the engines with room and computes the inputs of the scores only if there are any. The engine that is chosen and the verdicts are the same. No measurement of the cost was made.

Tests: those of org.limpetdoor.core.gateway and ArchitectureTest pass.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
@@ -216,37 +216,46 @@
     List<EngineState> healthy =
         available.stream().filter(engine -> engine.health().avoidUntilMs() <= nowMs).toList();
     List<EngineState> candidates = healthy.isEmpty() ? available : healthy;
-    double meanLatencyMs =
-        candidates.stream()
-            .mapToDouble(engine -> engine.health().latencyMs())
-            .filter(ms -> ms > 0)
-            .average()
-            .orElse(0);
-    ScoreInputs inputs =
-        new ScoreInputs(
-            meanLatencyMs, affinityEngine(call, candidates), EnginePreference.of(node, candidates));
-    EngineState best = null;
-    double bestScore = 0;
     boolean promptHeldBack = false;
+    List<EngineState> free = new ArrayList<>();
     for (EngineState engine : candidates) {
-      double load = load(node, engine);
-      if (load >= maxLoad(call) || engine.health().fullUntilMs() > nowMs) {
+      if (load(node, engine) >= maxLoad(call) || engine.health().fullUntilMs() > nowMs) {
         continue;
       }
       if (mustHoldBack(node, call, engine)) {
         promptHeldBack = true;
         continue;
       }
-      double score = score(node, engine, load, inputs) + streamGapCost(node, call, engine);
+      free.add(engine);
+    }
+    if (free.isEmpty()) {
+      Verdict verdict = promptHeldBack ? Verdict.PROMPT_HELD_BACK : Verdict.FULL;
+      return Choice.none(verdict, candidates.size());
+    }
+    ScoreInputs inputs =
+        new ScoreInputs(
+            meanLatencyMs(candidates),
+            affinityEngine(call, candidates),
+            EnginePreference.of(node, candidates));
+    EngineState best = null;
+    double bestScore = 0;
+    for (EngineState engine : free) {
+      double score =
+          score(node, engine, load(node, engine), inputs) + streamGapCost(node, call, engine);
       if (best == null || score < bestScore) {
         best = engine;
         bestScore = score;
       }
     }
-    if (best != null) {
-      return Choice.chosen(best, candidates.size());
-    }
-    return Choice.none(promptHeldBack ? Verdict.PROMPT_HELD_BACK : Verdict.FULL, candidates.size());
+    return Choice.chosen(best, candidates.size());
+  }
+
+  private static double meanLatencyMs(List<EngineState> candidates) {
+    return candidates.stream()
+        .mapToDouble(engine -> engine.health().latencyMs())
+        .filter(ms -> ms > 0)
+        .average()
+        .orElse(0);
   }
 
   /**
