Share insufficient capacity among accounts by their claims

Cause: waiting calls were served in the order of arrival within a priority, so an account that asks for many times its usual got most of the places. Calls that could not be started waited for up to a second to be refused, and all callers were told to return after 1.2 s.

Change, where the configuration has accounts: waiting calls are served by the use of their account relative to its claim (start-time fair queueing). A call that can't be started in time is refused on arrival, or the last call in the order gives way to it. Retry-After follows from the rate at which places come free and is spread by the identifier of the call. An account above its part leaves the last place of an engine to others. The use is counted by each instance; CapacitySharing.use is the one place to replace it by that of the fleet. The decision to send a call of an account has the time for which it waited.

Tests: the unit tests of the decisions pass, and so do those of org.limpetdoor.core.gateway and ArchitectureTest.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/CallDecision.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/CallDecision.java
@@ -88,6 +88,17 @@
         List.of(Field.of("engine", engine), Field.of("candidates", candidates)));
   }
 
+  /** Returns the decision to send a call of an account, with the time for which it waited. */
+  public static CallDecision routed(Subject call, BackendId engine, int candidates, long waitedMs) {
+    return new CallDecision(
+        DecisionKind.CALL_ROUTED,
+        call,
+        List.of(
+            Field.of("engine", engine),
+            Field.of("candidates", candidates),
+            Field.of("waited_ms", waitedMs)));
+  }
+
   /**
    * Failed attempt of a call.
    *
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/FailureCause.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/decision/FailureCause.java
@@ -8,6 +8,10 @@
   NO_UNTRIED_ENGINE,
   /** All engines that could run the call were full or rejected it. */
   ENGINES_FULL,
+  /** By the rate at which places come free, the call could not be started in its time limit. */
+  NO_PLACE_IN_TIME,
+  /** The call gave its place in the waiting room to a call of an account with a lower use. */
+  GAVE_WAY,
   /** All engines that could run the call accepted no requests for longer than it could wait. */
   ENGINES_CLOSED,
   /** No engine had the model or adapter loaded. */
@@ -25,6 +29,11 @@
   /** The instance ends. */
   SHUTTING_DOWN;
 
+  /** Returns whether there were engines for the call, but too few places. */
+  public boolean lacksCapacity() {
+    return this == ENGINES_FULL || this == NO_PLACE_IN_TIME || this == GAVE_WAY;
+  }
+
   /** Returns the name for log lines and metrics. */
   public String label() {
     return name().toLowerCase(Locale.ROOT);
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallEvents.java
@@ -62,7 +62,7 @@
     if (state.crashRecords().bannedContent(spec, node.nowMs()).isPresent()) {
       return CallSteps.refuseOnArrival(node, spec, Reply.CRASH_SUSPECT);
     }
-    NodeState afterCount = CallSteps.countArrival(node, call);
+    NodeState afterCount = CapacitySharing.recordArrival(CallSteps.countArrival(node, call), call);
     NodeState afterTimer = afterCount.withTimers(afterCount.timers().plus(call.expiryTimer()));
     boolean refilled =
         !CallSteps.budget(node, call.service()).allowsRetry()
@@ -155,7 +155,11 @@
         event.result().responded()
             ? CrashEvents.engineResponded(recorded, attempt.engine())
             : recorded;
-    return CrashEvents.attemptEnded(next, call, attempt, event.result())
+    NodeState observed =
+        event.result() == ForwardResult.COMPLETED
+            ? CapacitySharing.recordCompleted(next, attempt)
+            : next;
+    return CrashEvents.attemptEnded(observed, call, attempt, event.result())
         .then(
             after ->
                 event.result().failure()
@@ -249,10 +253,28 @@
 
   private static Transition<NodeState, Effect> forwardOrWait(NodeState node, Call call) {
     Choice choice = EngineSelector.choose(node, call);
-    if (choice.verdict() == Verdict.CHOSEN) {
+    if (choice.verdict() != Verdict.CHOSEN) {
+      return wait(node, call, choice);
+    }
+    if (!CapacitySharing.inUse(node) || node.gateway().waiting().isEmpty()) {
       return CallSteps.send(node, call, choice);
     }
-    return CallSteps.enqueue(node, call, choice);
+    // Digests of peers may show places that calls of other accounts have waited for.
+    return WaitingCalls.serve(node)
+        .then(
+            next -> {
+              Choice left = EngineSelector.choose(next, call);
+              return left.verdict() == Verdict.CHOSEN
+                  ? CallSteps.send(next, call, left)
+                  : wait(next, call, left);
+            });
+  }
+
+  private static Transition<NodeState, Effect> wait(NodeState node, Call call, Choice choice) {
+    Transition<NodeState, Effect> queued = CallSteps.enqueue(node, call, choice);
+    return choice.verdict() == Verdict.FULL
+        ? queued.then(next -> CapacitySharing.admit(next, call))
+        : queued;
   }
 
   private static Transition<NodeState, Effect> attemptFailed(
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/CallSteps.java
@@ -120,6 +120,7 @@
           case CLOSED ->
               ClosedEngineAdmission.returnAfterMs(call, node.nowMs(), choice.opensAtMs());
           case REQUEST_BANNED, SHUTTING_DOWN -> 0;
+          case FULL, PROMPT_HELD_BACK -> CapacitySharing.returnAfterMs(node, call);
           default -> RETRY_AFTER_FULL_MS;
         };
     return fail(node, call, choice.verdict().refusal(), retryAfterMs, choice.verdict().cause());
@@ -129,7 +130,7 @@
   static Transition<NodeState, Effect> send(NodeState node, Call call, Choice choice) {
     EngineState engine = choice.engine().orElseThrow();
     Call sent = call.withAttempt(engine.entry().id(), node.nowMs());
-    GatewayState state = chargeRetry(node, call).gateway();
+    GatewayState state = CapacitySharing.recordSent(chargeRetry(node, call), call).gateway();
     NodeState next =
         node.withGateway(
             state
@@ -140,8 +141,12 @@
                         .update(
                             engine.entry().id(),
                             current -> current.withLoad(load -> load.withSent(sent)))));
+    BackendId id = engine.entry().id();
+    long waitedMs = node.nowMs() - call.arrivedAtMs();
     CallDecision decision =
-        CallDecision.routed(subject(sent), engine.entry().id(), choice.candidates());
+        call.account().isPresent()
+            ? CallDecision.routed(subject(sent), id, choice.candidates(), waitedMs)
+            : CallDecision.routed(subject(sent), id, choice.candidates());
     return Transition.<NodeState, Effect>of(next, new RecordDecision(decision))
         .with(ForwardCallFactory.create(node, sent, engine));
   }
@@ -176,7 +181,8 @@
                 node.nowMs() - call.arrivedAtMs(),
                 budget(node, call.service()).available(),
                 call.deadlineMs() - node.nowMs()));
-    return Transition.<NodeState, Effect>of(remove(node, call), effect)
+    NodeState recorded = CapacitySharing.recordFailed(node, call, cause);
+    return Transition.<NodeState, Effect>of(remove(recorded, call), effect)
         .with(new RecordDecision(decision));
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/EngineSelector.java
@@ -216,21 +216,22 @@
     List<EngineState> healthy =
         available.stream().filter(engine -> engine.health().avoidUntilMs() <= nowMs).toList();
     List<EngineState> candidates = healthy.isEmpty() ? available : healthy;
-    boolean promptHeldBack = false;
+    Verdict unavailable = Verdict.FULL;
     List<EngineState> free = new ArrayList<>();
+    boolean reserve = CapacitySharing.leavesReserve(node, call);
     for (EngineState engine : candidates) {
-      if (load(node, engine) >= maxLoad(call) || engine.health().fullUntilMs() > nowMs) {
+      double reserved = reserve ? 1.0 / Math.max(1, engine.entry().slots()) : 0;
+      if (load(node, engine) >= maxLoad(call) - reserved || engine.health().fullUntilMs() > nowMs) {
         continue;
       }
       if (mustHoldBack(node, call, engine)) {
-        promptHeldBack = true;
+        unavailable = Verdict.PROMPT_HELD_BACK;
         continue;
       }
       free.add(engine);
     }
     if (free.isEmpty()) {
-      Verdict verdict = promptHeldBack ? Verdict.PROMPT_HELD_BACK : Verdict.FULL;
-      return Choice.none(verdict, candidates.size());
+      return Choice.none(unavailable, candidates.size());
     }
     ScoreInputs inputs =
         new ScoreInputs(
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/GatewayTick.java
@@ -45,7 +45,7 @@
         .then(Digests::send)
         .then(ModelRequests::requestForWaitingCalls)
         .then(state -> PlacementPlanner.plan(EngineOrders.completeListedChanges(state)))
-        .then(WaitingCalls::serve)
+        .then(state -> WaitingCalls.serve(CapacitySharing.updateLevel(state)))
         .then(WaitingModels::report);
   }
 
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Reply.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/Reply.java
@@ -16,7 +16,7 @@
   SHUTTING_DOWN(503, true),
   /** The service has no engine for the call, and no engine has run it. */
   NO_ENGINE(503, true),
-  /** All engines for the call were full until its wait deadline passed. */
+  /** All engines for the call were full until its wait deadline passed, or would be. */
   ENGINES_FULL(503, true),
   /** All engines for the call accept no requests for longer than the call can wait. */
   ENGINES_CLOSED(503, true),
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/RetryBudgets.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/RetryBudgets.java
@@ -46,9 +46,13 @@
    * instances is taken into account as well.
    */
   private static double maxAvailable(NodeState node) {
-    int contacted = node.gateway().peers().byPeer().size() + 1;
-    int instances = Math.max(contacted, node.membership().members().size());
     double slack = node.gateway().settings().retrySlack();
-    return slack / Math.max(MIN_INSTANCES, instances * SPARE_INSTANCE_FACTOR);
+    return slack / Math.max(MIN_INSTANCES, instances(node) * SPARE_INSTANCE_FACTOR);
+  }
+
+  /** Returns the number of instances that are listed or in contact, including this one. */
+  static int instances(NodeState node) {
+    int contacted = node.gateway().peers().byPeer().size() + 1;
+    return Math.max(contacted, node.membership().members().size());
   }
 }
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/WaitingCalls.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/gateway/WaitingCalls.java
@@ -16,28 +16,20 @@
   private WaitingCalls() {}
 
   /**
-   * Forwards the waiting calls for which an engine is available now, in order of priority.
-   * Interrupted responses come first, since their callers accept only a short pause. Calls that
-   * have already missed their target latency come last, so that the backlog of one crest does not
-   * delay all later calls beyond their targets. Calls whose engines all accept no requests for
-   * longer than the calls can wait, that may no longer be sent, or that have not begun and can't be
-   * retried, are answered.
+   * Forwards the waiting calls for which an engine is available now, in order of priority and,
+   * within a priority, of the use of the accounts relative to their claims. Interrupted responses
+   * come first, since their callers accept only a short pause. Calls that have already missed their
+   * target latency come last, so that the backlog of one crest does not delay all later calls
+   * beyond their targets. Calls whose engines all accept no requests for longer than the calls can
+   * wait, that may no longer be sent, or that have not begun and can't be retried, are answered.
    */
   static Transition<NodeState, Effect> serve(NodeState node) {
     Transition<NodeState, Effect> result = Transition.of(node);
     if (node.gateway().waiting().isEmpty()) {
       return result;
     }
-    List<Call> ordered =
-        node.gateway().waiting().stream()
-            .map(node.gateway().calls()::get)
-            .sorted(
-                Comparator.comparing((Call call) -> !call.delivered())
-                    .thenComparing(call -> call.isLate(node.nowMs()))
-                    .thenComparingInt(Call::priority))
-            .toList();
     Map<Target, Choice> unavailable = new HashMap<>();
-    for (Call call : ordered) {
+    for (Call call : ordered(node)) {
       Target target = new Target(call.service(), call.spec().model());
       Choice known = unavailable.get(target);
       Choice choice = known == null ? EngineSelector.choose(result.state(), call) : known;
@@ -58,6 +50,19 @@
     return result;
   }
 
+  private static List<Call> ordered(NodeState node) {
+    List<Call> calls = node.gateway().waiting().stream().map(node.gateway().calls()::get).toList();
+    if (CapacitySharing.inUse(node)) {
+      return CapacitySharing.order(node, calls);
+    }
+    return calls.stream()
+        .sorted(
+            Comparator.comparing((Call call) -> !call.delivered())
+                .thenComparing(call -> call.isLate(node.nowMs()))
+                .thenComparingInt(Call::priority))
+        .toList();
+  }
+
   /**
    * What decides which engines a call may use that was not sent to any yet. If none of them is
    * available for one such call, none is for the others.
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/GatewayFixture.java
@@ -209,16 +209,25 @@
 
   /** Establishes a link to a peer and delivers evidence of crashes from it. */
   void peerReports(CrashReport... reports) {
-    peerDigest("node-2", true, 0, List.of(reports));
+    peerDigest("node-2", true, 0, HashTreePMap.empty(), List.of(reports));
   }
 
   /** Establishes a link to a peer and delivers a digest from it. */
   void peerDigest(String peer, boolean storeReachable, long fencingNumber) {
-    peerDigest(peer, storeReachable, fencingNumber, List.of());
+    peerDigest(peer, storeReachable, fencingNumber, HashTreePMap.empty(), List.of());
+  }
+
+  /** Establishes a link to a peer and delivers a digest with its calls in flight. */
+  void peerLoad(String peer, PMap<BackendId, Integer> inFlight) {
+    peerDigest(peer, true, 0, inFlight, List.of());
   }
 
   private void peerDigest(
-      String peer, boolean storeReachable, long fencingNumber, List<CrashReport> reports) {
+      String peer,
+      boolean storeReachable,
+      long fencingNumber,
+      PMap<BackendId, Integer> inFlight,
+      List<CrashReport> reports) {
     InstanceId id = new InstanceId(peer);
     LoadDigest digest =
         new LoadDigest(
@@ -226,7 +235,7 @@
             new DigestTimes(nowMs, 0),
             new StoreFacts(1, 0, storeReachable, 0),
             fencingNumber,
-            HashTreePMap.empty(),
+            inFlight,
             HashTreePMap.empty(),
             HashTreePSet.empty(),
             HashTreePMap.empty(),
