Count the calls of each account in the log and the metrics

Cause: operators could not see which accounts ask, wait and are refused.

Change: AccountCounts counts offered, admitted, waited and refused calls (by cause) from the decisions about them: the metric limpetdoor.account.calls, and a line account_calls for each account every 10 s.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DecisionLog.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/DecisionLog.java
@@ -55,6 +55,7 @@
   private final MeterRegistry metrics;
   private final CountDownLatch closing = new CountDownLatch(1);
   private final Thread writer;
+  private final AccountCounts accounts;
   private long routineCalls;
 
   DecisionLog(PrintStream out, MeterRegistry metrics) {
@@ -65,6 +66,7 @@
     this.out = out;
     this.metrics = metrics;
     this.lines = new ArrayBlockingQueue<>(maxQueuedLines);
+    this.accounts = new AccountCounts(metrics, System.currentTimeMillis());
     this.droppedCounter = metrics.counter("limpetdoor.log.dropped.lines");
     this.writer = new Thread(this::writeLines, "log-writer");
     this.writer.setDaemon(true);
@@ -74,6 +76,10 @@
   /** Counts a decision, and writes its line unless it is routine and not sampled. */
   void record(Decision decision) {
     countDecision(decision);
+    if (decision instanceof CallDecision call) {
+      accounts.count(call);
+      accounts.takeLines(System.currentTimeMillis()).forEach(this::write);
+    }
     boolean routine = isRoutine(decision);
     if (routine && routineCalls++ % SAMPLE_ONE_IN != 0) {
       return;
