Test the spread of returns and the lower bound by themselves

Cause: CapacitySharingTest passes without the spread of Retry-After, without the reserve and without the lower bound on the share of calls that is served; their removal was tried together.

Change: SharingDecisionsTest checks the spread and the lower bound. The reserve still has no test that fails without it; the design page says so.

--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/sharing/SharingDecisionsTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/sharing/SharingDecisionsTest.java
@@ -110,4 +110,21 @@
     ShareLedger short1 = served.withOffered("b", 10, NOW_MS);
     assertThat(FairLevel.of(short1, CLAIMS, NOW_MS)).isLessThan(1.0);
   }
+
+  /** Guards against callers that return in one wave. */
+  @Test
+  void spreadsEqualTimesToReturn() {
+    assertThat(ReturnTime.afterMs(1_000, 9_000, "c1"))
+        .isNotEqualTo(ReturnTime.afterMs(1_000, 9_000, "c2"));
+  }
+
+  /** Guards against an account that is hardly served at all. */
+  @Test
+  void putsAnAccountThatIsHardlyServedFirst() {
+    ShareLedger ledger = ShareLedger.EMPTY.withSent("b", 10, NOW_MS).withRefused("a", NOW_MS);
+    FairOrder order =
+        new FairOrder(account -> account.equals("a") ? 90 : 0, CLAIMS, ledger, NOW_MS);
+    assertThat(order.sort(List.of(call(1, "b", 10), call(2, "a", 10))).get(0).call().id())
+        .isEqualTo(2);
+  }
 }
