--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/limits/AccountMeter.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/limits/AccountMeter.java
@@ -35,7 +35,7 @@
   /** Part of the rate from which an instance reports its use. Less has no effect on decisions. */
   private static final double REPORTED_PART = 1e-4;
 
-  /** Time after which all reports tell of the present allowance, in milliseconds. */
+  /** Time after which all reports were made under the present allowance, in milliseconds. */
   private static final long REPORT_DELAY_MS = 2_000;
 
   private static final double MS_PER_S = 1_000;
--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/limits/ConnectionThreshold.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/limits/ConnectionThreshold.java
@@ -8,15 +8,15 @@
  * for connections of other addresses remain. Beyond the threshold the address keeps its number; a
  * new connection takes the place of an older one that serves no request.
  *
- * @param capacity connections that the listener may have at once
+ * @param maxConnections connections that the listener may have at once
  */
-public record ConnectionThreshold(int capacity) {
+public record ConnectionThreshold(int maxConnections) {
   private static final int FREE_FACTOR = 8;
 
   /** Checks the number. */
   public ConnectionThreshold {
-    if (capacity < 1) {
-      throw new IllegalArgumentException("capacity is below 1: " + capacity);
+    if (maxConnections < 1) {
+      throw new IllegalArgumentException("maxConnections is below 1: " + maxConnections);
     }
   }
 
@@ -27,6 +27,6 @@
    * @param open connections of all addresses afterwards
    */
   public boolean allows(int ofAddress, int open) {
-    return ofAddress <= (long) FREE_FACTOR * (capacity - open);
+    return ofAddress <= (long) FREE_FACTOR * (maxConnections - open);
   }
 }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/AllowanceTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/gateway/AllowanceTest.java
@@ -213,7 +213,7 @@
     assertThat(report.of(NAME).offeredPerS()).isWithin(1e-9).of(130);
   }
 
-  /** Returns whether another hub is told within a tick that the use by a spoke has moved. */
+  /** Returns whether a hub sends another one an early digest after the use by a spoke has moved. */
   private boolean isToldEarly(double use) {
     receive("spoke-1", DigestScope.INSTANCE, 0, 1, 100);
     receive("hub-2", DigestScope.GROUP, 0, 9, 4);
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
@@ -39,8 +39,6 @@
  * thread.
  */
 final class CallerChannel extends ChannelInboundHandlerAdapter {
-  private static final double MS_PER_S = 1_000;
-
   /** Time after which callers return that there was no memory for, in milliseconds. */
   private static final long RETRY_AFTER_NO_MEMORY_MS = 1_000;
 
@@ -176,16 +174,7 @@
    * @param retryAfterMs time after which the caller may retry, in milliseconds; 0 if not stated
    */
   void reply(Reply reply, long retryAfterMs) {
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(reply.status()),
-            ProblemDetails.body(reply));
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, ProblemDetails.CONTENT_TYPE);
-    if (retryAfterMs > 0) {
-      response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterMs / MS_PER_S);
-    }
-    write(response);
+    write(ProblemDetails.response(reply, retryAfterMs));
   }
 
   /**
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/AcceptLimit.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/AcceptLimit.java
@@ -35,7 +35,7 @@
    *
    * @param threshold decides about a new connection
    * @param serving whether a connection serves a request, so that it isn't closed for another one
-   * @param overload is told when a connection is closed
+   * @param overload receives the reason for each connection that is closed
    */
   public AcceptLimit(
       ConnectionThreshold threshold,
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/PeerTransport.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/PeerTransport.java
@@ -89,7 +89,7 @@
   /**
    * Starts a transport that runs on an existing traffic thread, which it does not shut down.
    *
-   * @param overload is told of connections that are closed because there are too many
+   * @param overload receives the reason for each connection that is closed as one too many
    */
   public static PeerTransport start(
       PeerTransportSettings settings,
