Raise the version of the peer protocol

Digests and facts have new fields (use of accounts, era of the store), so builds before and after them cannot decode each other's messages. The handshake now refuses with version_mismatch instead of a malformed frame later.

--- a/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/HandshakeFrame.java
+++ b/limpetdoor-format/src/main/java/org/limpetdoor/format/peer/HandshakeFrame.java
@@ -8,7 +8,7 @@
 /** A frame of the handshake that opens a link between two instances. */
 public sealed interface HandshakeFrame {
   /** Protocol version of this build. */
-  int PROTOCOL_VERSION = 1;
+  int PROTOCOL_VERSION = 2;
 
   /**
    * The first frame of the handshake, sent by the accepting side.
