--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ReadTimes.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ReadTimes.java
@@ -24,10 +24,10 @@
 
   private final MonotonicClock clock;
 
-  /** Time of the first work since the last poll. */
+  /** Time of the last poll if it did not block, otherwise of the first work since it. */
   private long workBeganMs = NO_WORK_MS;
 
-  /** Time of the first work between the last two polls, if the last one did not block. */
+  /** Value of {@code workBeganMs} before the last poll, if that poll did not block. */
   private long previousWorkBeganMs = NO_WORK_MS;
 
   ReadTimes(MonotonicClock clock) {
