Wait in SlowReaderTest until the engine can send nothing more

A thread dump shows it waiting for more than 16,000 bytes in memory while the traffic thread is idle: the stream was suspended above that number, the socket then took a part of the bytes, and the stream is resumed only when it has taken all, so the number stays below. The product is right; the test missed the moment between two looks.

The test now waits until the engine has sent nothing for two seconds, and checks in addition that it has events left and that bytes are in memory.

--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/SlowReaderTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/SlowReaderTest.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.limpetdoor.core.gateway.ForwardResult;
@@ -28,13 +29,16 @@
       "HTTP/1.1 200 OK\r\nSigned: s\r\nContent-Type: text/event-stream\r\n"
           + "Transfer-Encoding: chunked\r\n\r\n";
   private static final long POLL_MS = 20;
+  private static final int STANDSTILL_POLLS = 100;
+
+  private final AtomicInteger sentEvents = new AtomicInteger();
 
   private final BodyMemories memories =
       new BodyMemories(BodyMemory.ofBytes(CAPACITY_BYTES), BodyMemory.ofBytes(CAPACITY_BYTES));
 
   /** Guards against events in memory without bound, and against a stream that stays suspended. */
   @Test
-  @Timeout(240)
+  @Timeout(120)
   void theEngineIsNotReadFromWithoutMemoryAndTheStreamIsCompleted() throws Exception {
     try (ControlledEngine engine = new ControlledEngine();
         GatewayFixture gateway = new GatewayFixture(memories);
@@ -44,9 +48,9 @@
       Connection connection = engine.accept();
       connection.readRequest();
       CompletableFuture<Void> sent = CompletableFuture.runAsync(() -> sendEvents(connection));
-      while (memories.responses().usedBytes() <= CAPACITY_BYTES) {
-        TimeUnit.MILLISECONDS.sleep(POLL_MS);
-      }
+      awaitStandstill();
+      assertThat(sentEvents.get()).isLessThan(EVENTS);
+      assertThat(memories.responses().usedBytes()).isGreaterThan(0);
       assertThat(memories.responses().usedBytes()).isAtMost(CAPACITY_BYTES + READ_BYTES);
 
       String stream = GatewayFixture.readAll(caller);
@@ -58,12 +62,25 @@
     }
   }
 
-  private static void sendEvents(Connection connection) {
+  /** Waits until the engine has sent nothing for some time, because nobody reads from it. */
+  private void awaitStandstill() throws InterruptedException {
+    int polls = 0;
+    int last = 0;
+    while (polls < STANDSTILL_POLLS) {
+      TimeUnit.MILLISECONDS.sleep(POLL_MS);
+      int now = sentEvents.get();
+      polls = now > 0 && now == last ? polls + 1 : 0;
+      last = now;
+    }
+  }
+
+  private void sendEvents(Connection connection) {
     String chunk = Integer.toHexString(EVENT.length()) + "\r\n" + EVENT + "\r\n";
     try {
       connection.write(HEAD);
       for (int i = 0; i < EVENTS; i++) {
         connection.write(chunk);
+        sentEvents.incrementAndGet();
       }
       connection.write("0\r\n\r\n");
     } catch (IOException e) {
