Move the bounds on callers from the gateway to the runtime module

The entry needs the same bounds as the gateway. The codec, the memories of heads, bodies and responses, the capacity of listeners and the overload log move to org.limpetdoor.runtime.http without a change of behaviour.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
@@ -32,7 +32,9 @@
 import org.limpetdoor.core.event.CallerConnectionClosed;
 import org.limpetdoor.core.gateway.Reply;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
-import org.limpetdoor.gateway.HeadMemory.NoHeadMemoryException;
+import org.limpetdoor.runtime.http.BufferedBody;
+import org.limpetdoor.runtime.http.HeadMemory.NoHeadMemoryException;
+import org.limpetdoor.runtime.http.UnsentResponses;
 
 /**
  * A connection from a caller, which has at most one open call at a time. Confined to the traffic
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
@@ -17,6 +17,7 @@
 import org.limpetdoor.core.gateway.ForwardResult;
 import org.limpetdoor.runtime.BodyMemory;
 import org.limpetdoor.runtime.MonotonicClock;
+import org.limpetdoor.runtime.http.BufferedBody;
 
 /**
  * One attempt to run a call on an engine. It reports its end exactly once. Confined to the traffic
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
@@ -28,6 +28,8 @@
 import org.limpetdoor.runtime.MonotonicClock;
 import org.limpetdoor.runtime.SuspensionDetector;
 import org.limpetdoor.runtime.decision.LogLine;
+import org.limpetdoor.runtime.http.BodyMemories;
+import org.limpetdoor.runtime.http.OverloadLog;
 import org.limpetdoor.runtime.peer.PeerTransport;
 import org.limpetdoor.runtime.peer.PeerTransportSettings;
 
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -35,6 +35,9 @@
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
 import org.limpetdoor.runtime.BodyMemory;
 import org.limpetdoor.runtime.MonotonicClock;
+import org.limpetdoor.runtime.http.BodyMemories;
+import org.limpetdoor.runtime.http.HeadMemory;
+import org.limpetdoor.runtime.http.OverloadLog;
 
 /**
  * Holds the open calls and their connections, and executes the effects on them. All methods except
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
@@ -14,6 +14,8 @@
 import java.net.InetSocketAddress;
 import java.util.function.Function;
 import org.limpetdoor.runtime.AcceptLimit;
+import org.limpetdoor.runtime.http.ConnectionCapacity;
+import org.limpetdoor.runtime.http.PacedHttpCodec;
 
 /** Binds the listening sockets of a gateway. */
 final class Listeners {
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/BodyMemoryTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/BodyMemoryTest.java
@@ -14,6 +14,7 @@
 import org.limpetdoor.core.gateway.ForwardResult;
 import org.limpetdoor.gateway.ControlledEngine.Connection;
 import org.limpetdoor.runtime.BodyMemory;
+import org.limpetdoor.runtime.http.BodyMemories;
 
 /** Tests many long bodies at once, each shorter than the longest one that is allowed. */
 class BodyMemoryTest {
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/CallerChannelTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/CallerChannelTest.java
@@ -24,6 +24,8 @@
 import org.limpetdoor.core.gateway.Reply;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
 import org.limpetdoor.runtime.MonotonicClock;
+import org.limpetdoor.runtime.http.BodyMemories;
+import org.limpetdoor.runtime.http.OverloadLog;
 
 /** Tests when the connection of a caller counts as idle. */
 class CallerChannelTest {
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayFixture.java
@@ -28,6 +28,8 @@
 import org.limpetdoor.core.gateway.account.Authentication;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.runtime.MonotonicClock;
+import org.limpetdoor.runtime.http.BodyMemories;
+import org.limpetdoor.runtime.http.OverloadLog;
 
 /** The traffic side of a gateway on loopback, whose effects the test submits. */
 final class GatewayFixture implements AutoCloseable {
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/GatewayTrafficTest.java
@@ -55,6 +55,8 @@
 import org.limpetdoor.core.gateway.account.Authentication;
 import org.limpetdoor.core.id.BackendId;
 import org.limpetdoor.runtime.MonotonicClock;
+import org.limpetdoor.runtime.http.BodyMemories;
+import org.limpetdoor.runtime.http.OverloadLog;
 
 /** Tests the forwarding of calls on loopback with an engine that sends scripted responses. */
 class GatewayTrafficTest {
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/SlowReaderTest.java
+++ b/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/SlowReaderTest.java
@@ -13,6 +13,7 @@
 import org.limpetdoor.core.gateway.ForwardResult;
 import org.limpetdoor.gateway.ControlledEngine.Connection;
 import org.limpetdoor.runtime.BodyMemory;
+import org.limpetdoor.runtime.http.BodyMemories;
 
 /** Tests a stream whose caller does not read for a while. */
 class SlowReaderTest {
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/BodyMemories.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/BodyMemories.java
@@ -1,4 +1,4 @@
-package org.limpetdoor.gateway;
+package org.limpetdoor.runtime.http;
 
 import org.limpetdoor.runtime.BodyMemory;
 
@@ -10,12 +10,12 @@
  * @param responses bodies of responses that are being received, may still be relayed or have not
  *     been taken by the socket of the caller
  */
-record BodyMemories(BodyMemory requests, BodyMemory responses) {
+public record BodyMemories(BodyMemory requests, BodyMemory responses) {
   /** Part of the heap for each kind; state, buffers of sockets and copies need the rest. */
   private static final int HEAP_DIVISOR = 5;
 
   /** Creates the memories of a process. */
-  static BodyMemories ofHeap() {
+  public static BodyMemories ofHeap() {
     return new BodyMemories(BodyMemory.ofHeap(HEAP_DIVISOR), BodyMemory.ofHeap(HEAP_DIVISOR));
   }
 }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/BufferedBody.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/BufferedBody.java
@@ -1,4 +1,4 @@
-package org.limpetdoor.gateway;
+package org.limpetdoor.runtime.http;
 
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
@@ -9,7 +9,7 @@
  * A message body in memory. Its length counts against the memory that all bodies of its kind share,
  * until it is closed, which makes it ready for the next one. Confined to the traffic thread.
  */
-final class BufferedBody implements AutoCloseable {
+public final class BufferedBody implements AutoCloseable {
   private static final int FIRST_BLOCK_BYTES = 1 << 10;
   private static final int MAX_BLOCK_BYTES = 64 << 10;
 
@@ -21,16 +21,22 @@
   private int lengthBytes;
   private int freeBytes;
 
-  BufferedBody(BodyMemory memory) {
+  /**
+   * Creates an empty body.
+   *
+   * @param memory memory that the body shares with others
+   */
+  public BufferedBody(BodyMemory memory) {
     this.reservation = memory.reserve();
   }
 
-  int lengthBytes() {
+  /** Returns the length, in bytes. */
+  public int lengthBytes() {
     return lengthBytes;
   }
 
   /** Appends the readable bytes, and returns false if there is no memory for them. */
-  boolean append(ByteBuf bytes) {
+  public boolean append(ByteBuf bytes) {
     if (!reservation.tryGrow(bytes.readableBytes())) {
       return false;
     }
@@ -48,7 +54,8 @@
     return true;
   }
 
-  byte[] toByteArray() {
+  /** Returns a copy of the content. */
+  public byte[] toByteArray() {
     byte[] result = new byte[lengthBytes];
     int offset = 0;
     for (byte[] block : blocks) {
@@ -60,7 +67,7 @@
   }
 
   /** Drops the content but not the reservation, which then stands for a copy of it. */
-  void dropContent() {
+  public void dropContent() {
     blocks.clear();
     freeBytes = 0;
   }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/ConnectionCapacity.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/ConnectionCapacity.java
@@ -1,11 +1,11 @@
-package org.limpetdoor.gateway;
+package org.limpetdoor.runtime.http;
 
 import com.sun.management.UnixOperatingSystemMXBean;
 import java.lang.management.ManagementFactory;
 import org.limpetdoor.core.limits.ConnectionThreshold;
 
 /** Derives how many connections the listeners of a process may have from what the process has. */
-final class ConnectionCapacity {
+public final class ConnectionCapacity {
   /** Part of the descriptors for callers; engines, peers, store and files need the rest. */
   private static final double DESCRIPTOR_FRACTION = 0.7;
 
@@ -23,13 +23,15 @@
 
   private ConnectionCapacity() {}
 
-  static ConnectionThreshold ofCallers() {
+  /** Returns the capacity of a listener for callers. */
+  public static ConnectionThreshold ofCallers() {
     long byDescriptors = (long) (descriptors() * DESCRIPTOR_FRACTION);
     long byHeap = Runtime.getRuntime().maxMemory() / HEAP_DIVISOR / CONNECTION_BYTES;
     return new ConnectionThreshold((int) Math.max(1, Math.min(byDescriptors, byHeap)));
   }
 
-  static ConnectionThreshold ofMonitoring() {
+  /** Returns the capacity of a listener for readiness checks, metrics or operators. */
+  public static ConnectionThreshold ofMonitoring() {
     return new ConnectionThreshold(MONITORING_CONNECTIONS);
   }
 
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/HeadMemory.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/HeadMemory.java
@@ -1,4 +1,4 @@
-package org.limpetdoor.gateway;
+package org.limpetdoor.runtime.http;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -15,12 +15,12 @@
  * <p>It answers callers that send heads of very short lines: a line of four bytes takes more than a
  * hundred bytes as objects, so that a bound on the bytes of a head does not bound its memory.
  */
-final class HeadMemory implements HttpHeadersFactory, AutoCloseable {
+public final class HeadMemory implements HttpHeadersFactory, AutoCloseable {
   /**
    * Largest number of header lines. No head of 16 kB, the largest that configurations allow
    * callers, has more, since a line takes at least four bytes.
    */
-  static final int MAX_LINES = 4_096;
+  public static final int MAX_LINES = 4_096;
 
   /**
    * What a header line takes beside its bytes: an entry, two texts with their arrays, and the same
@@ -33,13 +33,19 @@
   private int lines;
   private int heldBytes;
 
-  HeadMemory(BodyMemory memory, Consumer<OverloadReason> overload) {
+  /**
+   * Reserves nothing yet.
+   *
+   * @param memory memory that all requests share
+   * @param overload receives the reason for each head that is refused
+   */
+  public HeadMemory(BodyMemory memory, Consumer<OverloadReason> overload) {
     this.reservation = memory.reserve();
     this.overload = overload;
   }
 
   /** Thrown when there is no memory for a head. */
-  static final class NoHeadMemoryException extends IllegalStateException {
+  public static final class NoHeadMemoryException extends IllegalStateException {
     private static final long serialVersionUID = 1L;
 
     NoHeadMemoryException() {
@@ -58,7 +64,7 @@
   }
 
   /** Records the bytes that are received but not decoded. */
-  void hold(int bytes) {
+  public void hold(int bytes) {
     if (bytes > heldBytes) {
       reserve(bytes - heldBytes);
       heldBytes = bytes;
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/OverloadLog.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/OverloadLog.java
@@ -1,4 +1,4 @@
-package org.limpetdoor.gateway;
+package org.limpetdoor.runtime.http;
 
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.EnumMap;
@@ -13,7 +13,7 @@
  * Counts what is refused for overload, and logs it in one line a second at most, since a crowd of
  * callers would otherwise fill the log. Confined to the traffic thread.
  */
-final class OverloadLog implements Consumer<OverloadReason> {
+public final class OverloadLog implements Consumer<OverloadReason> {
   private static final long INTERVAL_NS = TimeUnit.SECONDS.toNanos(1);
 
   private final MeterRegistry metrics;
@@ -22,7 +22,12 @@
   private final Map<OverloadReason, Integer> unlogged = new EnumMap<>(OverloadReason.class);
   private long loggedAtNs;
 
-  OverloadLog(MeterRegistry metrics, Consumer<LogLine> log, LongSupplier nanoTime) {
+  /**
+   * Creates a log without counts.
+   *
+   * @param nanoTime monotonic clock, in nanoseconds
+   */
+  public OverloadLog(MeterRegistry metrics, Consumer<LogLine> log, LongSupplier nanoTime) {
     this.metrics = metrics;
     this.log = log;
     this.nanoTime = nanoTime;
@@ -37,7 +42,7 @@
   }
 
   /** Logs what has been counted since the last line, if that is a second ago. */
-  void flush() {
+  public void flush() {
     long nowNs = nanoTime.getAsLong();
     if (unlogged.isEmpty() || nowNs - loggedAtNs < INTERVAL_NS) {
       return;
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/PacedHttpCodec.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/PacedHttpCodec.java
@@ -1,4 +1,4 @@
-package org.limpetdoor.gateway;
+package org.limpetdoor.runtime.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -22,7 +22,7 @@
  * <p>It answers callers that send requests ahead and read no response: such a connection holds one
  * response and one read of undecoded bytes, and is not read from.
  */
-final class PacedHttpCodec
+public final class PacedHttpCodec
     extends CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder> {
   private final HeadMemory memory;
   private ChannelHandlerContext context;
@@ -30,7 +30,13 @@
   private HttpMethod method;
   private boolean awaitingResponse;
 
-  PacedHttpCodec(HttpDecoderConfig config, HeadMemory memory) {
+  /**
+   * Creates the codec of one connection.
+   *
+   * @param config limits on the length of a head
+   * @param memory memory of the heads of the connection
+   */
+  public PacedHttpCodec(HttpDecoderConfig config, HeadMemory memory) {
     this.memory = memory;
     config.setHeadersFactory(memory).setTrailersFactory(memory);
     decoder = new Decoder(config);
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/UnsentResponses.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/UnsentResponses.java
@@ -1,4 +1,4 @@
-package org.limpetdoor.gateway;
+package org.limpetdoor.runtime.http;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -13,13 +13,18 @@
  * <p>It answers callers that read slowly or not at all: their responses stay in memory after their
  * calls have ended.
  */
-final class UnsentResponses {
+public final class UnsentResponses {
   private final BodyMemory.Reservation reservation;
   private int writes;
   private long progressBytes;
   private long lastTakenNs;
 
-  UnsentResponses(BodyMemory memory) {
+  /**
+   * Counts nothing yet.
+   *
+   * @param memory memory that all responses share
+   */
+  public UnsentResponses(BodyMemory memory) {
     this.reservation = memory.reserve();
   }
 
@@ -30,7 +35,7 @@
    * @param bytes length of its content, in bytes
    * @return whether there is memory for more
    */
-  boolean add(ChannelFuture write, int bytes) {
+  public boolean add(ChannelFuture write, int bytes) {
     if (write.isDone()) {
       return true;
     }
@@ -48,7 +53,8 @@
     return allowed;
   }
 
-  boolean isEmpty() {
+  /** Returns whether the socket has taken all writes. */
+  public boolean isEmpty() {
     return writes == 0;
   }
 
@@ -57,7 +63,7 @@
    *
    * @param timeoutMs the time, in milliseconds
    */
-  boolean isStalled(Channel channel, long timeoutMs) {
+  public boolean isStalled(Channel channel, long timeoutMs) {
     ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
     if (writes == 0 || buffer == null) {
       return false;
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/PacedHttpCodecTest.java
+++ b/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/http/PacedHttpCodecTest.java
@@ -1,4 +1,4 @@
-package org.limpetdoor.gateway;
+package org.limpetdoor.runtime.http;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -23,8 +23,8 @@
 import java.util.Queue;
 import org.junit.jupiter.api.Test;
 import org.limpetdoor.core.decision.OverloadReason;
-import org.limpetdoor.gateway.HeadMemory.NoHeadMemoryException;
 import org.limpetdoor.runtime.BodyMemory;
+import org.limpetdoor.runtime.http.HeadMemory.NoHeadMemoryException;
 
 /** Tests how far the requests of a connection are decoded, and what their heads may take. */
 class PacedHttpCodecTest {
--- a/limpetdoor-gateway/src/test/java/org/limpetdoor/gateway/UnsentResponsesTest.java
+++ b/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/http/UnsentResponsesTest.java
@@ -1,4 +1,4 @@
-package org.limpetdoor.gateway;
+package org.limpetdoor.runtime.http;
 
 import static com.google.common.truth.Truth.assertThat;
 
