Decode what callers send in turns, so that others are served meanwhile

What callers saw: beside connections that sent bodies in chunks of one byte, or requests ahead to the readiness path, ordinary requests got no answer, and the sockets of callers that had left stayed open for many seconds.

Cause: the traffic thread decoded all that a pass had read from a connection, 16 reads of 8 kB. A chunk of one byte takes 6 bytes on the wire and 1.4 us to decode (5.9 s for a body of 4 MB), so a pass took 31 ms for each connection and 3.1 s for a hundred; a request needs three passes. Requests sent ahead went on by plain tasks, which Netty executes for up to a second without a poll of the sockets. A connection whose response says that it is closed was still decoded.

Change: DecodeBudget in core.limits bounds the steps of a turn (one connection) and of a round (all that wait, between two polls). PacedHttpCodec ends its turn at the budget, stops reading and waits in DecodeTurns, whose rounds are scheduled tasks, so that the sockets are polled in between. A step decodes 1 kB at most, which bounds the header lines in it. After a response with "Connection: close" input is skipped. Undecoded bytes count with the size of their buffer instead of their length.

PacedHttpCodecTest.decodesSmallChunksInTurns counts the messages of a turn without a process.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -33,9 +33,11 @@
 import org.limpetdoor.core.gateway.EngineOrder;
 import org.limpetdoor.core.gateway.EngineOrderResult;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
+import org.limpetdoor.core.limits.DecodeBudget;
 import org.limpetdoor.runtime.BodyMemory;
 import org.limpetdoor.runtime.MonotonicClock;
 import org.limpetdoor.runtime.http.BodyMemories;
+import org.limpetdoor.runtime.http.DecodeTurns;
 import org.limpetdoor.runtime.http.HeadMemory;
 import org.limpetdoor.runtime.http.OverloadLog;
 
@@ -62,6 +64,7 @@
   private final PaceMeter paceMeter;
   private final BodyMemories memories;
   private final OverloadLog overloads;
+  private final DecodeTurns decodeTurns;
   private final Map<Long, OpenCall> calls = new HashMap<>();
   private final Set<CallerChannel> callers = new LinkedHashSet<>();
   private CallerLimits callerLimits = CallerLimits.DEFAULT;
@@ -92,6 +95,7 @@
     this.notices = new EngineNotices(clock, this);
     this.pool = new EngineConnectionPool(loop, readTimes, protocol, notices);
     this.paceMeter = new PaceMeter(this);
+    this.decodeTurns = new DecodeTurns(loop, DecodeBudget.DEFAULT);
     loop.scheduleWithFixedDelay(
         this::cleanUp, CLEANUP_INTERVAL_MS, CLEANUP_INTERVAL_MS, TimeUnit.MILLISECONDS);
   }
@@ -152,6 +156,11 @@
     return new HeadMemory(memories.requests(), overloads);
   }
 
+  /** Returns the turns in which connections of callers are decoded. */
+  DecodeTurns decodeTurns() {
+    return decodeTurns;
+  }
+
   BodyMemory responseMemory() {
     return memories.responses();
   }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
@@ -66,7 +66,7 @@
                     .setMaxHeaderSize(traffic.callerLimits().maxHeaderBytes());
             channel
                 .pipeline()
-                .addLast(new PacedHttpCodec(config, traffic.headMemory()))
+                .addLast(new PacedHttpCodec(config, traffic.headMemory(), traffic.decodeTurns()))
                 .addLast(new CallerChannel(traffic));
           }
         });
@@ -88,7 +88,9 @@
             channel
                 .pipeline()
                 .addLast(MonitoringHandler.idleTimeout())
-                .addLast(new PacedHttpCodec(new HttpDecoderConfig(), traffic.headMemory()))
+                .addLast(
+                    new PacedHttpCodec(
+                        new HttpDecoderConfig(), traffic.headMemory(), traffic.decodeTurns()))
                 .addLast(new HttpObjectAggregator(MAX_MONITORING_REQUEST_BYTES))
                 .addLast(new MonitoringHandler(responder));
           }
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/HeadMemory.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/HeadMemory.java
@@ -63,12 +63,26 @@
     return new CountedHeaders();
   }
 
-  /** Records the bytes that are received but not decoded. */
-  public void hold(int bytes) {
-    if (bytes > heldBytes) {
-      reserve(bytes - heldBytes);
-      heldBytes = bytes;
+  /** Returns the number of header lines of the current request, with its trailers. */
+  int lines() {
+    return lines;
+  }
+
+  /**
+   * Reserves memory for bytes that are received but not decoded, and returns whether there is some.
+   *
+   * @param bytes size of the buffer that they are in, in bytes
+   */
+  boolean tryHold(int bytes) {
+    if (bytes <= heldBytes) {
+      return true;
+    }
+    if (!reservation.tryGrow(bytes - heldBytes)) {
+      overload.accept(OverloadReason.HEAD_MEMORY);
+      return false;
     }
+    heldBytes = bytes;
+    return true;
   }
 
   /** Releases the memory of a request whose response has been sent. */
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/PacedHttpCodec.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/PacedHttpCodec.java
@@ -12,32 +12,45 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 
 /**
  * Decodes the requests of a connection one at a time: the next one only when the socket has taken
- * the whole response to the one before. Confined to the traffic thread.
+ * the whole response to the one before. What a connection has sent is decoded in turns with others.
+ * Confined to the event loop.
  *
- * <p>It answers callers that send requests ahead and read no response: such a connection holds one
- * response and one read of undecoded bytes, and is not read from.
+ * <p>It answers callers that send requests ahead and read no response, and callers that send many
+ * small chunks or header lines: such a connection holds one response and one read of undecoded
+ * bytes, and is not read from.
  */
 public final class PacedHttpCodec
-    extends CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder> {
+    extends CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder>
+    implements DecodeTurns.Connection {
+  /** Longest part that is decoded in one step, so that a step has a few hundred lines at most. */
+  private static final int STEP_BYTES = 1 << 10;
+
   private final HeadMemory memory;
+  private final DecodeTurns turns;
   private ChannelHandlerContext context;
   private final Decoder decoder;
   private HttpMethod method;
+  private int steps;
+  private boolean awaitingTurn;
   private boolean awaitingResponse;
+  private boolean closing;
 
   /**
    * Creates the codec of one connection.
    *
    * @param config limits on the length of a head
    * @param memory memory of the heads of the connection
+   * @param turns connections of the same event loop
    */
-  public PacedHttpCodec(HttpDecoderConfig config, HeadMemory memory) {
+  public PacedHttpCodec(HttpDecoderConfig config, HeadMemory memory, DecodeTurns turns) {
     this.memory = memory;
+    this.turns = turns;
     config.setHeadersFactory(memory).setTrailersFactory(memory);
     decoder = new Decoder(config);
     init(decoder, new Encoder());
@@ -49,6 +62,23 @@
     super.handlerAdded(added);
   }
 
+  @Override
+  public void channelRead(ChannelHandlerContext in, Object message) throws Exception {
+    super.channelRead(in, message);
+    pauseOrResumeReading();
+  }
+
+  /** Ends the turn of a connection that has been read from. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext in) throws Exception {
+    super.channelReadComplete(in);
+    boolean used = turns.endsTurn(steps);
+    steps = 0;
+    if (used && decoder.hasBytes() && !awaitingResponse) {
+      awaitTurn();
+    }
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext inactive) throws Exception {
     super.channelInactive(inactive);
@@ -59,6 +89,9 @@
   public void write(ChannelHandlerContext to, Object message, ChannelPromise promise)
       throws Exception {
     ChannelPromise written = promise;
+    if (message instanceof HttpResponse response && !isInterim(message)) {
+      closing = !HttpUtil.isKeepAlive(response);
+    }
     if (message instanceof LastHttpContent && !isInterim(message)) {
       written = promise.unvoid();
       written.addListener(
@@ -83,20 +116,42 @@
     awaitingResponse = false;
     memory.close();
     if (decoder.hasBytes()) {
-      // The response may have been written while the decoder was passing on the request.
-      context.executor().execute(this::decodeHeldBytes);
+      awaitTurn();
     } else {
-      context.channel().config().setAutoRead(true);
+      pauseOrResumeReading();
     }
   }
 
-  private void decodeHeldBytes() {
+  private void awaitTurn() {
+    if (!awaitingTurn) {
+      awaitingTurn = true;
+      turns.add(this);
+    }
+  }
+
+  @Override
+  public int decodeTurn() {
+    awaitingTurn = false;
+    if (!context.channel().isActive()) {
+      return 0;
+    }
+    int taken = 0;
     try {
       channelRead(context, Unpooled.EMPTY_BUFFER);
+      taken = steps;
       channelReadComplete(context);
     } catch (Exception e) {
       context.fireExceptionCaught(e);
     }
+    return taken;
+  }
+
+  /** Reading goes on while nothing is held, so that the end of the connection is noticed. */
+  private void pauseOrResumeReading() {
+    context.channel().config().setAutoRead(!decoder.isPaused());
+    if (!memory.tryHold(decoder.heldBytes())) {
+      context.close();
+    }
   }
 
   private final class Decoder extends HttpRequestDecoder {
@@ -108,17 +163,60 @@
       return actualReadableBytes() > 0;
     }
 
+    /** Returns the size of the buffer with the bytes that are not decoded. */
+    int heldBytes() {
+      return hasBytes() ? internalBuffer().capacity() : 0;
+    }
+
+    /** Returns whether bytes are held that may not be decoded yet. */
+    boolean isPaused() {
+      return hasBytes() && !mayDecode();
+    }
+
+    private boolean mayDecode() {
+      return !awaitingResponse && !awaitingTurn && !turns.endsTurn(steps);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext in) throws Exception {
+      if (isPaused()) {
+        // Netty's decoder reads on if it has passed on no message.
+        in.fireChannelReadComplete();
+      } else {
+        super.channelReadComplete(in);
+      }
+    }
+
     @Override
     protected void decode(ChannelHandlerContext in, ByteBuf bytes, List<Object> messages)
         throws Exception {
-      if (!awaitingResponse) {
+      if (closing) {
+        bytes.skipBytes(bytes.readableBytes());
+      } else if (mayDecode()) {
+        int lines = memory.lines();
+        decodeStep(in, bytes, messages);
+        steps += 1 + Math.max(0, memory.lines() - lines);
+        for (Object message : messages) {
+          decoded(message);
+        }
+      }
+    }
+
+    /** Decodes a part of the bytes, or all if a line is longer than the part. */
+    private void decodeStep(ChannelHandlerContext in, ByteBuf bytes, List<Object> messages)
+        throws Exception {
+      int readableBytes = bytes.readableBytes();
+      int end = bytes.writerIndex();
+      bytes.writerIndex(Math.min(end, bytes.readerIndex() + STEP_BYTES));
+      try {
+        super.decode(in, bytes, messages);
+      } finally {
+        bytes.writerIndex(end);
+      }
+      boolean progress = !messages.isEmpty() || bytes.readableBytes() < readableBytes;
+      if (!progress && readableBytes > STEP_BYTES) {
         super.decode(in, bytes, messages);
-        messages.forEach(this::decoded);
       }
-      // Reading goes on while nothing is held, so that the end of the connection is noticed.
-      boolean readsOn = !awaitingResponse || !bytes.isReadable();
-      in.channel().config().setAutoRead(readsOn);
-      memory.hold(bytes.readableBytes());
     }
 
     private void decoded(Object message) {
--- a/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/http/PacedHttpCodecTest.java
+++ b/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/http/PacedHttpCodecTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
@@ -10,6 +11,8 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -23,6 +26,7 @@
 import java.util.Queue;
 import org.junit.jupiter.api.Test;
 import org.limpetdoor.core.decision.OverloadReason;
+import org.limpetdoor.core.limits.DecodeBudget;
 import org.limpetdoor.runtime.BodyMemory;
 import org.limpetdoor.runtime.http.HeadMemory.NoHeadMemoryException;
 
@@ -52,12 +56,27 @@
   private EmbeddedChannel open(BodyMemory memory) {
     HttpDecoderConfig config =
         new HttpDecoderConfig().setMaxInitialLineLength(HEAD_BYTES).setMaxHeaderSize(HEAD_BYTES);
-    return new EmbeddedChannel(
-        new PendingWrites(), new PacedHttpCodec(config, new HeadMemory(memory, overloads::add)));
+    EmbeddedChannel opened = new EmbeddedChannel(new PendingWrites());
+    DecodeTurns turns = new DecodeTurns(opened.eventLoop(), DecodeBudget.DEFAULT);
+    HeadMemory heads = new HeadMemory(memory, overloads::add);
+    opened.pipeline().addLast(new PacedHttpCodec(config, heads, turns));
+    return opened;
   }
 
   private void send(String text) {
-    channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+    send(channel, text);
+  }
+
+  /** Receives a text in one read and runs all turns that its decoding takes. */
+  private static void send(EmbeddedChannel receiver, String text) {
+    receiver.writeInbound(bytes(text));
+    while (receiver.hasPendingTasks()) {
+      receiver.runPendingTasks();
+    }
+  }
+
+  private static ByteBuf bytes(String text) {
+    return Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1);
   }
 
   private HttpRequest nextRequest() {
@@ -120,10 +139,7 @@
   @Test
   void refusesAHeadOfTooManyLines() {
     EmbeddedChannel roomy = open(BodyMemory.ofBytes(4_000_000));
-    roomy.writeInbound(
-        Unpooled.copiedBuffer(
-            "GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(HeadMemory.MAX_LINES + 1) + "\r\n",
-            StandardCharsets.ISO_8859_1));
+    send(roomy, "GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(HeadMemory.MAX_LINES + 1) + "\r\n");
     HttpRequest request = roomy.readInbound();
     assertThat(request.decoderResult().cause()).isInstanceOf(TooLongHttpHeaderException.class);
     assertThat(overloads).containsExactly(OverloadReason.HEADER_LINES);
@@ -133,13 +149,9 @@
   @Test
   void refusesAHeadWithoutMemoryAndReleasesItWithTheConnection() {
     EmbeddedChannel other = open();
-    other.writeInbound(
-        Unpooled.copiedBuffer(
-            "GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(1_000), StandardCharsets.ISO_8859_1));
+    send(other, "GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(1_000));
     EmbeddedChannel third = open();
-    third.writeInbound(
-        Unpooled.copiedBuffer(
-            "GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(1_000), StandardCharsets.ISO_8859_1));
+    send(third, "GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(1_000));
     send("GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(1_000) + "\r\n");
     assertThat(nextRequest().decoderResult().cause()).isInstanceOf(NoHeadMemoryException.class);
 
@@ -148,4 +160,64 @@
     channel.close();
     assertThat(memory.usedBytes()).isEqualTo(0);
   }
+
+  /**
+   * Guards against a thread that decodes what one connection sends without a poll of the others: a
+   * read of 6 kB in chunks of one byte is a thousand messages.
+   */
+  @Test
+  void decodesSmallChunksInTurns() {
+    send("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    assertThat(nextRequest()).isNotNull();
+    channel.writeOneInbound(bytes("1\r\nx\r\n".repeat(1_000)));
+    channel.pipeline().fireChannelReadComplete();
+    assertThat(channel.inboundMessages().size()).isAtMost(DecodeBudget.DEFAULT.turnSteps());
+    assertThat(channel.config().isAutoRead()).isFalse();
+
+    while (channel.hasPendingTasks()) {
+      int before = channel.inboundMessages().size();
+      channel.runScheduledPendingTasks();
+      assertThat(channel.inboundMessages().size() - before)
+          .isAtMost(DecodeBudget.DEFAULT.turnSteps());
+    }
+    assertThat(channel.inboundMessages()).hasSize(1_000);
+    assertThat(channel.config().isAutoRead()).isTrue();
+  }
+
+  /** Guards against header lines without end in one step of the decoder. */
+  @Test
+  void decodesShortHeaderLinesInTurns() {
+    channel.writeOneInbound(bytes("GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(1_500)));
+    channel.pipeline().fireChannelReadComplete();
+    long oneTurnBytes = memory.usedBytes();
+    assertThat(channel.config().isAutoRead()).isFalse();
+    while (channel.hasPendingTasks()) {
+      channel.runPendingTasks();
+    }
+    assertThat(memory.usedBytes()).isGreaterThan(2 * oneTurnBytes);
+    assertThat(channel.config().isAutoRead()).isTrue();
+  }
+
+  /** Guards against decoding for a connection whose response says that it is closed. */
+  @Test
+  void decodesNothingAfterAResponseThatClosesTheConnection() {
+    send("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    assertThat(nextRequest()).isNotNull();
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
+    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    channel.writeAndFlush(response);
+    long headBytes = memory.usedBytes();
+
+    send("1\r\nx\r\n".repeat(1_000));
+    assertThat(channel.inboundMessages()).isEmpty();
+    assertThat(memory.usedBytes()).isEqualTo(headBytes);
+  }
+
+  /** Guards against a turn that never comes for a line longer than what one step decodes. */
+  @Test
+  void decodesALineLongerThanAStep() {
+    send("GET /a HTTP/1.1\r\nA: " + "a".repeat(10_000) + "\r\n\r\n");
+    assertThat(nextRequest().headers().get("A")).hasLength(10_000);
+  }
 }
