Count the blocks of a body and not only its content

Cause: BufferedBody counted the bytes of a body in the memory of all bodies, but held them in blocks of up to 64 kB. A hundred bodies could hold 6 MB more than was counted, more than half of the memory of requests at a heap of 55 MB.

A block is now reserved when it is added. A body that comes in one part gets a block of its length; a body that grows gets blocks that double, as before.

--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/BufferedBody.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/BufferedBody.java
@@ -6,11 +6,11 @@
 import org.limpetdoor.runtime.BodyMemory;
 
 /**
- * A message body in memory. Its length counts against the memory that all bodies of its kind share,
+ * A message body in memory. Its blocks count against the memory that all bodies of its kind share,
  * until it is closed, which makes it ready for the next one. Confined to the traffic thread.
  */
 public final class BufferedBody implements AutoCloseable {
-  private static final int FIRST_BLOCK_BYTES = 1 << 10;
+  private static final int MIN_SPARE_BYTES = 1 << 10;
   private static final int MAX_BLOCK_BYTES = 64 << 10;
 
   private final BodyMemory.Reservation reservation;
@@ -35,15 +35,18 @@
     return lengthBytes;
   }
 
-  /** Appends the readable bytes, and returns false if there is no memory for them. */
+  /**
+   * Appends the readable bytes, and returns false if there is no memory for them. The body can then
+   * only be closed.
+   */
   public boolean append(ByteBuf bytes) {
-    if (!reservation.tryGrow(bytes.readableBytes())) {
-      return false;
-    }
     int index = bytes.readerIndex();
     int remaining = bytes.readableBytes();
     while (remaining > 0) {
-      byte[] block = blockWithSpace();
+      if (freeBytes == 0 && !addBlock(remaining)) {
+        return false;
+      }
+      byte[] block = blocks.get(blocks.size() - 1);
       int length = Math.min(remaining, freeBytes);
       bytes.getBytes(index, block, block.length - freeBytes, length);
       index += length;
@@ -66,8 +69,9 @@
     return result;
   }
 
-  /** Drops the content but not the reservation, which then stands for a copy of it. */
+  /** Drops the content. Its length stays reserved, which then stands for a copy of it. */
   public void dropContent() {
+    reservation.shrink(freeBytes);
     blocks.clear();
     freeBytes = 0;
   }
@@ -79,11 +83,15 @@
     reservation.close();
   }
 
-  private byte[] blockWithSpace() {
-    if (freeBytes == 0) {
-      freeBytes = Math.min(MAX_BLOCK_BYTES, FIRST_BLOCK_BYTES << Math.min(6, blocks.size()));
-      blocks.add(new byte[freeBytes]);
+  /** Adds a block of the needed length, or a longer one if more parts follow a first one. */
+  private boolean addBlock(int neededBytes) {
+    int spareBytes = blocks.isEmpty() ? 0 : Math.max(MIN_SPARE_BYTES, lengthBytes);
+    int blockBytes = Math.min(MAX_BLOCK_BYTES, Math.max(neededBytes, spareBytes));
+    if (!reservation.tryGrow(blockBytes)) {
+      return false;
     }
-    return blocks.get(blocks.size() - 1);
+    blocks.add(new byte[blockBytes]);
+    freeBytes = blockBytes;
+    return true;
   }
 }
