Bound the receive buffers of callers' sockets

Cause: a connection that is not read from keeps what its caller has sent in the kernel, in the memory of the machine. Measured with 600 connections that send requests in chunks of one byte: 69 MB, 115 kB each.

The listening sockets of a gateway now set 32 kB, which Linux doubles; the same crowd holds 27 MB. UncontrolledCallersTest checks 64 kB a connection: without the option, REQUESTS_IN_CHUNKS_OF_ONE_BYTE and ENDLESS_REQUESTS_AHEAD exceed it (115 and 106 kB). Callers with bodies far longer than 32 kB and a long way to the gateway send more slowly: one window in each round trip.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
@@ -35,6 +35,12 @@
    */
   private static final int MAX_READ_BYTES = 8 << 10;
 
+  /**
+   * Receive buffer of an accepted socket. What a caller has sent ahead is in the memory of the
+   * machine and has to be decoded even if the caller has left; Linux lets it grow to megabytes.
+   */
+  private static final int RECEIVE_BUFFER_BYTES = 32 << 10;
+
   /** Number of buffers that are read from a socket before the others have their turn. */
   private static final int MAX_READS = 16;
 
@@ -113,6 +119,7 @@
         .handler(limit)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
+        .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.RCVBUF_ALLOCATOR, READ_UNTIL_EMPTY)
         .childHandler(child)
