Let callers read a refusal that comes while they send

Cause: a gateway closed the connection as soon as its response to a request that it refuses was written. Closing a socket with unread input resets it, so that a caller that was still sending its body could lose the 413, 431 or 503, and with it the statement that the request has not run.

The output is now closed first, and input is skipped until the caller closes or a second has passed (LingeringClose).

What a request becomes while it is received (complete, or refused for one of five reasons) moves from CallerChannel to RequestReceiver and RequestRejection, so that the entry can use it. A trailer of too many lines is now answered 431 like a head, 400 before.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -21,19 +20,19 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.limpetdoor.core.decision.ConnectionCloseReason;
 import org.limpetdoor.core.decision.OverloadReason;
 import org.limpetdoor.core.decision.RequestProgress;
+import org.limpetdoor.core.decision.RequestRejection;
 import org.limpetdoor.core.event.CallCancelled;
 import org.limpetdoor.core.event.CallerConnectionClosed;
 import org.limpetdoor.core.gateway.Reply;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
-import org.limpetdoor.runtime.http.BufferedBody;
-import org.limpetdoor.runtime.http.HeadMemory.NoHeadMemoryException;
+import org.limpetdoor.runtime.http.LingeringClose;
+import org.limpetdoor.runtime.http.RequestReceiver;
 import org.limpetdoor.runtime.http.UnsentResponses;
 
 /**
@@ -41,27 +40,48 @@
  * thread.
  */
 final class CallerChannel extends ChannelInboundHandlerAdapter {
-  /** Time after which callers return that there was no memory for, in milliseconds. */
-  private static final long RETRY_AFTER_NO_MEMORY_MS = 1_000;
-
   private final GatewayTraffic traffic;
   private Channel channel;
-  private HttpRequest head;
-  private final BufferedBody body;
+  private final RequestReceiver receiver;
   private final UnsentResponses unsent;
   private OpenCall call;
   private ChannelFuture lastResponse;
   private CallerLimits idleLimits;
   private boolean keepAlive = true;
+  private boolean refused;
   private long lastUsedNs = System.nanoTime();
 
   CallerChannel(GatewayTraffic traffic) {
     this.traffic = traffic;
     this.idleLimits = traffic.callerLimits();
-    this.body = new BufferedBody(traffic.requestMemory());
+    this.receiver =
+        new RequestReceiver(
+            traffic.requestMemory(), () -> traffic.callerLimits().maxBodyBytes(), new Requests());
     this.unsent = new UnsentResponses(traffic.responseMemory());
   }
 
+  private final class Requests implements RequestReceiver.Sink {
+    @Override
+    public void received(HttpRequest head, byte[] body) {
+      keepAlive = HttpUtil.isKeepAlive(head);
+      call = traffic.openCall(head, body, CallerChannel.this);
+    }
+
+    @Override
+    public void refused(RequestRejection reason) {
+      keepAlive = false;
+      refused = true;
+      if (reason == RequestRejection.NO_MEMORY) {
+        reportClose(ConnectionCloseReason.NO_MEMORY);
+        reply(Reply.NO_MEMORY, reason.retryAfterMs());
+        return;
+      }
+      write(
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reason.status())));
+    }
+  }
+
   /**
    * Closes the connection if it has made no progress for too long. A caller that stalls in the
    * middle of a request gets a response.
@@ -78,7 +98,7 @@
       return;
     }
     if (progress == RequestProgress.READING) {
-      reject(HttpResponseStatus.REQUEST_TIMEOUT);
+      receiver.refuse(RequestRejection.RECEIVE_TIMEOUT);
       return;
     }
     close(ConnectionCloseReason.IDLE_TIMEOUT);
@@ -123,7 +143,7 @@
     if (call != null) {
       return RequestProgress.OPEN;
     }
-    if (head != null) {
+    if (receiver.isReceiving()) {
       return RequestProgress.READING;
     }
     boolean sending = lastResponse != null && !lastResponse.isDone();
@@ -185,7 +205,7 @@
    */
   void abort() {
     call = null;
-    body.close();
+    receiver.close();
     channel.close();
   }
 
@@ -204,7 +224,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     traffic.callerDisconnected(this);
-    body.close();
+    receiver.close();
     if (call != null) {
       long id = call.spec().id();
       call.callerDisconnected();
@@ -230,88 +250,13 @@
 
   private void read(Object message) {
     try {
-      if (message instanceof HttpRequest request) {
-        readHead(request);
-      }
-      if (message instanceof HttpContent content && head != null) {
-        readContent(content);
-      }
+      lastUsedNs = System.nanoTime();
+      receiver.read(channel, message);
     } finally {
       ReferenceCountUtil.release(message);
     }
   }
 
-  private void readHead(HttpRequest request) {
-    lastUsedNs = System.nanoTime();
-    if (request.decoderResult().cause() instanceof NoHeadMemoryException) {
-      rejectForMemory();
-      return;
-    }
-    if (request.decoderResult().isFailure()) {
-      boolean tooLong = request.decoderResult().cause() instanceof TooLongHttpHeaderException;
-      reject(
-          tooLong
-              ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-              : HttpResponseStatus.BAD_REQUEST);
-      return;
-    }
-    if (HttpUtil.getContentLength(request, 0L) > traffic.callerLimits().maxBodyBytes()) {
-      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-      return;
-    }
-    if (HttpUtil.is100ContinueExpected(request)) {
-      channel.writeAndFlush(
-          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
-    }
-    head = request;
-    keepAlive = HttpUtil.isKeepAlive(request);
-  }
-
-  private void readContent(HttpContent content) {
-    if (content.decoderResult().cause() instanceof NoHeadMemoryException) {
-      rejectForMemory();
-      return;
-    }
-    if (content.decoderResult().isFailure()) {
-      reject(HttpResponseStatus.BAD_REQUEST);
-      return;
-    }
-    lastUsedNs = System.nanoTime();
-    ByteBuf bytes = content.content();
-    if (body.lengthBytes() + bytes.readableBytes() > traffic.callerLimits().maxBodyBytes()) {
-      reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-      return;
-    }
-    if (!body.append(bytes)) {
-      rejectForMemory();
-      return;
-    }
-    if (content instanceof LastHttpContent) {
-      byte[] bodyBytes = body.toByteArray();
-      body.dropContent();
-      HttpRequest requestHead = head;
-      head = null;
-      call = traffic.openCall(requestHead, bodyBytes, this);
-    }
-  }
-
-  private void reject(HttpResponseStatus status) {
-    beginReject();
-    write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status));
-  }
-
-  private void rejectForMemory() {
-    reportClose(ConnectionCloseReason.NO_MEMORY);
-    beginReject();
-    reply(Reply.NO_MEMORY, RETRY_AFTER_NO_MEMORY_MS);
-  }
-
-  /** Drops the request that is being received. The rest of it is skipped. */
-  private void beginReject() {
-    head = null;
-    keepAlive = false;
-  }
-
   private void write(FullHttpResponse response) {
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
     setConnectionHeader(response.headers());
@@ -332,13 +277,13 @@
       traffic.removeCall(call.spec().id());
     }
     call = null;
-    body.close();
+    receiver.close();
     lastResponse = write;
     idleLimits = traffic.callerLimits();
     lastUsedNs = System.nanoTime();
     write.addListener(sent -> lastUsedNs = System.nanoTime());
     if (!keepAlive) {
-      write.addListener(ChannelFutureListener.CLOSE);
+      write.addListener(refused ? LingeringClose.INSTANCE : ChannelFutureListener.CLOSE);
     }
   }
 }
