Bound what callers and operators hold in the entry, as in the gateway

What callers saw: 24 connections with bodies in chunks of one byte ended an entry within seconds, and so did one such body of 4 MB with a heap of 64 MB; beside idle connections up to maxConnections nobody else was served.

Cause: the HTTP server of the entry keeps each chunk as an object until the body is complete, decodes requests ahead while responses are unread, and had no bound on bodies together, header lines or unread responses; its only limit closed the new connection and never an idle one. The operator listener had no limit.

AcceptLimit and OverloadLog may be used by several event loops. PacedHttpCodec ignores requests of other handlers to read while it holds bytes; Micronaut asks for one after each pass, so that a body of 4 MB in small chunks had its undecoded bytes grow until the memory was used up. The size of reads moves to SocketReads.

--- a/limpetdoor-core/src/main/java/org/limpetdoor/core/limits/ConnectionThreshold.java
+++ b/limpetdoor-core/src/main/java/org/limpetdoor/core/limits/ConnectionThreshold.java
@@ -29,4 +29,14 @@
   public boolean allows(int ofAddress, int open) {
     return ofAddress <= (long) FREE_FACTOR * (maxConnections - open);
   }
+
+  /**
+   * Returns a threshold that allows no more connections than this one and than a limit.
+   *
+   * @param limit connections of all addresses, at least 1
+   */
+  public ConnectionThreshold atMost(int limit) {
+    // The threshold always leaves one connection free.
+    return new ConnectionThreshold((int) Math.min(maxConnections, limit + 1L));
+  }
 }
--- a/limpetdoor-core/src/test/java/org/limpetdoor/core/limits/ConnectionThresholdTest.java
+++ b/limpetdoor-core/src/test/java/org/limpetdoor/core/limits/ConnectionThresholdTest.java
@@ -22,4 +22,12 @@
     assertThat(threshold.allows(1, 801)).isTrue();
     assertThat(threshold.allows(1, CAPACITY)).isFalse();
   }
+
+  /** Guards against a configured limit of one that allows none, or two. */
+  @Test
+  void aLowerLimitHoldsExactly() {
+    assertThat(threshold.atMost(1).allows(1, 1)).isTrue();
+    assertThat(threshold.atMost(1).allows(2, 2)).isFalse();
+    assertThat(threshold.atMost(Integer.MAX_VALUE)).isEqualTo(threshold);
+  }
 }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/EntryServer.java
@@ -36,6 +36,8 @@
 import org.limpetdoor.runtime.MonotonicClock;
 import org.limpetdoor.runtime.decision.DecisionRecorder;
 import org.limpetdoor.runtime.decision.LogLine;
+import org.limpetdoor.runtime.http.BodyMemories;
+import org.limpetdoor.runtime.http.OverloadLog;
 import org.limpetdoor.runtime.log.HttpLogService;
 import org.limpetdoor.runtime.log.LogFollower;
 import org.limpetdoor.runtime.log.LogService;
@@ -50,6 +52,8 @@
   /** Time for the sockets to flush after the last response was passed to the HTTP server. */
   private static final long FLUSH_MS = 200;
 
+  private static final long OVERLOAD_LOG_INTERVAL_MS = 1_000;
+
   /** Exit code if the control thread ended because the reducer threw an exception. */
   private static final int CONTROL_FAILED_EXIT_CODE = 3;
 
@@ -61,6 +65,9 @@
   private final PrometheusMeterRegistry metrics =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final DecisionRecorder decisions = new DecisionRecorder(metrics);
+  private final BodyMemories memories = BodyMemories.ofHeap();
+  private final OverloadLog overloads =
+      new OverloadLog(metrics, line -> LOG.log(Level.WARNING, line.toString()), System::nanoTime);
   private final ScheduledExecutorService scheduler;
   private final EntryEffects effects;
   private final ControlLoop<NodeState, Event, Effect> loop;
@@ -78,7 +85,7 @@
     this.scheduler = trafficThreads(name);
     this.effects =
         new EntryEffects(
-            new AttemptEffects(requests, scheduler, this::submit),
+            new AttemptEffects(requests, scheduler, memories.responses(), this::submit),
             new ControlPlaneEffects(name, log, scheduler, this::submit),
             decisions,
             this::onInstanceStopped);
@@ -99,15 +106,23 @@
     settings
         .instanceListAddress()
         .ifPresent(address -> InstanceListPoller.start(address, scheduler, loop::submit));
+    scheduler.scheduleWithFixedDelay(
+        overloads::flush,
+        OVERLOAD_LOG_INTERVAL_MS,
+        OVERLOAD_LOG_INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
     this.operatorListener =
         startOrCleanUp(
-            () -> HttpListener.operators(settings, operatorView(), (DrainTrigger) this::drain),
+            () ->
+                HttpListener.operators(
+                    settings, operatorView(), (DrainTrigger) this::drain, memories, overloads),
             this::stopThreads);
     CallerRequestHandler callerHandler =
         new CallerRequestHandler(self, requests, clock, loop::submit);
     this.callerListener =
         startOrCleanUp(
-            () -> HttpListener.callers(settings, callerHandler), this::stopWithoutCallers);
+            () -> HttpListener.callers(settings, callerHandler, memories, overloads),
+            this::stopWithoutCallers);
   }
 
   /**
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/HttpListener.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/HttpListener.java
@@ -4,11 +4,16 @@
 import io.micronaut.runtime.server.EmbeddedServer;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
+import org.limpetdoor.core.decision.OverloadReason;
+import org.limpetdoor.core.limits.ConnectionThreshold;
 import org.limpetdoor.entry.caller.CallerRequestHandler;
 import org.limpetdoor.entry.operator.DrainTrigger;
 import org.limpetdoor.entry.operator.OperatorView;
 import org.limpetdoor.format.json.HostPort;
 import org.limpetdoor.format.settings.InstanceSettings;
+import org.limpetdoor.runtime.http.BodyMemories;
+import org.limpetdoor.runtime.http.ConnectionCapacity;
 
 /** An HTTP server with its own bean context, so that no other server exposes its routes. */
 final class HttpListener implements AutoCloseable {
@@ -28,20 +33,40 @@
     this.address = new HostPort(requestedAddress.host(), server.getPort());
   }
 
-  static HttpListener callers(InstanceSettings settings, CallerRequestHandler handler) {
+  static HttpListener callers(
+      InstanceSettings settings,
+      CallerRequestHandler handler,
+      BodyMemories memories,
+      Consumer<OverloadReason> overload) {
     Map<String, Object> properties =
         properties("caller", settings.callerAddress(), settings, CALLER_THREADS);
     properties.put("micronaut.server.max-request-size", settings.maxBodyBytes());
-    properties.put(ConnectionLimit.PROPERTY, settings.maxConnections());
     properties.put("micronaut.server.max-request-buffer-size", settings.maxBodyBytes());
-    return start(properties, settings.callerAddress(), handler);
+    ConnectionThreshold connections =
+        ConnectionCapacity.ofCallers().atMost(settings.maxConnections());
+    ListenerBounds bounds =
+        new ListenerBounds(
+            connections, settings.maxHeaderBytes(), settings.maxBodyBytes(), memories, overload);
+    return start(properties, settings.callerAddress(), bounds, handler);
   }
 
-  static HttpListener operators(InstanceSettings settings, OperatorView view, DrainTrigger drain) {
+  static HttpListener operators(
+      InstanceSettings settings,
+      OperatorView view,
+      DrainTrigger drain,
+      BodyMemories memories,
+      Consumer<OverloadReason> overload) {
     Map<String, Object> properties =
         properties("operator", settings.operatorAddress(), settings, OPERATOR_THREADS);
     properties.put("micronaut.server.max-request-size", OPERATOR_BODY_BYTES);
-    return start(properties, settings.operatorAddress(), view, drain);
+    ListenerBounds bounds =
+        new ListenerBounds(
+            ConnectionCapacity.ofMonitoring(),
+            settings.maxHeaderBytes(),
+            OPERATOR_BODY_BYTES,
+            memories,
+            overload);
+    return start(properties, settings.operatorAddress(), bounds, view, drain);
   }
 
   HostPort address() {
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/AttemptEffects.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/AttemptEffects.java
@@ -32,9 +32,6 @@
   /** Maximum body size of a response that is relayed as a whole. */
   static final int MAX_RESPONSE_BYTES = 16 << 20;
 
-  /** Part of the heap for responses that are buffered; each is copied while it is relayed. */
-  private static final int HEAP_DIVISOR = 5;
-
   private final OpenRequests requests;
   private final StreamingHttpClient client;
   private final RawHttpClient rawClient;
@@ -46,11 +43,13 @@
    *
    * @param requests registry of the open requests
    * @param scheduler executor for calls and timeouts
+   * @param responseMemory memory that the buffered responses share
    * @param events receives an event as a function of its time in monotonic milliseconds
    */
   public AttemptEffects(
       OpenRequests requests,
       ScheduledExecutorService scheduler,
+      BodyMemory responseMemory,
       Consumer<Function<Long, Event>> events) {
     this.requests = requests;
     EngineConnections connections = new EngineConnections();
@@ -62,7 +61,7 @@
             rawClient,
             connections,
             scheduler,
-            BodyMemory.ofHeap(HEAP_DIVISOR),
+            responseMemory,
             event -> events.accept(event));
   }
 
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
@@ -1,12 +1,10 @@
 package org.limpetdoor.gateway;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -16,6 +14,7 @@
 import org.limpetdoor.runtime.AcceptLimit;
 import org.limpetdoor.runtime.http.ConnectionCapacity;
 import org.limpetdoor.runtime.http.PacedHttpCodec;
+import org.limpetdoor.runtime.http.SocketReads;
 
 /** Binds the listening sockets of a gateway. */
 final class Listeners {
@@ -26,34 +25,6 @@
 
   private static final int MAX_MONITORING_REQUEST_BYTES = 4_096;
 
-  private static final int MIN_READ_BYTES = 512;
-  private static final int FIRST_READ_BYTES = 1 << 10;
-
-  /**
-   * Longest read from a connection. A connection may hold this many bytes that are not decoded, and
-   * with Netty's 64 kB a thousand connections would hold 64 MB outside of the heap.
-   */
-  private static final int MAX_READ_BYTES = 8 << 10;
-
-  /**
-   * Receive buffer of an accepted socket. What a caller has sent ahead is in the memory of the
-   * machine and has to be decoded even if the caller has left; Linux lets it grow to megabytes.
-   */
-  private static final int RECEIVE_BUFFER_BYTES = 32 << 10;
-
-  /** Number of buffers that are read from a socket before the others have their turn. */
-  private static final int MAX_READS = 16;
-
-  /**
-   * Reads each socket until it has nothing left. A busy process finds a request and the end of its
-   * connection at the same time, and must not send the request to an engine before it has seen the
-   * end.
-   */
-  private static final RecvByteBufAllocator READ_UNTIL_EMPTY =
-      new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
-          .respectMaybeMoreData(false)
-          .maxMessagesPerRead(MAX_READS);
-
   private Listeners() {}
 
   /** Listens for callers. */
@@ -119,9 +90,9 @@
         .handler(limit)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
-        .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        .option(ChannelOption.SO_RCVBUF, SocketReads.RECEIVE_BUFFER_BYTES)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.RCVBUF_ALLOCATOR, READ_UNTIL_EMPTY)
+        .childOption(ChannelOption.RCVBUF_ALLOCATOR, SocketReads.untilEmpty())
         .childHandler(child)
         .bind(address)
         .syncUninterruptibly()
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/AcceptLimit.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/AcceptLimit.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.concurrent.EventExecutor;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -18,7 +19,7 @@
 
 /**
  * Bounds the connections that a listening socket has accepted. It is a handler of the listening
- * channel and confined to its thread, which must also be the thread of the accepted connections.
+ * channel and confined to its thread; the accepted connections may have other threads.
  */
 public final class AcceptLimit extends ChannelInboundHandlerAdapter {
   private final ConnectionThreshold threshold;
@@ -34,7 +35,8 @@
    * Creates a limit.
    *
    * @param threshold decides about a new connection
-   * @param serving whether a connection serves a request, so that it isn't closed for another one
+   * @param serving whether a connection serves a request, so that it isn't closed for another one;
+   *     called on the thread of the listening channel
    * @param overload receives the reason for each connection that is closed
    */
   public AcceptLimit(
@@ -64,10 +66,20 @@
     }
     open.computeIfAbsent(address, key -> new LinkedHashSet<>()).add(accepted);
     openCount++;
-    accepted.closeFuture().addListener(closed -> remove(address, accepted));
+    accepted
+        .closeFuture()
+        .addListener(closed -> execute(context.executor(), () -> remove(address, accepted)));
     context.fireChannelRead(message);
   }
 
+  private static void execute(EventExecutor executor, Runnable task) {
+    if (executor.inEventLoop()) {
+      task.run();
+    } else {
+      executor.execute(task);
+    }
+  }
+
   /** Returns a connection of the address itself, or of any other one if it has none. */
   private Optional<Channel> oldestWithoutRequest(InetAddress address) {
     Set<Channel> own = open.getOrDefault(address, Set.of());
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/HeadMemory.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/HeadMemory.java
@@ -63,6 +63,11 @@
     return new CountedHeaders();
   }
 
+  /** Returns whether no part of a request has been received since the last response. */
+  public boolean isEmpty() {
+    return lines == 0 && heldBytes == 0;
+  }
+
   /** Returns the number of header lines of the current request, with its trailers. */
   int lines() {
     return lines;
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/PacedHttpCodec.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/PacedHttpCodec.java
@@ -68,6 +68,14 @@
     pauseOrResumeReading();
   }
 
+  /** Ignores requests of other handlers to read while bytes are held; reading resumes by itself. */
+  @Override
+  public void read(ChannelHandlerContext out) throws Exception {
+    if (!decoder.isPaused()) {
+      super.read(out);
+    }
+  }
+
   /** Ends the turn of a connection that has been read from. */
   @Override
   public void channelReadComplete(ChannelHandlerContext in) throws Exception {
--- a/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/http/PacedHttpCodecTest.java
+++ b/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/http/PacedHttpCodecTest.java
@@ -39,9 +39,16 @@
   private final List<OverloadReason> overloads = new ArrayList<>();
   private final Queue<ChannelPromise> writes = new ArrayDeque<>();
   private final EmbeddedChannel channel = open();
+  private int reads;
 
   /** Keeps all writes pending, like a socket whose peer does not read. */
   private final class PendingWrites extends ChannelOutboundHandlerAdapter {
+    @Override
+    public void read(ChannelHandlerContext context) {
+      reads++;
+      context.read();
+    }
+
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
       ReferenceCountUtil.release(message);
@@ -220,4 +227,20 @@
     send("GET /a HTTP/1.1\r\nA: " + "a".repeat(10_000) + "\r\n\r\n");
     assertThat(nextRequest().headers().get("A")).hasLength(10_000);
   }
+
+  /** Guards against a handler that has a connection read on while its bytes wait for a turn. */
+  @Test
+  void readsNothingWhileBytesAreHeld() {
+    send(REQUEST);
+    assertThat(nextRequest()).isNotNull();
+    reads = 0;
+    channel.writeOneInbound(bytes(REQUEST));
+    channel.read();
+    assertThat(reads).isEqualTo(0);
+    respond();
+    writes.forEach(ChannelPromise::setSuccess);
+    channel.runPendingTasks();
+    assertThat(nextRequest()).isNotNull();
+    assertThat(reads).isGreaterThan(0);
+  }
 }
