Bound the JSON values of a request to the entry

What callers saw: 24 requests of 4 MB whose messages are small JSON values ended an entry with a heap of 64 MB; they are of legal size and complete.

Cause: the document is read into a tree before it is checked, in which small values take many times their length.

A document may now have 131,072 tokens (a limit of Jackson's parser); beyond it the answer is 413 too_many_values, not run. DOCUMENTS_OF_EMPTY_PARTS and DOCUMENTS_OF_SHORT_MESSAGES ended the process before and pass now; DOCUMENTS_OF_EMPTY_OBJECTS passed before as well; why was not traced.

--- a/limpetdoor-dev/src/test/java/org/limpetdoor/dev/UncontrolledCallersTest.java
+++ b/limpetdoor-dev/src/test/java/org/limpetdoor/dev/UncontrolledCallersTest.java
@@ -102,6 +102,15 @@
         Listener.CALLERS,
         100,
         Script.repeat("GET /services/orders/long HTTP/1.1\r\nHost: h\r\n" + KEY + "\r\n", 1)),
+    /** Guards against documents that take many times their length as objects. */
+    DOCUMENTS_OF_EMPTY_OBJECTS(Listener.CALLERS, 24, Script.repeat(document("{},"), 1)),
+    DOCUMENTS_OF_EMPTY_PARTS(
+        Listener.CALLERS,
+        24,
+        Script.repeat(
+            document("{\"role\":\"user\",\"content\":[" + "{},".repeat(1_000) + "{}]},"), 1)),
+    DOCUMENTS_OF_SHORT_MESSAGES(
+        Listener.CALLERS, 24, Script.repeat(document("{\"role\":\"\"},"), 1)),
     /** Guards against descriptors and memory that all go to idle connections. */
     CONNECTIONS_WITHOUT_REQUEST(Listener.CALLERS, 2_000, Script.repeat("", 0)),
     CONNECTIONS_WITHOUT_REQUEST_TO_OPERATORS(Listener.OPERATORS, 2_000, Script.repeat("", 0));
@@ -126,6 +135,19 @@
       return CallerCrowd.open(entry.address(listener), connections, script, settledAtBytes);
     }
 
+    /** A complete request of legal size, whose messages are the given text again and again. */
+    private static String document(String message) {
+      String beginning = "{\"model\":\"laying-assistant\",\"messages\":[";
+      String end = "{\"role\":\"user\",\"content\":\"eggs\"}]}";
+      String body = beginning + message.repeat(4_100_000 / message.length()) + end;
+      return "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\n"
+          + KEY
+          + "Content-Length: "
+          + body.length()
+          + "\r\n\r\n"
+          + body;
+    }
+
     private static String chunks(int length, int count) {
       return (Integer.toHexString(length) + "\r\n" + "x".repeat(length) + "\r\n").repeat(count);
     }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/ChatRequest.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/ChatRequest.java
@@ -1,7 +1,10 @@
 package org.limpetdoor.entry.caller;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.exc.StreamConstraintsException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -27,8 +30,19 @@
   /** Maximum output length in tokens of a request without {@code max_tokens}. */
   static final int DEFAULT_MAX_TOKENS = 512;
 
+  /**
+   * Largest number of JSON tokens in a request. A document of small values takes many times its
+   * length as objects, so that the limit on bodies does not bound its memory.
+   */
+  static final int MAX_JSON_TOKENS = 1 << 17;
+
   private static final ObjectMapper JSON =
-      new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+      new ObjectMapper(
+              JsonFactory.builder()
+                  .streamReadConstraints(
+                      StreamReadConstraints.builder().maxTokenCount(MAX_JSON_TOKENS).build())
+                  .build())
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
   private static final String NAME_FORMAT = "a name of letters, digits and . _ - : /";
 
   /**
@@ -56,6 +70,8 @@
   private static JsonNode parseJson(byte[] body) {
     try {
       return JSON.readTree(body);
+    } catch (StreamConstraintsException e) {
+      throw InvalidRequestException.tooManyValues(MAX_JSON_TOKENS);
     } catch (JsonProcessingException e) {
       JsonLocation location = e.getLocation();
       throw location == null
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/InvalidRequestException.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/InvalidRequestException.java
@@ -10,6 +10,7 @@
   private static final long serialVersionUID = 1L;
   private static final int BAD_REQUEST = 400;
   private static final int UNAUTHORIZED = 401;
+  private static final int CONTENT_TOO_LARGE = 413;
 
   private final transient Problem problem;
 
@@ -28,6 +29,14 @@
         problem, "malformed JSON", new SourceLocation("body", line, column));
   }
 
+  static InvalidRequestException tooManyValues(int maxTokens) {
+    String detail = "The body has too many JSON values or levels";
+    Problem problem =
+        Problem.of(CONTENT_TOO_LARGE, "too_many_values", detail, Outcome.NOT_RUN)
+            .with("accepted", "at most " + maxTokens + " JSON tokens, nested 1000 levels deep");
+    return new InvalidRequestException(problem, detail, new SourceLocation("body", 0, 0));
+  }
+
   static InvalidRequestException invalidField(String field, String accepted) {
     String detail = "Field " + field + " is absent or has another form than the accepted one";
     Problem problem =
--- a/limpetdoor-entry/src/test/java/org/limpetdoor/entry/EntryServerTest.java
+++ b/limpetdoor-entry/src/test/java/org/limpetdoor/entry/EntryServerTest.java
@@ -237,6 +237,19 @@
     assertThat(json(response).path("outcome").asText()).isEqualTo("not_run");
   }
 
+  /** Guards against documents whose many small values take far more memory than their text. */
+  @Test
+  void documentOfTooManyValuesIsRefused() throws Exception {
+    String parts = "{},".repeat(100_000);
+    String body =
+        "{\"model\":\"m\",\"messages\":[{\"role\":\"user\",\"content\":[" + parts + "{}]}]}";
+    HttpResponse<String> response = post(CHAT, body);
+
+    assertThat(response.statusCode()).isEqualTo(413);
+    assertThat(json(response).path("type").asText()).endsWith("too_many_values");
+    assertThat(json(response).path("outcome").asText()).isEqualTo("not_run");
+  }
+
   /** Guards against operator endpoints on the caller address, and the reverse. */
   @Test
   void callersAndOperatorsAreSeparate() throws Exception {
