Release the head of a refused request when its response has been sent

Cause: PacedHttpCodec released the memory of a head only after a request that was decoded to its end. A head that is refused for want of memory is none, so its part stayed reserved until the connection was closed; put that off by a second (LingeringClose). A trace of the reservations showed each refused head halving what was free, down to 422 bytes of 11 MB, and none of them released before the next.

A response that closes the connection now ends its request in any case: the rest of the input is skipped, so nothing refers to the head any more.

--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/PacedHttpCodec.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/PacedHttpCodec.java
@@ -117,8 +117,9 @@
         && response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
   }
 
+  /** Ends the request that the response belongs to, also one of which the rest is skipped. */
   private void responseSent() {
-    if (!awaitingResponse) {
+    if (!awaitingResponse && !closing) {
       return;
     }
     awaitingResponse = false;
--- a/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/http/PacedHttpCodecTest.java
+++ b/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/http/PacedHttpCodecTest.java
@@ -100,6 +100,13 @@
     channel.writeAndFlush(response);
   }
 
+  private void respondAndClose() {
+    FullHttpResponse response =
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
+    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    channel.writeAndFlush(response);
+  }
+
   /** Guards against a response in memory for each request that a caller sends ahead. */
   @Test
   void decodesNoFurtherRequestUntilTheSocketHasTakenTheResponse() {
@@ -168,6 +175,27 @@
     assertThat(memory.usedBytes()).isEqualTo(0);
   }
 
+  /**
+   * Guards against refused heads that stay in the memory of all requests while their connections
+   * wait for the end of the input: others would be refused for want of memory meanwhile.
+   */
+  @Test
+  void releasesARefusedHeadWhenItsResponseHasBeenSent() {
+    EmbeddedChannel other = open();
+    send(other, "GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(1_500));
+    long othersBytes = memory.usedBytes();
+    send("GET /a HTTP/1.1\r\n" + "a:\r\n".repeat(2_000));
+    assertThat(nextRequest().decoderResult().cause()).isInstanceOf(NoHeadMemoryException.class);
+    assertThat(memory.usedBytes()).isGreaterThan(othersBytes);
+
+    respondAndClose();
+    writes.forEach(ChannelPromise::setSuccess);
+    channel.runPendingTasks();
+
+    assertThat(channel.isOpen()).isTrue();
+    assertThat(memory.usedBytes()).isEqualTo(othersBytes);
+  }
+
   /**
    * Guards against a thread that decodes what one connection sends without a poll of the others: a
    * read of 6 kB in chunks of one byte is a thousand messages.
@@ -210,10 +238,7 @@
   void decodesNothingAfterAResponseThatClosesTheConnection() {
     send("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
     assertThat(nextRequest()).isNotNull();
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
-    response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    channel.writeAndFlush(response);
+    respondAndClose();
     long headBytes = memory.usedBytes();
 
     send("1\r\nx\r\n".repeat(1_000));
