Group the bounds on callers of a gateway, and test odd header lines on the entry

GatewayTraffic passed four objects on to each connection; CallerBounds holds them and creates the codec. BoundedConnection uses Problem.of as it is. No change of behaviour.

--- a/limpetdoor-dev/src/test/java/org/limpetdoor/dev/UncontrolledCallersTest.java
+++ b/limpetdoor-dev/src/test/java/org/limpetdoor/dev/UncontrolledCallersTest.java
@@ -91,6 +91,15 @@
         Listener.OPERATORS, 300, Script.repeat(UNROUTED + "a:\r\n".repeat(3_900), 1)),
     COMPLETE_HEADS_OF_SHORT_LINES(
         Listener.CALLERS, 300, Script.repeat(UNROUTED + "a:\r\n".repeat(3_900) + "\r\n", 20)),
+    HEADS_OF_ODD_LINES(
+        Listener.CALLERS,
+        40,
+        Script.repeat(
+            UNROUTED
+                + "!#$%&'*+-.^_`|~09azAZ: v\r\nA:\r\nB:\t\tb\t\r\n"
+                + " c\r\n".repeat(3_000)
+                + "\r\n",
+            20)),
     TRAILERS_OF_SHORT_LINES(
         Listener.CALLERS, 300, new Script(CHUNKED_CHAT + "0\r\n", "a:\r\n", 4_000)),
     CHUNKS_WITH_LONG_EXTENSIONS(
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/BoundedConnection.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/BoundedConnection.java
@@ -23,7 +23,6 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.limpetdoor.core.decision.OverloadReason;
 import org.limpetdoor.core.decision.RequestRejection;
@@ -107,11 +106,7 @@
   public void refused(RequestRejection reason) {
     HttpResponseStatus status = HttpResponseStatus.valueOf(reason.status());
     Problem problem =
-        new Problem(
-            reason.status(),
-            Problem.of(reason.status(), reason.label(), status.reasonPhrase(), Outcome.NOT_RUN)
-                .members(),
-            OptionalLong.empty());
+        Problem.of(status.code(), reason.label(), status.reasonPhrase(), Outcome.NOT_RUN);
     FullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
@@ -56,8 +56,10 @@
     this.idleLimits = traffic.callerLimits();
     this.receiver =
         new RequestReceiver(
-            traffic.requestMemory(), () -> traffic.callerLimits().maxBodyBytes(), new Requests());
-    this.unsent = new UnsentResponses(traffic.responseMemory());
+            traffic.bounds().memories().requests(),
+            () -> traffic.callerLimits().maxBodyBytes(),
+            new Requests());
+    this.unsent = new UnsentResponses(traffic.bounds().memories().responses());
   }
 
   private final class Requests implements RequestReceiver.Sink {
@@ -88,7 +90,7 @@
    */
   void closeIfStalled() {
     if (unsent.isStalled(channel, idleTimeoutMs())) {
-      traffic.overloads().accept(OverloadReason.SLOW_READER);
+      traffic.bounds().overloads().accept(OverloadReason.SLOW_READER);
       close(ConnectionCloseReason.SLOW_READER);
       return;
     }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayServer.java
@@ -231,7 +231,7 @@
             PeerTransportSettings.of(identity, options.peers(), options.peerSecret()),
             peers,
             group,
-            traffic.overloads()));
+            traffic.bounds().overloads()));
     log(
         LogLine.event("instance_started")
             .with("instance", options.self().id())
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/GatewayTraffic.java
@@ -34,11 +34,9 @@
 import org.limpetdoor.core.gateway.EngineOrderResult;
 import org.limpetdoor.core.gateway.RouteTable.CallerLimits;
 import org.limpetdoor.core.limits.DecodeBudget;
-import org.limpetdoor.runtime.BodyMemory;
 import org.limpetdoor.runtime.MonotonicClock;
 import org.limpetdoor.runtime.http.BodyMemories;
 import org.limpetdoor.runtime.http.DecodeTurns;
-import org.limpetdoor.runtime.http.HeadMemory;
 import org.limpetdoor.runtime.http.OverloadLog;
 
 /**
@@ -62,9 +60,7 @@
   private final EngineNotices notices;
   private final EngineConnectionPool pool;
   private final PaceMeter paceMeter;
-  private final BodyMemories memories;
-  private final OverloadLog overloads;
-  private final DecodeTurns decodeTurns;
+  private final CallerBounds bounds;
   private final Map<Long, OpenCall> calls = new HashMap<>();
   private final Set<CallerChannel> callers = new LinkedHashSet<>();
   private CallerLimits callerLimits = CallerLimits.DEFAULT;
@@ -89,13 +85,12 @@
     this.storeFollower = storeFollower;
     this.clock = clock;
     this.readTimes = readTimes;
-    this.memories = memories;
-    this.overloads = overloads;
     this.eventSink = eventSink;
     this.notices = new EngineNotices(clock, this);
     this.pool = new EngineConnectionPool(loop, readTimes, protocol, notices);
     this.paceMeter = new PaceMeter(this);
-    this.decodeTurns = new DecodeTurns(loop, DecodeBudget.DEFAULT);
+    this.bounds =
+        new CallerBounds(memories, new DecodeTurns(loop, DecodeBudget.DEFAULT), overloads);
     loop.scheduleWithFixedDelay(
         this::cleanUp, CLEANUP_INTERVAL_MS, CLEANUP_INTERVAL_MS, TimeUnit.MILLISECONDS);
   }
@@ -147,26 +142,9 @@
     return removed;
   }
 
-  OverloadLog overloads() {
-    return overloads;
-  }
-
-  /** Returns the memory of the request heads of one more connection. */
-  HeadMemory headMemory() {
-    return new HeadMemory(memories.requests(), overloads);
-  }
-
-  /** Returns the turns in which connections of callers are decoded. */
-  DecodeTurns decodeTurns() {
-    return decodeTurns;
-  }
-
-  BodyMemory responseMemory() {
-    return memories.responses();
-  }
-
-  BodyMemory requestMemory() {
-    return memories.requests();
+  /** Returns the bounds on the connections of callers. */
+  CallerBounds bounds() {
+    return bounds;
   }
 
   void callerConnected(CallerChannel caller) {
@@ -203,7 +181,7 @@
     }
     EngineAttempt attempt =
         new EngineAttempt(
-            effect, call, protocol, this, loop, paceMeter, clock, memories.responses());
+            effect, call, protocol, this, loop, paceMeter, clock, bounds.memories().responses());
     call.attemptStarted(attempt);
     pool.send(attempt);
   }
@@ -342,7 +320,7 @@
   private void cleanUp() {
     paceMeter.removeOlderThan(System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(PACE_RETENTION_MS));
     notices.removeEnded();
-    overloads.flush();
+    bounds.overloads().flush();
     closeStalledCallers();
   }
 
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
@@ -13,7 +13,6 @@
 import java.util.function.Function;
 import org.limpetdoor.runtime.AcceptLimit;
 import org.limpetdoor.runtime.http.ConnectionCapacity;
-import org.limpetdoor.runtime.http.PacedHttpCodec;
 import org.limpetdoor.runtime.http.SocketReads;
 
 /** Binds the listening sockets of a gateway. */
@@ -33,7 +32,8 @@
     return open(
         group,
         address,
-        new AcceptLimit(ConnectionCapacity.ofCallers(), Listeners::servesCall, traffic.overloads()),
+        new AcceptLimit(
+            ConnectionCapacity.ofCallers(), Listeners::servesCall, traffic.bounds().overloads()),
         new ChannelInitializer<>() {
           @Override
           protected void initChannel(SocketChannel channel) {
@@ -43,7 +43,7 @@
                     .setMaxHeaderSize(traffic.callerLimits().maxHeaderBytes());
             channel
                 .pipeline()
-                .addLast(new PacedHttpCodec(config, traffic.headMemory(), traffic.decodeTurns()))
+                .addLast(traffic.bounds().codec(config))
                 .addLast(new CallerChannel(traffic));
           }
         });
@@ -58,16 +58,15 @@
     return open(
         group,
         address,
-        new AcceptLimit(ConnectionCapacity.ofMonitoring(), channel -> false, traffic.overloads()),
+        new AcceptLimit(
+            ConnectionCapacity.ofMonitoring(), channel -> false, traffic.bounds().overloads()),
         new ChannelInitializer<>() {
           @Override
           protected void initChannel(SocketChannel channel) {
             channel
                 .pipeline()
                 .addLast(MonitoringHandler.idleTimeout())
-                .addLast(
-                    new PacedHttpCodec(
-                        new HttpDecoderConfig(), traffic.headMemory(), traffic.decodeTurns()))
+                .addLast(traffic.bounds().codec(new HttpDecoderConfig()))
                 .addLast(new HttpObjectAggregator(MAX_MONITORING_REQUEST_BYTES))
                 .addLast(new MonitoringHandler(responder));
           }
