Count a response of the entry between its receipt and its write

What callers saw: beside several crowds at once, of which one does not read long responses, an ordinary call of a plain service got 502, outcome unknown, although the service had answered with one byte.

Cause: the reservation of a buffered response was released when it had been received, and the connection of its caller counted it only when the HTTP server wrote it. Several responses of 4 MB passed in this gap, so that together they took more than the memory of responses; until the callers were closed as stalled, no other response got any. The process also took more than its bound.

The request now takes the reservation over and releases it when the connection counts the write or has ended.

The stand-in of the service now serves requests on threads of their own; before, one unread response of 4 MB delayed all others, which hid the fault.

--- a/limpetdoor-dev/src/test/java/org/limpetdoor/dev/EntryProcess.java
+++ b/limpetdoor-dev/src/test/java/org/limpetdoor/dev/EntryProcess.java
@@ -14,6 +14,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import org.limpetdoor.cli.CliMain;
 import org.limpetdoor.cli.ExitCode;
 import org.limpetdoor.entry.EntryMain;
@@ -48,6 +50,9 @@
   /** Longer than what the buffers of sockets take, and within what an entry buffers. */
   private static final int LONG_BODY_BYTES = 4_000_000;
 
+  /** Connections that may wait to be accepted; more than a crowd opens at once. */
+  private static final int BACKLOG = 512;
+
   private static final long POLL_MS = 100;
   private static final int STATUS_OK = 200;
 
@@ -58,13 +63,18 @@
   }
 
   private final int[] ports = {ChildProcesses.freePort(), ChildProcesses.freePort()};
+
+  /** Serves each request on a thread of its own, so that a long response delays no other one. */
+  private final ExecutorService executor = Executors.newCachedThreadPool();
+
   private final HttpServer service;
   private final RunningStandin log;
   private final Process process;
 
   /** Starts the service, the log with a configuration, and the entry. */
   EntryProcess(Path directory) throws Exception {
-    service = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+    service = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), BACKLOG);
+    service.setExecutor(executor);
     service.createContext("/", EntryProcess::answer);
     service.start();
     String logAddress = "127.0.0.1:" + ChildProcesses.freePort();
@@ -107,6 +117,7 @@
     process.destroyForcibly().waitFor();
     log.close();
     service.stop(0);
+    executor.shutdownNow();
   }
 
   private int getOrFail(Listener listener, String path) {
--- a/limpetdoor-dev/src/test/java/org/limpetdoor/dev/UncontrolledCallersTest.java
+++ b/limpetdoor-dev/src/test/java/org/limpetdoor/dev/UncontrolledCallersTest.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -202,4 +203,30 @@
       assertThat(entry.usage().peakMemoryMb()).isAtMost(EntryProcess.MAX_MEMORY_MB);
     }
   }
+
+  /** Guards against bounds that hold for a crowd of one kind but not for several at once. */
+  @Test
+  void livesAndAnswersOrdinaryRequestsBesideCrowdsOfSeveralKinds() throws Exception {
+    try (EntryProcess entry = new EntryProcess(directory)) {
+      int descriptorsBefore = entry.usage().openDescriptors();
+      try (CallerCrowd longBodies = Crowd.BODIES_IN_CHUNKS_OF_64_KB.open(entry);
+          CallerCrowd smallChunks = Crowd.BODIES_IN_CHUNKS_OF_ONE_BYTE.open(entry);
+          CallerCrowd heads = Crowd.HEADS_OF_SHORT_LINES.open(entry);
+          CallerCrowd responses = Crowd.LONG_RESPONSES.open(entry);
+          CallerCrowd documents = Crowd.DOCUMENTS_OF_EMPTY_PARTS.open(entry);
+          CallerCrowd ahead = Crowd.ENDLESS_REQUESTS_AHEAD.open(entry);
+          CallerCrowd operators = Crowd.BODIES_IN_CHUNKS_OF_ONE_BYTE_TO_OPERATORS.open(entry)) {
+        List.of(longBodies, smallChunks, heads, responses, documents, ahead, operators)
+            .forEach(CallerCrowd::awaitSettled);
+        assertWithMessage("alive").that(entry.isAlive()).isTrue();
+        assertThat(entry.get(Listener.CALLERS, "/services/orders/x")).isEqualTo(STATUS_OK);
+        assertThat(entry.get(Listener.OPERATORS, "/health/ready")).isEqualTo(STATUS_OK);
+        assertThat(entry.usage().openDescriptors())
+            .isAtMost(EntryProcess.MAX_DESCRIPTORS - RESERVED_DESCRIPTORS);
+      }
+      assertThat(entry.get(Listener.CALLERS, "/services/orders/x")).isEqualTo(STATUS_OK);
+      entry.usage().awaitOpenDescriptors(descriptorsBefore + NEW_DESCRIPTORS);
+      assertThat(entry.usage().peakMemoryMb()).isAtMost(EntryProcess.MAX_MEMORY_MB);
+    }
+  }
 }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/BoundedConnection.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/BoundedConnection.java
@@ -28,6 +28,7 @@
 import org.limpetdoor.core.decision.RequestRejection;
 import org.limpetdoor.core.request.Outcome;
 import org.limpetdoor.entry.traffic.Problem;
+import org.limpetdoor.entry.traffic.ServedRequest;
 import org.limpetdoor.runtime.http.HeadMemory;
 import org.limpetdoor.runtime.http.LingeringClose;
 import org.limpetdoor.runtime.http.RequestReceiver;
@@ -134,6 +135,9 @@
     }
     int lengthBytes = content.content().readableBytes();
     boolean last = message instanceof LastHttpContent;
+    if (last) {
+      ServedRequest.responseWritten(to.channel());
+    }
     ChannelFuture write = to.write(message, promise.unvoid());
     unsent.add(write, lengthBytes);
     if (last) {
@@ -170,6 +174,7 @@
   public void channelInactive(ChannelHandlerContext from) {
     serving = false;
     receiver.close();
+    ServedRequest.responseWritten(from.channel());
     from.fireChannelInactive();
   }
 }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/CallerRequestHandler.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/CallerRequestHandler.java
@@ -32,6 +32,7 @@
 import org.limpetdoor.entry.traffic.OpenRequests;
 import org.limpetdoor.entry.traffic.Problem;
 import org.limpetdoor.entry.traffic.ResponseMode;
+import org.limpetdoor.entry.traffic.ServedRequest;
 import org.limpetdoor.runtime.MonotonicClock;
 
 /** Registers requests of callers as open requests and submits the matching events. */
@@ -144,6 +145,7 @@
       return;
     }
     Channel channel = netty.getChannelHandlerContext().channel();
+    ServedRequest.set(channel, request);
     ChannelFutureListener listener = closed -> request.callerDisconnected();
     channel.closeFuture().addListener(listener);
     request.onClose(() -> channel.closeFuture().removeListener(listener));
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BackendAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BackendAttempt.java
@@ -22,6 +22,7 @@
 import org.limpetdoor.core.id.AttemptId;
 import org.limpetdoor.core.request.AttemptFailure;
 import org.limpetdoor.core.request.Outcome;
+import org.limpetdoor.runtime.BodyMemory;
 import org.limpetdoor.runtime.decision.LogLine;
 
 /** An attempt to run a request on a back end. Reports at most one final event. */
@@ -157,7 +158,7 @@
 
   final void failed(Throwable error) {
     if (error instanceof HttpClientResponseException responseError) {
-      handleErrorResponse(responseError.getResponse());
+      handleErrorResponse(responseError.getResponse(), resources.responseMemory().reserve());
     } else {
       failed(FailureClassifier.classify(error));
     }
@@ -235,8 +236,10 @@
    * start the call, so another back end may run it. This is believed only in a response that names
    * the attempt, since an engine may send an earlier refusal again. Any other 4xx status concerns
    * the request itself, which another back end would refuse as well.
+   *
+   * @param memory what the response has reserved
    */
-  final void handleErrorResponse(HttpResponse<?> response) {
+  final void handleErrorResponse(HttpResponse<?> response, BodyMemory.Reservation memory) {
     boolean notStarted = "true".equals(response.getHeaders().get("Limpetdoor-Not-Started"));
     if (isForOtherAttempt(response.getHeaders())
         || (notStarted && !echoesAttempt(response.getHeaders()))) {
@@ -249,9 +252,9 @@
     if (notStarted && !concernsRequest) {
       failed(AttemptFailure.NOT_STARTED);
     } else if (request.call().mode().relaysErrorResponses()) {
-      relayResponse(toCallerResponse(response), 0);
+      relayResponse(toCallerResponse(response), 0, memory);
     } else if (response.code() < SERVER_ERROR) {
-      relayResponse(engineProblem(response.code(), notStarted).toResponse(), 0);
+      relayResponse(engineProblem(response.code(), notStarted).toResponse(), 0, memory);
     } else {
       failed(AttemptFailure.ERROR_ANSWER);
     }
@@ -271,10 +274,16 @@
     return exchange.ownsResponse(Optional.ofNullable(headers.get(ATTEMPT_HEADER)));
   }
 
-  final void relayResponse(MutableHttpResponse<?> response, int outputTokens) {
+  /**
+   * Relays a whole response.
+   *
+   * @param memory what the response has reserved; passes to the request if it takes the response
+   */
+  final void relayResponse(
+      MutableHttpResponse<?> response, int outputTokens, BodyMemory.Reservation memory) {
     if (request.responseStarted()) {
       failed(AttemptFailure.ERROR_ANSWER);
-    } else if (request.sendResponse(id(), response)) {
+    } else if (request.sendResponse(id(), response, memory)) {
       completed(outputTokens);
     } else {
       cancel();
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BufferedResponseAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BufferedResponseAttempt.java
@@ -26,9 +26,20 @@
 
   private static final int CLIENT_ERROR = 400;
 
+  /** The reservation of a response is released after its receipt, if nobody has taken it over. */
+  private static final boolean RELEASED_BEFORE_RECEIPT = false;
+
   /** Twice the target gap between tokens. */
   private static final long MAX_MS_PER_TOKEN = 102;
 
+  /**
+   * A response with what it has reserved.
+   *
+   * @param response the response
+   * @param memory its reservation, which is released unless the request takes it over
+   */
+  private record Received(HttpResponse<byte[]> response, BodyMemory.Reservation memory) {}
+
   private volatile Disposable subscription;
 
   BufferedResponseAttempt(
@@ -71,7 +82,7 @@
   void resumeReading() {}
 
   /** Reads the body for any status; the raw client does not fail on an error status. */
-  private Mono<HttpResponse<byte[]>> bufferBody(HttpResponse<?> response) {
+  private Mono<Received> bufferBody(HttpResponse<?> response) {
     ByteBodyHttpResponse<?> raw = (ByteBodyHttpResponse<?>) response;
     return Mono.using(
             resources().responseMemory()::reserve,
@@ -79,9 +90,10 @@
                 Flux.from(raw.byteBody().toByteArrayPublisher())
                     .collect(
                         ByteArrayOutputStream::new,
-                        (bytes, part) -> appendBounded(bytes, part, reservation)),
-            BodyMemory.Reservation::close)
-        .map(bytes -> copyOf(response, bytes.toByteArray()))
+                        (bytes, part) -> appendBounded(bytes, part, reservation))
+                    .map(bytes -> new Received(copyOf(response, bytes.toByteArray()), reservation)),
+            BodyMemory.Reservation::close,
+            RELEASED_BEFORE_RECEIPT)
         .doFinally(signal -> raw.close());
   }
 
@@ -100,9 +112,10 @@
     return copy.body(body);
   }
 
-  private void responseReceived(HttpResponse<byte[]> response) {
+  private void responseReceived(Received received) {
+    HttpResponse<byte[]> response = received.response();
     if (response.code() >= CLIENT_ERROR) {
-      handleErrorResponse(response);
+      handleErrorResponse(response, received.memory());
       return;
     }
     if (isForOtherAttempt(response.getHeaders())) {
@@ -110,7 +123,7 @@
       return;
     }
     reportStarted(response.getHeaders());
-    relayResponse(toCallerResponse(response), outputTokens(response));
+    relayResponse(toCallerResponse(response), outputTokens(response), received.memory());
   }
 
   private int outputTokens(HttpResponse<byte[]> response) {
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/OpenRequest.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/OpenRequest.java
@@ -16,6 +16,7 @@
 import org.limpetdoor.core.request.RefusalReason;
 import org.limpetdoor.core.request.RequestSpec;
 import org.limpetdoor.entry.traffic.SseDecoder.SseEvent;
+import org.limpetdoor.runtime.BodyMemory;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Sinks;
 
@@ -34,6 +35,7 @@
   private final CompletableFuture<HttpResponse<?>> response = new CompletableFuture<>();
   private final ReentrantLock lock = new ReentrantLock();
   private final AtomicInteger pendingEvents = new AtomicInteger();
+  private final HeldMemory responseMemory = new HeldMemory();
   private final Sinks.Many<Event<String>> events =
       Sinks.many().unicast().onBackpressureBuffer(new ConcurrentLinkedQueue<>());
   private Optional<BackendAttempt> currentAttempt = Optional.empty();
@@ -164,15 +166,28 @@
     return locked(() -> isCurrent(attempt) && emitCurrent(event, 0) && markEnded() && complete());
   }
 
-  /** Sends a whole response; returns false if one has started or the attempt is superseded. */
-  boolean sendResponse(AttemptId attempt, MutableHttpResponse<?> httpResponse) {
+  /**
+   * Sends a whole response; returns false if one has started or the attempt is superseded.
+   *
+   * @param memory what the response has reserved; released by {@link #responseWritten}
+   */
+  boolean sendResponse(
+      AttemptId attempt, MutableHttpResponse<?> httpResponse, BodyMemory.Reservation memory) {
     boolean accepted = locked(() -> isCurrent(attempt) && !responseStarted() && markEnded());
     if (accepted) {
+      responseMemory.hold(memory.detach());
       respond(httpResponse);
     }
     return accepted;
   }
 
+  /**
+   * Releases the memory of a whole response: its connection counts it from now on, or has ended.
+   */
+  void responseWritten() {
+    responseMemory.close();
+  }
+
   /** Returns whether the event buffer of the caller is full, so that reading must pause. */
   boolean callerBufferFull() {
     return pendingEvents.get() >= MAX_PENDING_EVENTS;
--- /dev/null
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/ServedRequest.java
@@ -0,0 +1,28 @@
+package org.limpetdoor.entry.traffic;
+
+import io.netty.channel.Channel;
+import io.netty.util.AttributeKey;
+
+/** The request that a connection of a caller serves, as an attribute of the connection. */
+public final class ServedRequest {
+  private static final AttributeKey<OpenRequest> REQUEST =
+      AttributeKey.valueOf(ServedRequest.class, "request");
+
+  private ServedRequest() {}
+
+  /** Sets the request; a connection serves one at a time. */
+  public static void set(Channel connection, OpenRequest request) {
+    connection.attr(REQUEST).set(request);
+  }
+
+  /**
+   * Ends the request, if the connection serves one. Called before its whole response is counted as
+   * unsent, or when the connection has ended.
+   */
+  public static void responseWritten(Channel connection) {
+    OpenRequest request = connection.attr(REQUEST).getAndSet(null);
+    if (request != null) {
+      request.responseWritten();
+    }
+  }
+}
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/BodyMemory.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/BodyMemory.java
@@ -77,6 +77,17 @@
       usedBytes.addAndGet(-removedBytes);
     }
 
+    /**
+     * Moves what is reserved to a new reservation, which has another owner and may be used by
+     * another thread. This one then reserves nothing.
+     */
+    public Reservation detach() {
+      Reservation moved = new Reservation();
+      moved.reservedBytes = reservedBytes;
+      reservedBytes = 0;
+      return moved;
+    }
+
     @Override
     public void close() {
       usedBytes.addAndGet(-reservedBytes);
