--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/CallerRequestHandler.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/caller/CallerRequestHandler.java
@@ -139,7 +139,10 @@
     return request.response();
   }
 
-  /** Detects a caller that disconnects while its request is queued, when no response is written. */
+  /**
+   * Detects a caller that disconnects while its request is queued, when no response is written, and
+   * lets the connection report when it writes the response.
+   */
   private static void watchConnection(HttpRequest<?> http, OpenRequest request) {
     if (!(http instanceof NettyHttpRequest<?> netty)) {
       return;
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BufferedResponseAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BufferedResponseAttempt.java
@@ -26,8 +26,8 @@
 
   private static final int CLIENT_ERROR = 400;
 
-  /** The reservation of a response is released after its receipt, if nobody has taken it over. */
-  private static final boolean RELEASED_BEFORE_RECEIPT = false;
+  /** Releases what is left of a reservation only after the response has been passed on. */
+  private static final boolean EAGER_CLEANUP = false;
 
   /** Twice the target gap between tokens. */
   private static final long MAX_MS_PER_TOKEN = 102;
@@ -93,7 +93,7 @@
                         (bytes, part) -> appendBounded(bytes, part, reservation))
                     .map(bytes -> new Received(copyOf(response, bytes.toByteArray()), reservation)),
             BodyMemory.Reservation::close,
-            RELEASED_BEFORE_RECEIPT)
+            EAGER_CLEANUP)
         .doFinally(signal -> raw.close());
   }
 
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/ServedRequest.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/ServedRequest.java
@@ -16,8 +16,8 @@
   }
 
   /**
-   * Ends the request, if the connection serves one. Called before its whole response is counted as
-   * unsent, or when the connection has ended.
+   * Releases the memory of a whole response to the request, if the connection serves one. Called
+   * when the connection itself counts the response, or has ended.
    */
   public static void responseWritten(Channel connection) {
     OpenRequest request = connection.attr(REQUEST).getAndSet(null);
