Pass responses on without copying them as a whole

Cause, traced with Netty's allocation events and native memory tracking: a response of 4 MB was collected in an array that doubles, copied to an array of its length, and copied again by the HTTP server to a buffer outside of the heap, since an array as body is written to a stream of bytes. Only its length was counted. The gateway also copied the blocks of a response to one array.

Now the blocks that a response was received in are passed on as a composite buffer (BufferedBody.content), by both programs. ReceivedBody replaces the array and the reservation in the entry.

--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BackendAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BackendAttempt.java
@@ -6,6 +6,8 @@
 import io.micronaut.http.MutableHttpRequest;
 import io.micronaut.http.MutableHttpResponse;
 import io.micronaut.http.client.exceptions.HttpClientResponseException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.Locale;
@@ -22,7 +24,6 @@
 import org.limpetdoor.core.id.AttemptId;
 import org.limpetdoor.core.request.AttemptFailure;
 import org.limpetdoor.core.request.Outcome;
-import org.limpetdoor.runtime.BodyMemory;
 import org.limpetdoor.runtime.decision.LogLine;
 
 /** An attempt to run a request on a back end. Reports at most one final event. */
@@ -158,7 +159,8 @@
 
   final void failed(Throwable error) {
     if (error instanceof HttpClientResponseException responseError) {
-      handleErrorResponse(responseError.getResponse(), resources.responseMemory().reserve());
+      handleErrorResponse(
+          responseError.getResponse(), new ReceivedBody(resources.responseMemory()));
     } else {
       failed(FailureClassifier.classify(error));
     }
@@ -237,9 +239,9 @@
    * the attempt, since an engine may send an earlier refusal again. Any other 4xx status concerns
    * the request itself, which another back end would refuse as well.
    *
-   * @param memory what the response has reserved
+   * @param body the body of the response, whose memory the request may take over
    */
-  final void handleErrorResponse(HttpResponse<?> response, BodyMemory.Reservation memory) {
+  final void handleErrorResponse(HttpResponse<?> response, ReceivedBody body) {
     boolean notStarted = "true".equals(response.getHeaders().get("Limpetdoor-Not-Started"));
     if (isForOtherAttempt(response.getHeaders())
         || (notStarted && !echoesAttempt(response.getHeaders()))) {
@@ -252,9 +254,9 @@
     if (notStarted && !concernsRequest) {
       failed(AttemptFailure.NOT_STARTED);
     } else if (request.call().mode().relaysErrorResponses()) {
-      relayResponse(toCallerResponse(response), 0, memory);
+      relayResponse(toCallerResponse(response), 0, body);
     } else if (response.code() < SERVER_ERROR) {
-      relayResponse(engineProblem(response.code(), notStarted).toResponse(), 0, memory);
+      relayResponse(engineProblem(response.code(), notStarted).toResponse(), 0, body);
     } else {
       failed(AttemptFailure.ERROR_ANSWER);
     }
@@ -277,13 +279,12 @@
   /**
    * Relays a whole response.
    *
-   * @param memory what the response has reserved; passes to the request if it takes the response
+   * @param body its body, whose memory the request takes over with the response
    */
-  final void relayResponse(
-      MutableHttpResponse<?> response, int outputTokens, BodyMemory.Reservation memory) {
+  final void relayResponse(MutableHttpResponse<?> response, int outputTokens, ReceivedBody body) {
     if (request.responseStarted()) {
       failed(AttemptFailure.ERROR_ANSWER);
-    } else if (request.sendResponse(id(), response, memory)) {
+    } else if (request.sendResponse(id(), response, body)) {
       completed(outputTokens);
     } else {
       cancel();
@@ -291,12 +292,19 @@
   }
 
   static MutableHttpResponse<?> toCallerResponse(HttpResponse<?> response) {
-    byte[] body = response.getBody(byte[].class).orElse(new byte[0]);
-    MutableHttpResponse<byte[]> outgoing =
-        HttpResponse.<byte[]>status(response.code(), response.reason());
+    ByteBuf content = contentOf(response);
+    MutableHttpResponse<ByteBuf> outgoing =
+        HttpResponse.<ByteBuf>status(response.code(), response.reason());
     ForwardedHeaders.toCaller(response.getHeaders())
         .forEach((name, values) -> values.forEach(value -> outgoing.header(name, value)));
-    return body.length == 0 ? outgoing : outgoing.body(body);
+    return content.isReadable() ? outgoing.body(content) : outgoing;
+  }
+
+  /** Returns the body as a buffer; the server would copy an array out of the heap. */
+  private static ByteBuf contentOf(HttpResponse<?> response) {
+    return response.body() instanceof ByteBuf content
+        ? content
+        : Unpooled.wrappedBuffer(response.getBody(byte[].class).orElse(new byte[0]));
   }
 
   private static Problem engineProblem(int status, boolean notStarted) {
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BufferedResponseAttempt.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/BufferedResponseAttempt.java
@@ -9,11 +9,12 @@
 import io.micronaut.http.body.ByteBodyFactory;
 import io.micronaut.http.body.CloseableByteBody;
 import io.micronaut.http.client.exceptions.ContentLengthExceededException;
-import java.io.ByteArrayOutputStream;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import org.limpetdoor.core.effect.DispatchAttempt;
 import org.limpetdoor.core.request.AttemptFailure;
-import org.limpetdoor.runtime.BodyMemory;
 import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
@@ -26,19 +27,19 @@
 
   private static final int CLIENT_ERROR = 400;
 
-  /** Releases what is left of a reservation only after the response has been passed on. */
+  /** Closes a body only after its response has been passed on. */
   private static final boolean EAGER_CLEANUP = false;
 
   /** Twice the target gap between tokens. */
   private static final long MAX_MS_PER_TOKEN = 102;
 
   /**
-   * A response with what it has reserved.
+   * A response and its body, which is closed unless the request takes over its memory.
    *
-   * @param response the response
-   * @param memory its reservation, which is released unless the request takes it over
+   * @param response the response, with the content of the body
+   * @param body its body
    */
-  private record Received(HttpResponse<byte[]> response, BodyMemory.Reservation memory) {}
+  private record Received(HttpResponse<ByteBuf> response, ReceivedBody body) {}
 
   private volatile Disposable subscription;
 
@@ -85,37 +86,33 @@
   private Mono<Received> bufferBody(HttpResponse<?> response) {
     ByteBodyHttpResponse<?> raw = (ByteBodyHttpResponse<?>) response;
     return Mono.using(
-            resources().responseMemory()::reserve,
-            reservation ->
+            () -> new ReceivedBody(resources().responseMemory()),
+            body ->
                 Flux.from(raw.byteBody().toByteArrayPublisher())
-                    .collect(
-                        ByteArrayOutputStream::new,
-                        (bytes, part) -> appendBounded(bytes, part, reservation))
-                    .map(bytes -> new Received(copyOf(response, bytes.toByteArray()), reservation)),
-            BodyMemory.Reservation::close,
+                    .collect(() -> body, BufferedResponseAttempt::appendBounded)
+                    .map(received -> new Received(copyOf(response, body.content()), body)),
+            ReceivedBody::close,
             EAGER_CLEANUP)
         .doFinally(signal -> raw.close());
   }
 
-  private static void appendBounded(
-      ByteArrayOutputStream bytes, byte[] part, BodyMemory.Reservation reservation) {
-    long length = (long) bytes.size() + part.length;
-    if (length > AttemptEffects.MAX_RESPONSE_BYTES || !reservation.tryGrow(part.length)) {
-      throw new ContentLengthExceededException(AttemptEffects.MAX_RESPONSE_BYTES, length);
+  private static void appendBounded(ReceivedBody body, byte[] part) {
+    long lengthBytes = (long) body.lengthBytes() + part.length;
+    if (lengthBytes > AttemptEffects.MAX_RESPONSE_BYTES || !body.append(part)) {
+      throw new ContentLengthExceededException(AttemptEffects.MAX_RESPONSE_BYTES, lengthBytes);
     }
-    bytes.writeBytes(part);
   }
 
-  private static HttpResponse<byte[]> copyOf(HttpResponse<?> response, byte[] body) {
-    MutableHttpResponse<byte[]> copy = HttpResponse.status(response.code(), response.reason());
+  private static HttpResponse<ByteBuf> copyOf(HttpResponse<?> response, ByteBuf content) {
+    MutableHttpResponse<ByteBuf> copy = HttpResponse.status(response.code(), response.reason());
     response.getHeaders().forEach((name, values) -> values.forEach(v -> copy.header(name, v)));
-    return copy.body(body);
+    return copy.body(content);
   }
 
   private void responseReceived(Received received) {
-    HttpResponse<byte[]> response = received.response();
+    HttpResponse<ByteBuf> response = received.response();
     if (response.code() >= CLIENT_ERROR) {
-      handleErrorResponse(response, received.memory());
+      handleErrorResponse(response, received.body());
       return;
     }
     if (isForOtherAttempt(response.getHeaders())) {
@@ -123,16 +120,15 @@
       return;
     }
     reportStarted(response.getHeaders());
-    relayResponse(toCallerResponse(response), outputTokens(response), received.memory());
+    relayResponse(toCallerResponse(response), outputTokens(response.body()), received.body());
   }
 
-  private int outputTokens(HttpResponse<byte[]> response) {
+  private int outputTokens(ByteBuf content) {
     if (request().call().mode() == ResponseMode.SERVICE_RESPONSE) {
       return 0;
     }
-    try {
-      byte[] body = response.getBody().orElse(new byte[0]);
-      return Math.max(0, JSON.readTree(body).at("/usage/completion_tokens").asInt(0));
+    try (InputStream json = new ByteBufInputStream(content.duplicate())) {
+      return Math.max(0, JSON.readTree(json).at("/usage/completion_tokens").asInt(0));
     } catch (IOException e) {
       return 0;
     }
--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/OpenRequest.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/traffic/OpenRequest.java
@@ -16,7 +16,6 @@
 import org.limpetdoor.core.request.RefusalReason;
 import org.limpetdoor.core.request.RequestSpec;
 import org.limpetdoor.entry.traffic.SseDecoder.SseEvent;
-import org.limpetdoor.runtime.BodyMemory;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Sinks;
 
@@ -169,13 +168,12 @@
   /**
    * Sends a whole response; returns false if one has started or the attempt is superseded.
    *
-   * @param memory what the response has reserved; released by {@link #responseWritten}
+   * @param body its body, whose memory is released by {@link #responseWritten}
    */
-  boolean sendResponse(
-      AttemptId attempt, MutableHttpResponse<?> httpResponse, BodyMemory.Reservation memory) {
+  boolean sendResponse(AttemptId attempt, MutableHttpResponse<?> httpResponse, ReceivedBody body) {
     boolean accepted = locked(() -> isCurrent(attempt) && !responseStarted() && markEnded());
     if (accepted) {
-      responseMemory.hold(memory.detach());
+      responseMemory.hold(body.detachMemory());
       respond(httpResponse);
     }
     return accepted;
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/CallerChannel.java
@@ -1,7 +1,6 @@
 package org.limpetdoor.gateway;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -183,10 +182,9 @@
   }
 
   /** Writes a complete response of an engine. */
-  void writeResponse(HttpResponse engineHead, byte[] content) {
+  void writeResponse(HttpResponse engineHead, ByteBuf content) {
     FullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1, engineHead.status(), Unpooled.wrappedBuffer(content));
+        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, engineHead.status(), content);
     HopByHopHeaders.copyEndToEnd(engineHead.headers(), response.headers());
     write(response);
   }
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineAttempt.java
@@ -96,8 +96,8 @@
   }
 
   /** Returns the buffered body of a response that was not streamed. */
-  byte[] responseBody() {
-    return body.toByteArray();
+  ByteBuf responseBody() {
+    return body.content();
   }
 
   /** Drops the buffered body, which is not relayed any more. */
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/BufferedBody.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/BufferedBody.java
@@ -1,7 +1,9 @@
 package org.limpetdoor.runtime.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.limpetdoor.runtime.BodyMemory;
 
@@ -69,6 +71,29 @@
     return result;
   }
 
+  /**
+   * Returns the content without a copy of the filled blocks. Only the block that is not filled is
+   * copied, so that the content takes no more memory than its length. It stays valid when the body
+   * is closed.
+   */
+  public ByteBuf content() {
+    byte[][] parts = blocks.toArray(byte[][]::new);
+    if (freeBytes > 0) {
+      byte[] last = parts[parts.length - 1];
+      parts[parts.length - 1] = Arrays.copyOf(last, last.length - freeBytes);
+    }
+    return Unpooled.wrappedBuffer(Math.max(1, parts.length), parts);
+  }
+
+  /** Moves what the body has reserved to a new owner of its content. The body is empty then. */
+  public BodyMemory.Reservation detachMemory() {
+    BodyMemory.Reservation moved = reservation.detach();
+    blocks.clear();
+    freeBytes = 0;
+    lengthBytes = 0;
+    return moved;
+  }
+
   /** Drops the content. Its length stays reserved, which then stands for a copy of it. */
   public void dropContent() {
     reservation.shrink(freeBytes);
--- a/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/http/BufferedBodyTest.java
+++ b/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/http/BufferedBodyTest.java
@@ -51,6 +51,23 @@
     assertThat(memory.usedBytes()).isEqualTo(0);
   }
 
+  /** Guards against a second copy in memory of each response that is passed on. */
+  @Test
+  void returnsItsBlocksAsContent() {
+    assertThat(body.content().isReadable()).isFalse();
+    body.append(bytes("hello"));
+    appendOneByOne(3_000);
+    assertThat(body.content().toString(StandardCharsets.ISO_8859_1))
+        .isEqualTo("hello" + "x".repeat(3_000));
+    long usedBytes = memory.usedBytes();
+    BodyMemory.Reservation moved = body.detachMemory();
+    assertThat(body.lengthBytes()).isEqualTo(0);
+    body.close();
+    assertThat(memory.usedBytes()).isEqualTo(usedBytes);
+    moved.close();
+    assertThat(memory.usedBytes()).isEqualTo(0);
+  }
+
   @Test
   void refusesABlockWithoutMemory() {
     BufferedBody small = new BufferedBody(BodyMemory.ofBytes(1_500));
