Read at most 16 kB at once from engines and peers

Cause of 3 MB beside crowds on a gateway, from Netty's allocation events: its allocator takes 32 times the length of a buffer from the machine, so a single read of 64 kB takes 2 MB and one of 32 kB 1 MB, which stay. Longest read now 16 kB: 512 kB.

--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/EngineConnectionPool.java
@@ -19,6 +19,7 @@
 import org.limpetdoor.core.effect.ForwardCall;
 import org.limpetdoor.core.gateway.EngineNotice;
 import org.limpetdoor.core.id.BackendId;
+import org.limpetdoor.runtime.SocketReads;
 
 /**
  * Pool of idle connections to engines, by engine rather than by address, because an address may be
@@ -165,6 +166,7 @@
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        .option(ChannelOption.RCVBUF_ALLOCATOR, SocketReads.bounded())
         .handler(
             new ChannelInitializer<SocketChannel>() {
               @Override
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/PeerTransport.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/peer/PeerTransport.java
@@ -25,6 +25,7 @@
 import org.limpetdoor.core.limits.ConnectionThreshold;
 import org.limpetdoor.format.peer.HandshakeFrame.Nonce;
 import org.limpetdoor.runtime.AcceptLimit;
+import org.limpetdoor.runtime.SocketReads;
 
 /**
  * Links to other instances over TCP. The transport accepts links, dials peers and sends messages;
@@ -74,6 +75,7 @@
                 new AcceptLimit(
                     new ConnectionThreshold(MAX_ACCEPTED), links::containsValue, overload))
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, queueBounds())
+            .childOption(ChannelOption.RCVBUF_ALLOCATOR, SocketReads.bounded())
             .childHandler(initializer(LinkRole.ACCEPTOR, "accepted"))
             .bind(settings.address())
             .syncUninterruptibly()
@@ -112,6 +114,7 @@
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, queueBounds())
+        .option(ChannelOption.RCVBUF_ALLOCATOR, SocketReads.bounded())
         .handler(initializer(LinkRole.DIALER, address.toString()))
         .connect(address)
         .addListener(
