Keep the buffers of callers' connections in the heap

Cause, from native memory tracking and Netty's allocation events: what callers send was read into buffers outside of the heap, and a response that a caller does not read was copied there as a whole when it was written. This came on top of a heap that is full anyway (11 MB in the gateway, 14 to 22 MB in the entry).

Now an accepted connection reads into the heap (CallerBuffers), and writes from it: Netty does not copy if the allocator does not pool buffers outside of the heap. The Java library copies each write to a buffer that it keeps for the thread, as long as the longest write, so PacedWrites writes long buffers in pieces of 16 kB, each when the socket has taken the one before. UnsentResponses counts these pieces as progress, or a caller that takes whole pieces would be closed as a slow reader.

Tried and not kept: a pooled allocator for buffers in the heap.

--- a/limpetdoor-entry/src/main/java/org/limpetdoor/entry/ConnectionBounds.java
+++ b/limpetdoor-entry/src/main/java/org/limpetdoor/entry/ConnectionBounds.java
@@ -16,10 +16,11 @@
 import java.util.concurrent.ConcurrentMap;
 import org.limpetdoor.core.limits.DecodeBudget;
 import org.limpetdoor.runtime.AcceptLimit;
+import org.limpetdoor.runtime.http.CallerBuffers;
 import org.limpetdoor.runtime.http.DecodeTurns;
 import org.limpetdoor.runtime.http.HeadMemory;
 import org.limpetdoor.runtime.http.PacedHttpCodec;
-import org.limpetdoor.runtime.http.SocketReads;
+import org.limpetdoor.runtime.http.PacedWrites;
 
 /**
  * Puts the bounds on callers into the pipelines of the HTTP server: a limit on the accepted
@@ -42,7 +43,7 @@
   }
 
   private void boundListener(Channel listener) {
-    listener.config().setOption(ChannelOption.SO_RCVBUF, SocketReads.RECEIVE_BUFFER_BYTES);
+    listener.config().setOption(ChannelOption.SO_RCVBUF, CallerBuffers.RECEIVE_BUFFER_BYTES);
     listener
         .pipeline()
         .addFirst(
@@ -51,7 +52,7 @@
   }
 
   private void boundConnection(Channel connection) {
-    connection.config().setRecvByteBufAllocator(SocketReads.untilEmpty());
+    CallerBuffers.configure(connection.config());
     HttpDecoderConfig config =
         new HttpDecoderConfig()
             .setMaxInitialLineLength(bounds.maxHeaderBytes())
@@ -63,6 +64,7 @@
     String codec = ChannelPipelineCustomizer.HANDLER_HTTP_SERVER_CODEC;
     connection.pipeline().replace(codec, codec, new PacedHttpCodec(config, heads, turnsOfLoop));
     connection.pipeline().addBefore(codec, null, BoundedConnection.stallTimeout());
+    connection.pipeline().addBefore(codec, null, new PacedWrites());
     connection.pipeline().addAfter(codec, null, new BoundedConnection(bounds, heads));
   }
 
--- a/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
+++ b/limpetdoor-gateway/src/main/java/org/limpetdoor/gateway/Listeners.java
@@ -12,8 +12,9 @@
 import java.net.InetSocketAddress;
 import java.util.function.Function;
 import org.limpetdoor.runtime.AcceptLimit;
+import org.limpetdoor.runtime.http.CallerBuffers;
 import org.limpetdoor.runtime.http.ConnectionCapacity;
-import org.limpetdoor.runtime.http.SocketReads;
+import org.limpetdoor.runtime.http.PacedWrites;
 
 /** Binds the listening sockets of a gateway. */
 final class Listeners {
@@ -37,12 +38,14 @@
         new ChannelInitializer<>() {
           @Override
           protected void initChannel(SocketChannel channel) {
+            CallerBuffers.configure(channel.config());
             HttpDecoderConfig config =
                 new HttpDecoderConfig()
                     .setMaxInitialLineLength(traffic.callerLimits().maxHeaderBytes())
                     .setMaxHeaderSize(traffic.callerLimits().maxHeaderBytes());
             channel
                 .pipeline()
+                .addLast(new PacedWrites())
                 .addLast(traffic.bounds().codec(config))
                 .addLast(new CallerChannel(traffic));
           }
@@ -63,9 +66,11 @@
         new ChannelInitializer<>() {
           @Override
           protected void initChannel(SocketChannel channel) {
+            CallerBuffers.configure(channel.config());
             channel
                 .pipeline()
                 .addLast(MonitoringHandler.idleTimeout())
+                .addLast(new PacedWrites())
                 .addLast(traffic.bounds().codec(new HttpDecoderConfig()))
                 .addLast(new HttpObjectAggregator(MAX_MONITORING_REQUEST_BYTES))
                 .addLast(new MonitoringHandler(responder));
@@ -89,9 +94,8 @@
         .handler(limit)
         .option(ChannelOption.SO_BACKLOG, BACKLOG)
         .option(ChannelOption.SO_REUSEADDR, true)
-        .option(ChannelOption.SO_RCVBUF, SocketReads.RECEIVE_BUFFER_BYTES)
+        .option(ChannelOption.SO_RCVBUF, CallerBuffers.RECEIVE_BUFFER_BYTES)
         .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.RCVBUF_ALLOCATOR, SocketReads.untilEmpty())
         .childHandler(child)
         .bind(address)
         .syncUninterruptibly()
--- a/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/UnsentResponses.java
+++ b/limpetdoor-runtime/src/main/java/org/limpetdoor/runtime/http/UnsentResponses.java
@@ -17,6 +17,7 @@
   private final BodyMemory.Reservation reservation;
   private int writes;
   private long progressBytes;
+  private long progressPieces;
   private long lastTakenNs;
 
   /**
@@ -68,8 +69,10 @@
     if (writes == 0 || buffer == null) {
       return false;
     }
-    if (buffer.currentProgress() != progressBytes) {
+    long takenPieces = PacedWrites.takenPieces(channel);
+    if (buffer.currentProgress() != progressBytes || takenPieces != progressPieces) {
       progressBytes = buffer.currentProgress();
+      progressPieces = takenPieces;
       lastTakenNs = System.nanoTime();
     }
     return System.nanoTime() - lastTakenNs >= TimeUnit.MILLISECONDS.toNanos(timeoutMs);
--- a/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/http/UnsentResponsesTest.java
+++ b/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/http/UnsentResponsesTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import org.junit.jupiter.api.Test;
@@ -10,6 +11,7 @@
 /** Tests what responses take that their callers do not read. */
 class UnsentResponsesTest {
   private static final int CAPACITY_BYTES = 1_000;
+  private static final int STALL_TIMEOUT_MS = 10;
 
   private final BodyMemory memory = BodyMemory.ofBytes(CAPACITY_BYTES);
   private final UnsentResponses unsent = new UnsentResponses(memory);
@@ -46,4 +48,18 @@
     write.setFailure(new IllegalStateException());
     assertThat(unsent.isStalled(channel, 0)).isFalse();
   }
+
+  /** Guards against closing a caller that takes a long response in whole pieces. */
+  @Test
+  void isNotStalledWhilePiecesAreTaken() throws Exception {
+    UnreadingSocket socket = new UnreadingSocket();
+    EmbeddedChannel connection = new EmbeddedChannel(socket, new PacedWrites());
+    byte[] response = new byte[3 * PacedWrites.PIECE_BYTES];
+    unsent.add(connection.writeAndFlush(Unpooled.wrappedBuffer(response)), response.length);
+    Thread.sleep(2 * STALL_TIMEOUT_MS);
+    socket.take();
+    assertThat(unsent.isStalled(connection, STALL_TIMEOUT_MS)).isFalse();
+    Thread.sleep(2 * STALL_TIMEOUT_MS);
+    assertThat(unsent.isStalled(connection, STALL_TIMEOUT_MS)).isTrue();
+  }
 }
