--- a/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/http/UnreadingSocket.java
+++ b/limpetdoor-runtime/src/test/java/org/limpetdoor/runtime/http/UnreadingSocket.java
@@ -7,7 +7,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
-/** Stands in for the socket of a caller that does not read: it takes a write only when told to. */
+/** Stands in for the socket of a caller that does not read: each write waits for {@link #take}. */
 final class UnreadingSocket extends ChannelOutboundHandlerAdapter {
   private final Deque<ByteBuf> writes = new ArrayDeque<>();
   private final Deque<ChannelPromise> promises = new ArrayDeque<>();
