--- a/review/support-2/EndlessEvents.java
+++ b/review/support-2/EndlessEvents.java
@@ -34,7 +34,7 @@
 
   private static int run(Lab lab) throws IOException {
     Store store = new Store(lab.machine(1));
-    store.put("keyed.op", "config", Deployment.configuration(1));
+    store.put(Wire.name("operatorTopic"), "config", Deployment.configuration(1));
     Engine.Kind chat = Engine.Kind.chat(40, 20, 100);
     List<Engine> inTrouble = new ArrayList<>();
     List<Engine> sound = new ArrayList<>();
@@ -86,6 +86,7 @@
     Lab.sleepMs(1_000);
     lab.note("ordinary requests: " + results);
     lab.note("streams: " + streams);
+    int lost = results.lost.get() + streams.lost.get();
     inTrouble.forEach(Engine::close);
     sound.forEach(Engine::close);
     ledger.close();
@@ -93,7 +94,6 @@
     if (answeredInCalm == 0 || streamsInCalm == 0) {
       return Lab.EXIT_NOT_RUN;
     }
-    int lost = results.lost.get() + streams.lost.get();
     return lost > MAX_LOST ? Lab.EXIT_BROKEN : Lab.EXIT_HELD;
   }
 }
--- a/review/support-2/Engine.java
+++ b/review/support-2/Engine.java
@@ -123,7 +123,7 @@
   private void beat() {
     String models = kind.models().isEmpty() ? "" : kind.models();
     store.put(
-        "keyed.servers",
+        Wire.name("engineTopic"),
         id,
         ("{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":\"v1\",\"slots\":%d,"
                 + "\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":%d,\"born\":%d,"
@@ -145,13 +145,13 @@
   void leaveUnreported() {
     leaving = true;
     registered = false;
-    store.put("keyed.servers", id, null);
+    store.put(Wire.name("engineTopic"), id, null);
     lab.note("engine " + id + " leaves; its entry is removed");
   }
 
   /** Removes the entry once more, as the engine had removed it before. */
   void repeatRemoval() {
-    store.put("keyed.servers", id, null);
+    store.put(Wire.name("engineTopic"), id, null);
   }
 
   /** From now on all streams go on with bytes that never end an event. */
@@ -219,7 +219,7 @@
       return;
     }
     if (path.equals("/order")) {
-      String expectedOrders = Store.field(new String(body, StandardCharsets.UTF_8), "precondition");
+      String expectedOrders = Store.field(new String(body, StandardCharsets.UTF_8), Wire.name("expectedOrders"));
       boolean current = expectedOrders.equals(Integer.toString(sequence.get()));
       // The models of the case are all loaded, so that there is nothing to order.
       write(out, current ? "400 Bad Request" : "409 Conflict", "", "");
--- a/review/support-2/Lab.java
+++ b/review/support-2/Lab.java
@@ -103,7 +103,7 @@
     Files.writeString(settings, render(Files.readString(ROOT.resolve("deploy/settings.json")), values));
     ProcessBuilder builder = new ProcessBuilder(runCommand());
     builder.directory(ROOT.toFile());
-    builder.environment().put("LIMPETDOOR_CONFIG", settings.toString());
+    builder.environment().put(Wire.name("settingsVariable"), settings.toString());
     Path log = directory.resolve("gateway-" + number + ".log");
     builder.redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
     Gateway gateway =
--- a/review/support-2/ModelNames.java
+++ b/review/support-2/ModelNames.java
@@ -9,14 +9,15 @@
  * Without the trouble they send as many requests with the same few names of the same length.
  */
 final class ModelNames {
-  private static final int CROWD = 400;
+  private static final int CROWD = 1_000;
+  private static final int STACK_BYTES = 256 << 10;
   private static final int NAME_BYTES = 15_000;
   private static final int FEW_NAMES = 20;
   private static final int ORDINARY_CLIENTS = 10;
-  private static final int STREAM_CLIENTS = 20;
+  private static final int STREAM_CLIENTS = 40;
   private static final int ANSWER_BYTES = 800;
   private static final int WORK_MS = 300;
-  private static final long CALM_MS = 6_000;
+  private static final long CALM_MS = 10_000;
   private static final long CROWD_MS = 60_000;
 
   /** The rule allows three. */
@@ -37,11 +38,11 @@
 
   private static int run(Lab lab) throws IOException {
     Store store = new Store(lab.machine(1));
-    store.put("keyed.op", "config", Deployment.configuration(1));
+    store.put(Wire.name("operatorTopic"), "config", Deployment.configuration(1));
     Engine chat =
         new Engine(
             lab, store, "i-chat", "zone-a", lab.machine(2),
-            Engine.Kind.chat(20, 30, 100));
+            Engine.Kind.chat(20, 80, 100));
     Engine ledger =
         new Engine(
             lab, store, "i-ledger", "zone-a", lab.machine(3),
@@ -76,8 +77,9 @@
     lab.note("the crowd begins: " + CROWD + " connections, names of " + NAME_BYTES + " bytes");
     long endMs = Lab.nowMs() + CROWD_MS;
     for (int i = 0; i < CROWD; i++) {
-      int number = i;
-      new Thread(() -> crowd(gateway, number, endMs, sent, refused)).start();
+      new Thread(
+              null, () -> crowd(gateway, endMs, sent, refused), "crowd-" + i, STACK_BYTES)
+          .start();
     }
     while (Lab.nowMs() < endMs && gateway.alive()) {
       Lab.sleepMs(100);
@@ -92,17 +94,18 @@
     Lab.sleepMs(1_000);
     lab.note("ordinary requests: " + results);
     lab.note("streams: " + streams);
+    int lost = results.lost.get() + streams.lost.get();
     chat.close();
     ledger.close();
     store.close();
     if (answeredInCalm == 0 || streamsInCalm == 0) {
       return Lab.EXIT_NOT_RUN;
     }
-    return results.lost.get() + streams.lost.get() > MAX_LOST ? Lab.EXIT_BROKEN : Lab.EXIT_HELD;
+    return lost > MAX_LOST ? Lab.EXIT_BROKEN : Lab.EXIT_HELD;
   }
 
   private static void crowd(
-      Lab.Gateway gateway, int number, long endMs, AtomicInteger sent, AtomicInteger refused) {
+      Lab.Gateway gateway, long endMs, AtomicInteger sent, AtomicInteger refused) {
     while (gateway.alive() && Lab.nowMs() < endMs) {
       try (Http.Connection connection = Http.connect(gateway.address(), gateway.callerPort())) {
         while (Lab.nowMs() < endMs) {
@@ -113,7 +116,7 @@
                   + "\r\nX-Attempt-Id: crowd-" + count + "\r\nX-Model: " + name
                   + "n".repeat(NAME_BYTES - name.length())
                   + "\r\nX-Token-Usage: 100,50\r\nX-Prompt-Prefix: aa:50,bb:50"
-                  + "\r\nX-Deadline-Ms: 400\r\nContent-Length: 2\r\n\r\nok");
+                  + "\r\nX-Deadline-Ms: 3000\r\nContent-Length: 2\r\n\r\nok");
           if (connection.readResponse(10_000).status() == 503) {
             refused.incrementAndGet();
           }
--- a/review/support-2/OrdinaryClient.java
+++ b/review/support-2/OrdinaryClient.java
@@ -31,9 +31,8 @@
     }
 
     private void awaitEndOfQuiet() {
-      long leftMs = quietUntilMs - Lab.nowMs();
-      if (leftMs > 0) {
-        Lab.sleepMs(leftMs);
+      for (long ms = quietUntilMs - Lab.nowMs(); ms > 0; ms = quietUntilMs - Lab.nowMs()) {
+        Lab.sleepMs(ms);
       }
     }
 
--- a/review/support-2/PromptParts.java
+++ b/review/support-2/PromptParts.java
@@ -38,7 +38,7 @@
 
   private static int run(Lab lab) throws IOException {
     Store store = new Store(lab.machine(1));
-    store.put("keyed.op", "config", Deployment.configuration(1));
+    store.put(Wire.name("operatorTopic"), "config", Deployment.configuration(1));
     List<Engine> chats = new ArrayList<>();
     for (int i = 0; i < CHAT_ENGINES; i++) {
       chats.add(
--- a/review/support-2/RestoredStore.java
+++ b/review/support-2/RestoredStore.java
@@ -36,7 +36,7 @@
 
   private static int run(Lab lab) throws IOException {
     Store store = new Store(lab.machine(1));
-    store.put("keyed.op", "config", Deployment.configuration(1));
+    store.put(Wire.name("operatorTopic"), "config", Deployment.configuration(1));
     Engine.Kind kind = Engine.Kind.plain(6, WORK_MS, ANSWER_BYTES);
     Engine first = new Engine(lab, store, "i-ledger-1", "zone-a", lab.machine(2), kind);
     Engine second = new Engine(lab, store, "i-ledger-2", "zone-b", lab.machine(3), kind);
@@ -87,7 +87,7 @@
       store.comeBackFrom(copy);
       lab.note("the store is back from a copy of " + COPY_BEFORE_LEAVING_MS + " ms before the removal");
       Lab.sleepMs(REPEATED_AFTER_MS);
-      store.put("keyed.op", "config", Deployment.configuration(1));
+      store.put(Wire.name("operatorTopic"), "config", Deployment.configuration(1));
       leaving.repeatRemoval();
       lab.note("the operator and the engines have written again what they wrote");
     }
--- a/review/support-2/StartedGateway.java
+++ b/review/support-2/StartedGateway.java
@@ -4,22 +4,23 @@
 import java.util.List;
 
 /**
- * In each of some rounds a gateway is started beside four others, and within two seconds an engine
+ * In each of some rounds the second gateway of two is started, and within two seconds an engine
  * leaves without a report: its entry is removed, and it serves for some seconds more. Without the
- * trouble no gateway is started. The clients send nothing for a moment, so that the gateways do not
- * learn from answers of the engine that it leaves. Only requests through the four gateways are sent.
+ * trouble there is one gateway. The clients send nothing for a moment, so that the gateway does not
+ * learn from answers of the engine that it leaves. All requests go through the first gateway.
  */
 final class StartedGateway {
   private static final int ROUNDS = 4;
-  private static final int GATEWAYS = 4;
+  private static final int GATEWAYS = 1;
   private static final int STAYING_ENGINES = 2;
-  private static final int CLIENTS_PER_GATEWAY = 4;
+  private static final int CLIENTS_PER_GATEWAY = 8;
   private static final int PAUSE_MS = 100;
   private static final int ANSWER_BYTES = 800;
   private static final int WORK_MS = 40;
   private static final long LIST_INTERVAL_MS = 1_000;
-  private static final long MIN_AGE_MS = 60;
-  private static final long MAX_AGE_MS = 450;
+  private static final long MIN_AGE_MS = 40;
+  private static final long MAX_SUM_MS = 480;
+  private static final long TURN_MS = 250;
   private static final long MAX_TURN_MS = 1_500;
   private static final long MAX_START_MS = 5_000;
   private static final long POLL_MS = 5;
@@ -27,6 +28,9 @@
   private static final long LULL_MS = 2_300;
   private static final long SERVES_MS = 5_000;
 
+  /** Time from the start of a gateway to its first reads, as seen in the last round. */
+  private static long startupMs = 500;
+
   private StartedGateway() {}
 
   public static void main(String[] args) throws Exception {
@@ -42,7 +46,7 @@
 
   private static int run(Lab lab) throws Exception {
     Store store = new Store(lab.machine(1));
-    store.put("keyed.op", "config", Deployment.configuration(1));
+    store.put(Wire.name("operatorTopic"), "config", Deployment.configuration(1));
     Engine.Kind kind = Engine.Kind.plain(6, WORK_MS, ANSWER_BYTES);
     List<Engine> engines = new ArrayList<>();
     for (int i = 0; i < STAYING_ENGINES + ROUNDS; i++) {
@@ -106,10 +110,14 @@
     results.beQuiet(MAX_START_MS);
     Lab.Gateway started = null;
     if (!Lab.withoutTrouble()) {
+      awaitListRead(store);
+      Lab.sleepMs(Math.floorMod(LIST_INTERVAL_MS + TURN_MS - startupMs, LIST_INTERVAL_MS));
+      long beganMs = Lab.nowMs();
       started = lab.startGateway(number, "zone-b", storeAddress);
-      if (!store.awaitKey("keyed.limpetdoor-instances", started.name(), 10_000)) {
+      if (!store.awaitKey(Wire.name("instanceTopic"), started.name(), 10_000)) {
         throw new IOException(started.name() + " has not written its entry");
       }
+      startupMs = Lab.nowMs() - beganMs;
       awaitTurn(store, storeAddress);
     }
     results.beQuiet(LULL_MS);
@@ -134,17 +142,25 @@
     return late;
   }
 
+  /** Waits until the first gateway has read the list of engines. */
+  private static void awaitListRead(Store store) {
+    long beforeMs = store.lastListReadMs(store.address());
+    while (store.lastListReadMs(store.address()) == beforeMs) {
+      Lab.sleepMs(POLL_MS);
+    }
+  }
+
   /**
    * Waits, for a second and a half at most, until the new gateway is the next one that will read the
-   * list of engines, and the others have just read it.
+   * list of engines, and the first one has just read it.
    */
   private static void awaitTurn(Store store, String storeAddress) {
     long endMs = Lab.nowMs() + MAX_TURN_MS;
     while (Lab.nowMs() < endMs) {
       long othersMs = Lab.nowMs() - store.lastListReadMs(store.address());
       long ownMs = Lab.nowMs() - store.lastListReadMs(storeAddress);
-      boolean othersJustRead = othersMs >= MIN_AGE_MS && othersMs <= MAX_AGE_MS;
-      if (othersJustRead && ownMs >= LIST_INTERVAL_MS - MAX_AGE_MS && ownMs < LIST_INTERVAL_MS) {
+      long ownDueMs = LIST_INTERVAL_MS - ownMs;
+      if (othersMs >= MIN_AGE_MS && ownDueMs > 0 && othersMs + ownDueMs <= MAX_SUM_MS) {
         return;
       }
       Lab.sleepMs(POLL_MS);
--- a/review/support-2/Store.java
+++ b/review/support-2/Store.java
@@ -123,13 +123,19 @@
         return;
       }
     }
-    switch (exchange.getRequestURI().getPath()) {
-      case "/log-read" -> read(exchange, query);
-      case "/log-newest" -> newest(exchange, query);
-      case "/log-append" -> append(exchange, query, body);
-      case "/log-join" -> join(exchange, new String(body, StandardCharsets.UTF_8));
-      case "/log-leave" -> leave(exchange, new String(body, StandardCharsets.UTF_8));
-      default -> answer(exchange, 404, new byte[0]);
+    String path = exchange.getRequestURI().getPath();
+    if (path.equals(Wire.name("read"))) {
+      read(exchange, query);
+    } else if (path.equals(Wire.name("newest"))) {
+      newest(exchange, query);
+    } else if (path.equals(Wire.name("append"))) {
+      append(exchange, query, body);
+    } else if (path.equals(Wire.name("join"))) {
+      join(exchange, new String(body, StandardCharsets.UTF_8));
+    } else if (path.equals(Wire.name("leave"))) {
+      leave(exchange, new String(body, StandardCharsets.UTF_8));
+    } else {
+      answer(exchange, 404, new byte[0]);
     }
   }
 
@@ -139,7 +145,7 @@
     long endMs = Lab.nowMs() + waitMs;
     byte[] answer;
     synchronized (this) {
-      if (query.get("topic").equals("keyed.servers")) {
+      if (query.get("topic").equals(Wire.name("engineTopic"))) {
         InetSocketAddress read = exchange.getLocalAddress();
         listReadsMs.put(read.getAddress().getHostAddress() + ":" + read.getPort(), Lab.nowMs());
       }
@@ -228,7 +234,7 @@
       members.values().removeIf(untilMs -> untilMs < Lab.nowMs());
       assign();
       current = generation;
-      parts = member.equals(owner) ? "[[\"keyed.status\",0,0]]" : "[]";
+      parts = member.equals(owner) ? "[[\"" + Wire.name("dutyTopic") + "\",0,0]]" : "[]";
     }
     json(exchange, "{\"generation\":" + current + ",\"ttlMs\":" + ttlMs + ",\"parts\":" + parts + "}");
   }
