--- a/review/support-2/Engine.java
+++ b/review/support-2/Engine.java
@@ -23,8 +23,6 @@
 final class Engine implements AutoCloseable {
   private static final int BEAT_MS = 1_200;
   private static final int BACKLOG = 1_024;
-  private static final int MAX_AWAIT_MS = 5_000;
-  private static final int POLL_MS = 5;
   private static final int CHAT_SLOTS = 96;
 
   /** What became of a request that the engine began to run. */
@@ -94,19 +92,6 @@
     return Collections.unmodifiableMap(runs);
   }
 
-  int answeredRuns() {
-    return (int) runs.values().stream().filter(run -> run.answered()[0]).count();
-  }
-
-  /** Waits until one more request is answered, so that the engine is idle then. */
-  void awaitAnswer() {
-    int before = answeredRuns();
-    long endMs = Lab.nowMs() + MAX_AWAIT_MS;
-    while (answeredRuns() == before && Lab.nowMs() < endMs) {
-      Lab.sleepMs(POLL_MS);
-    }
-  }
-
   int openStreams() {
     return streams.get();
   }
@@ -149,11 +134,6 @@
     lab.note("engine " + id + " leaves; its entry is removed");
   }
 
-  /** Removes the entry once more, as the engine had removed it before. */
-  void repeatRemoval() {
-    store.put(Wire.name("engineTopic"), id, null);
-  }
-
   /** From now on all streams go on with bytes that never end an event. */
   void getIntoTrouble() {
     inTrouble = true;
--- a/review/support-2/Store.java
+++ b/review/support-2/Store.java
@@ -19,25 +19,20 @@
 import java.util.regex.Pattern;
 
 /**
- * The platform's store: topics that keep the newest record of each key, and one group. It can be
- * away for a moment and come back from an earlier copy of itself, as in a drill.
+ * The platform's store: topics that keep the newest record of each key, and one group.
  */
 final class Store implements AutoCloseable {
   private static final int MAX_WAIT_MS = 30_000;
 
   private record Entry(String key, byte[] value) {}
 
-  private record Copy(Map<String, List<Entry>> topics, long generation, Map<String, Long> members) {}
-
   private final List<HttpServer> servers = new ArrayList<>();
   private final String address;
   private final ExecutorService executor = Executors.newCachedThreadPool();
-  private Map<String, List<Entry>> topics = new HashMap<>();
-  private Map<String, Long> members = new LinkedHashMap<>();
+  private final Map<String, List<Entry>> topics = new HashMap<>();
+  private final Map<String, Long> members = new LinkedHashMap<>();
   private String owner = "";
   private long generation = 1;
-  private long era;
-  private boolean away;
   private final Map<String, Long> listReadsMs = new HashMap<>();
 
   Store(String ip) throws IOException {
@@ -89,40 +84,9 @@
     return listReadsMs.getOrDefault(storeAddress, 0L);
   }
 
-  /** Returns a copy of what the store holds now. */
-  synchronized Object copy() {
-    Map<String, List<Entry>> copied = new HashMap<>();
-    topics.forEach((name, entries) -> copied.put(name, new ArrayList<>(entries)));
-    return new Copy(copied, generation, new LinkedHashMap<>(members));
-  }
-
-  /** Stops answering; open calls end without an answer. */
-  synchronized void goAway() {
-    away = true;
-    notifyAll();
-  }
-
-  /** Answers again, with the contents of a copy; the era rises by one. */
-  synchronized void comeBackFrom(Object copy) {
-    Copy restored = (Copy) copy;
-    topics = restored.topics();
-    generation = restored.generation();
-    members = restored.members();
-    owner = "";
-    era++;
-    away = false;
-    notifyAll();
-  }
-
   private void handle(HttpExchange exchange) throws IOException {
     byte[] body = exchange.getRequestBody().readAllBytes();
     Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
-    synchronized (this) {
-      if (away) {
-        exchange.close();
-        return;
-      }
-    }
     String path = exchange.getRequestURI().getPath();
     if (path.equals(Wire.name("read"))) {
       read(exchange, query);
@@ -149,9 +113,8 @@
         InetSocketAddress read = exchange.getLocalAddress();
         listReadsMs.put(read.getAddress().getHostAddress() + ":" + read.getPort(), Lab.nowMs());
       }
-      long startEra = era;
       List<Entry> entries = entries(query);
-      while (!away && era == startEra && from == entries.size() && Lab.nowMs() < endMs) {
+      while (from == entries.size() && Lab.nowMs() < endMs) {
         try {
           wait(Math.max(1, endMs - Lab.nowMs()));
         } catch (InterruptedException e) {
@@ -159,10 +122,6 @@
           break;
         }
       }
-      if (away || era != startEra) {
-        exchange.close();
-        return;
-      }
       if (from > entries.size()) {
         answer(exchange, 410, "{\"firstOffset\":0}".getBytes(StandardCharsets.UTF_8));
         return;
@@ -264,9 +223,6 @@
   }
 
   private void answer(HttpExchange exchange, int status, byte[] body) throws IOException {
-    synchronized (this) {
-      exchange.getResponseHeaders().add("Store-Era", Long.toString(era));
-    }
     exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
     exchange.getResponseBody().write(body);
     exchange.close();
